--- /dev/null
+++ b/cmd/relayd/main.go
@@ -0,0 +1,41 @@
+// Command relayd carries the traffic of callers to replicas.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"spoolswitch/internal/boot"
+	"spoolswitch/internal/note"
+	"spoolswitch/internal/relay"
+	"spoolswitch/internal/spawn"
+)
+
+var version = "0.1.0"
+
+func main() {
+	app := kingpin.New("relayd", "Carries the traffic of a router fleet. Settings are read from the file that "+boot.Env+" names.")
+	app.Version(version)
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	s, errs := boot.Load()
+	if len(errs) > 0 {
+		for _, err := range errs {
+			fmt.Fprintln(os.Stderr, err)
+		}
+		os.Exit(2)
+	}
+	d, err := relay.Start(s)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	done := spawn.NewMark()
+	spawn.Signals(done.Set, func() {})
+	for !done.Wait(60 * 1e9) {
+		note.Sum()
+	}
+	d.Stop()
+	note.Sum()
+}
--- /dev/null
+++ b/internal/boot/settings.go
@@ -0,0 +1,172 @@
+// Package boot reads and checks the settings file of a daemon.
+package boot
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/pelletier/go-toml/v2"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
+	"spoolswitch/internal/word"
+)
+
+// Env names the variable that holds the path of the settings file.
+const Env = "SPOOLSWITCH_BOOT"
+
+// Bindings are the addresses for what a role serves.
+type Bindings struct {
+	Front     string `toml:"front-addr" validate:"omitempty,hostport4"`
+	Readiness string `toml:"readiness" validate:"omitempty,hostport4"`
+	Control   string `toml:"control-addr" validate:"omitempty,hostport4"`
+}
+
+// Limits bound what a process may use.
+type Limits struct {
+	CPUShare    float64 `toml:"cpu-share" validate:"gte=0"`
+	Cores       float64 `toml:"cores" validate:"gte=0"`
+	MemoryMB    int64   `toml:"memory-mb" validate:"gte=16"`
+	Descriptors int     `toml:"file-descriptors" validate:"gte=64"`
+	DiskMB      int64   `toml:"disk-mb" validate:"gte=0"`
+}
+
+// Tolerance is what may be lost at once.
+type Tolerance struct {
+	Machines int `toml:"machine-losses" validate:"gte=0"`
+	Zones    int `toml:"zones" validate:"gte=0"`
+}
+
+// Bounds are the figures of the rules.
+type Bounds struct {
+	SeedLagS         float64 `toml:"seed-lag-s" validate:"gte=0"`
+	AddressReuseS    float64 `toml:"address-reuse-s" validate:"gte=0"`
+	ContactMs        float64 `toml:"contact-ms" validate:"gte=0"`
+	AckMs            float64 `toml:"ack-ms" validate:"gte=0"`
+	CatchUpS         float64 `toml:"catch-up-s" validate:"gte=0"`
+	DrainMs          float64 `toml:"drain-ms" validate:"gte=0"`
+	GraceS           float64 `toml:"grace-s" validate:"gte=0"`
+	LossSlackMs      float64 `toml:"loss-slack-ms" validate:"gte=0"`
+	ConfigApplyMs    float64 `toml:"config-apply-ms" validate:"gte=0"`
+	RevertSlackMs    float64 `toml:"revert-slack-ms" validate:"gte=0"`
+	OuterStretchMs   float64 `toml:"outer-stretch-ms" validate:"gte=0"`
+	RetryBudgetRatio float64 `toml:"retry-budget-ratio" validate:"gte=0"`
+	RetryWindowS     float64 `toml:"retry-window-s" validate:"gte=0"`
+	RetrySlack       float64 `toml:"retry-slack" validate:"gte=0"`
+	ColdOverrun      float64 `toml:"cold-overrun" validate:"gte=0"`
+	ColdSlack        float64 `toml:"cold-slack" validate:"gte=0"`
+	EvacuationMs     float64 `toml:"evacuation-ms" validate:"gte=0"`
+	RecoveryS        float64 `toml:"recovery-s" validate:"gte=0"`
+	PassMs           float64 `toml:"pass-ms" validate:"gte=0"`
+}
+
+// Platform is where the list of replicas is kept.
+type Platform struct {
+	Address  string  `toml:"address" validate:"required,hostport4"`
+	PerS     float64 `toml:"rate-per-s" validate:"gt=0"`
+	MaxLagMs float64 `toml:"max-lag-ms" validate:"gte=0"`
+}
+
+// Settings are all that a daemon is told.
+type Settings struct {
+	Node      word.Node         `toml:"node-name" validate:"required"`
+	Role      string            `toml:"node-role"`
+	IP        string            `toml:"ip" validate:"required,ipv4"`
+	Zone      word.Locality     `toml:"zone" validate:"required"`
+	Ports     []int             `toml:"internal-ports" validate:"len=2,dive,gte=1,lte=65535"`
+	Seeds     []word.Addr       `toml:"seed-nodes" validate:"min=1,dive,hostport4"`
+	Initial   bool              `toml:"initial-start"`
+	DataDir   string            `toml:"data-dir"`
+	BeatMs    float64           `toml:"beat-interval-ms" validate:"gte=0"`
+	Zones     map[string]string `toml:"zones"`
+	Bindings  Bindings          `toml:"bindings"`
+	Limits    Limits            `toml:"limits"`
+	Tolerance Tolerance         `toml:"fault-tolerance"`
+	Bounds    Bounds            `toml:"timing-bounds"`
+	Platform  Platform          `toml:"platform-api"`
+	Calendar  Calendar          `toml:"calendar"`
+	Session   Session           `toml:"session"`
+}
+
+// Calendar says when keepers rewrite their log, cron-like; empty is never.
+type Calendar struct {
+	Rewrite string `toml:"rewrite"`
+}
+
+// Session holds the defaults of the session design.
+type Session struct {
+	IdleS float64 `toml:"idle-timeout-s" validate:"gte=0"`
+}
+
+var check = func() *validator.Validate {
+	v := validator.New()
+	_ = v.RegisterValidation("hostport4", func(f validator.FieldLevel) bool {
+		a, err := netip.ParseAddrPort(f.Field().String())
+		return err == nil && a.Port() != 0
+	})
+	return v
+}()
+
+// Parse reads and checks settings; every fault is in the errors.
+func Parse(b []byte) (*Settings, []error) {
+	s := &Settings{}
+	if err := toml.Unmarshal(b, s); err != nil {
+		return nil, []error{code.New(code.BadSettings, "%v", err)}
+	}
+	var out []error
+	if err := check.Struct(s); err != nil {
+		var ve validator.ValidationErrors
+		if !errors.As(err, &ve) {
+			return nil, []error{code.New(code.BadSettings, "%v", err)}
+		}
+		for _, f := range ve {
+			out = append(out, code.New(code.BadSettings, "%s does not hold %s", strings.TrimPrefix(f.Namespace(), "Settings."), f.ActualTag()))
+		}
+	}
+	if len(s.Ports) == 2 && s.Ports[1] < s.Ports[0]+2 {
+		out = append(out, code.New(code.BadSettings, "internal-ports hold fewer than three"))
+	}
+	if s.Session.IdleS == 0 {
+		s.Session.IdleS = 300
+	}
+	return s, out
+}
+
+// Load reads the file that Env names.
+func Load() (*Settings, []error) {
+	p := os.Getenv(Env)
+	if p == "" {
+		return nil, []error{code.New(code.NoSettings, "%s is not set", Env)}
+	}
+	return LoadFile(p)
+}
+
+// LoadFile reads a settings file.
+func LoadFile(p string) (*Settings, []error) {
+	b, err := os.ReadFile(p)
+	if err != nil {
+		return nil, []error{code.New(code.NoSettings, "%v", err)}
+	}
+	return Parse(b)
+}
+
+// Inner is the internal address of the n-th internal port of a machine.
+func (s *Settings) Inner(ip string, n int) word.Addr {
+	return word.Addr(fmt.Sprintf("%s:%d", ip, s.Ports[0]+n))
+}
+
+// Keeper is the internal address of the keeper behind a control address.
+func (s *Settings) Keeper(control word.Addr) word.Addr {
+	ap, err := netip.ParseAddrPort(string(control))
+	if err != nil {
+		return ""
+	}
+	return s.Inner(ap.Addr().String(), 0)
+}
+
+// Grace is the time a process has from SIGTERM on.
+func (s *Settings) Grace() clk.Span { return clk.Ms(s.Bounds.GraceS * 1000) }
--- /dev/null
+++ b/internal/clk/clk.go
@@ -0,0 +1,63 @@
+// Package clk is the only place that reads a clock. Everything that decides
+// anything uses the steady clock; the time of day is offered to calendars only.
+package clk
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Span is a length of time.
+type Span = time.Duration
+
+// Tick is a moment on the steady clock, counted from the start of the process.
+type Tick int64
+
+const (
+	// Millisecond is one millisecond.
+	Millisecond = time.Millisecond
+	// Second is one second.
+	Second = time.Second
+)
+
+var start = time.Now()
+
+var fake atomic.Pointer[Sim]
+
+// Now reads the steady clock.
+func Now() Tick {
+	if s := fake.Load(); s != nil {
+		return s.Now()
+	}
+	return Tick(time.Since(start)) + 1
+}
+
+// Since is the span from t to now.
+func Since(t Tick) Span { return Span(Now() - t) }
+
+// Until is the span from now to t.
+func Until(t Tick) Span { return Span(t - Now()) }
+
+// Add moves a tick by a span.
+func (t Tick) Add(d Span) Tick { return t + Tick(d) }
+
+// Sub is the span from u to t.
+func (t Tick) Sub(u Tick) Span { return Span(t - u) }
+
+// Ms turns a count of milliseconds into a span.
+func Ms(n float64) Span { return Span(n * float64(time.Millisecond)) }
+
+// Limit is t as the connection deadline the standard library wants.
+func (t Tick) Limit() time.Time { return time.Now().Add(Until(t)) }
+
+// NoLimit clears a connection deadline.
+func NoLimit() time.Time { return time.Time{} }
+
+// Past is a connection deadline that has passed already.
+func Past() time.Time { return time.Unix(1, 0) }
+
+// Day is the time of day. It may jump; nothing but calendars may use it.
+func Day() time.Time { return time.Now() }
+
+// Sleep waits for d.
+func Sleep(d Span) { time.Sleep(d) }
--- /dev/null
+++ b/internal/code/code.go
@@ -0,0 +1,100 @@
+// Package code numbers the results that daemons and tools report.
+package code
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/samber/oops"
+)
+
+// Code is a numbered result.
+type Code int
+
+// The results. docs/codes.md tables them.
+const (
+	OK            Code = 0
+	BadSettings   Code = 101
+	NoSettings    Code = 102
+	BadHead       Code = 201
+	HeadTooLarge  Code = 202
+	BodyTooLarge  Code = 203
+	HeadTooSlow   Code = 204
+	BadBody       Code = 205
+	NoRoute       Code = 206
+	NotReady      Code = 207
+	NoReplica     Code = 208
+	HoldingFull   Code = 209
+	PastLimit     Code = 210
+	ReplicaBroke  Code = 211
+	Leaving       Code = 212
+	BadFields     Code = 213
+	BadMethod     Code = 301
+	NoCall        Code = 302
+	Unreadable    Code = 303
+	NoService     Code = 304
+	SamePlace     Code = 305
+	NoWeight      Code = 306
+	NoTimeout     Code = 307
+	OldEdition    Code = 308
+	OtherEdition  Code = 309
+	NoLocality    Code = 310
+	NoMajority    Code = 311
+	Nothing       Code = 312
+	BadItem       Code = 313
+	DiskRefused   Code = 401
+	DiskCorrupt   Code = 402
+	PeerLost      Code = 403
+	NotVoting     Code = 404
+	ListRefused   Code = 405
+	UnknownChange Code = 406
+)
+
+var names = map[Code]string{
+	OK: "ok", BadSettings: "settings at fault", NoSettings: "no settings file",
+	BadHead: "malformed head", HeadTooLarge: "head too large", BodyTooLarge: "body too large",
+	HeadTooSlow: "head too slow", BadBody: "malformed body", NoRoute: "no route", NotReady: "not ready",
+	NoReplica: "no replica may be sent to", HoldingFull: "holding is full", PastLimit: "past its limit",
+	ReplicaBroke: "the replica broke off", Leaving: "leaving", BadFields: "malformed fields",
+	BadMethod: "method not allowed", NoCall: "no such call", Unreadable: "unreadable", NoService: "unknown service",
+	SamePlace: "two routes share a place", NoWeight: "weights add up to 0", NoTimeout: "timeout-ms is 0",
+	OldEdition: "edition not above the current", OtherEdition: "another edition is current",
+	NoLocality: "unknown locality", NoMajority: "no majority", Nothing: "nothing there yet", BadItem: "item at fault",
+	DiskRefused: "the disk refused", DiskCorrupt: "a record is corrupt", PeerLost: "a daemon did not answer",
+	NotVoting: "not voting", ListRefused: "the platform refused", UnknownChange: "unknown change",
+}
+
+func (c Code) String() string { return names[c] }
+
+// All are the numbered results.
+func All() map[Code]string { return names }
+
+// Fault is a result that is not OK.
+type Fault struct {
+	Code Code
+	Text string
+}
+
+func (f *Fault) Error() string {
+	if f.Text == "" {
+		return fmt.Sprintf("%d %s", int(f.Code), f.Code)
+	}
+	return fmt.Sprintf("%d %s: %s", int(f.Code), f.Code, f.Text)
+}
+
+// New makes an error of a code.
+func New(c Code, format string, a ...any) error {
+	return oops.Code(int(c)).Wrap(&Fault{Code: c, Text: fmt.Sprintf(format, a...)})
+}
+
+// Of finds the code of an error.
+func Of(err error) Code {
+	if err == nil {
+		return OK
+	}
+	var f *Fault
+	if errors.As(err, &f) {
+		return f.Code
+	}
+	return Unreadable
+}
--- /dev/null
+++ b/internal/conf/doc.go
@@ -0,0 +1,332 @@
+package conf
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"sort"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+
+	"spoolswitch/internal/code"
+	"spoolswitch/internal/word"
+)
+
+const (
+	routesField   = "route-table"
+	servicesField = "service-table"
+	editionField  = "version"
+)
+
+// Doc is a configuration, both as it was sent and as it was read.
+type Doc struct {
+	Edition  word.Edition
+	Routes   []*Route
+	Services []*Service
+	Limits   Limits
+	raw      map[string]json.RawMessage
+}
+
+var check = validator.New()
+
+// Read reads and checks a whole configuration; every fault is returned.
+func Read(b []byte) (*Doc, []error) {
+	if err := whole(b); err != nil {
+		return nil, []error{code.New(code.Unreadable, "%v", err)}
+	}
+	raw := map[string]json.RawMessage{}
+	if err := json.Unmarshal(b, &raw); err != nil {
+		return nil, []error{code.New(code.Unreadable, "%v", err)}
+	}
+	return build(raw)
+}
+
+// JSON is the document whole, as relays and operators get it.
+func (d *Doc) JSON() []byte {
+	b, err := json.Marshal(d.raw)
+	if err != nil {
+		return nil
+	}
+	return b
+}
+
+func build(raw map[string]json.RawMessage) (*Doc, []error) {
+	d := &Doc{raw: raw}
+	for k, v := range map[string]any{editionField: &d.Edition, routesField: &d.Routes, servicesField: &d.Services, "limits": &d.Limits} {
+		b, ok := raw[k]
+		if !ok {
+			continue
+		}
+		if err := json.Unmarshal(b, v); err != nil {
+			return nil, []error{code.New(code.Unreadable, "%s: %v", k, err)}
+		}
+	}
+	return d, d.faults()
+}
+
+func (d *Doc) faults() []error {
+	var out []error
+	add := func(c code.Code, f string, a ...any) { out = append(out, code.New(c, f, a...)) }
+	if d.Edition <= 0 {
+		add(code.OldEdition, "version %d", d.Edition)
+	}
+	tags := func(what string, v any) {
+		err := check.Struct(v)
+		var ve validator.ValidationErrors
+		if errors.As(err, &ve) {
+			for _, f := range ve {
+				add(code.BadItem, "%s: %s does not hold %s", what, f.Field(), f.ActualTag())
+			}
+		}
+	}
+	tags("limits", d.Limits)
+	names := map[word.Service]bool{}
+	for _, s := range d.Services {
+		if s == nil {
+			add(code.BadItem, "a service is null")
+			continue
+		}
+		tags("service "+string(s.Name), s)
+		if names[s.Name] {
+			add(code.SamePlace, "two services are named %s", s.Name)
+		}
+		names[s.Name] = true
+	}
+	routes, places := map[string]bool{}, map[string]string{}
+	for _, r := range d.Routes {
+		if r == nil {
+			add(code.BadItem, "a route is null")
+			continue
+		}
+		tags("route "+r.Name, r)
+		if routes[r.Name] {
+			add(code.SamePlace, "two routes are named %s", r.Name)
+		}
+		routes[r.Name] = true
+		p := strings.ToLower(r.Authority) + r.Prefix
+		if o, ok := places[p]; ok {
+			add(code.SamePlace, "%s and %s share %s", o, r.Name, p)
+		}
+		places[p] = r.Name
+		if r.TimeoutMs == 0 {
+			add(code.NoTimeout, "route %s", r.Name)
+		}
+		if r.Service == "" && len(r.Shares) == 0 {
+			add(code.NoService, "route %s names none", r.Name)
+		}
+		if r.Service != "" && !names[r.Service] {
+			add(code.NoService, "route %s: %s", r.Name, r.Service)
+		}
+		var sum float64
+		for _, s := range r.Shares {
+			sum += s.Weight
+			if !names[s.Service] {
+				add(code.NoService, "route %s: %s", r.Name, s.Service)
+			}
+		}
+		if r.Shares != nil && sum <= 0 {
+			add(code.NoWeight, "route %s", r.Name)
+		}
+	}
+	return out
+}
+
+// whole makes sure that b is one JSON value with no key twice in an object.
+func whole(b []byte) error {
+	d := json.NewDecoder(bytes.NewReader(b))
+	if err := value(d, 0); err != nil {
+		return err
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return errors.New("more follows the value")
+	}
+	return nil
+}
+
+func value(d *json.Decoder, depth int) error {
+	t, err := d.Token()
+	if err != nil {
+		if err == io.EOF {
+			return io.ErrUnexpectedEOF
+		}
+		return err
+	}
+	o, ok := t.(json.Delim)
+	if !ok {
+		return nil
+	}
+	if depth > 64 {
+		return errors.New("too deep")
+	}
+	seen := map[string]bool{}
+	for d.More() {
+		if o == '{' {
+			k, err := d.Token()
+			if err != nil {
+				return err
+			}
+			s, _ := k.(string)
+			if seen[s] {
+				return errors.New("field " + s + " stands twice")
+			}
+			seen[s] = true
+		}
+		if err := value(d, depth+1); err != nil {
+			return err
+		}
+	}
+	_, err = d.Token()
+	return err
+}
+
+type change struct {
+	Edition *word.Edition              `json:"version"`
+	Upsert  map[string]json.RawMessage `json:"upsert"`
+	Remove  map[string][]string        `json:"remove"`
+}
+
+// Modify makes the document that the change b turns d into.
+func (d *Doc) Modify(b []byte) (*Doc, []error) {
+	if err := whole(b); err != nil {
+		return nil, []error{code.New(code.Unreadable, "%v", err)}
+	}
+	var c change
+	if err := json.Unmarshal(b, &c); err != nil {
+		return nil, []error{code.New(code.Unreadable, "%v", err)}
+	}
+	if c.Edition == nil {
+		return nil, []error{code.New(code.Unreadable, "no version")}
+	}
+	raw := map[string]json.RawMessage{}
+	for k, v := range d.raw {
+		raw[k] = v
+	}
+	e, err := json.Marshal(*c.Edition)
+	if err != nil {
+		return nil, []error{code.New(code.Unreadable, "%v", err)}
+	}
+	raw[editionField] = e
+	for k, v := range c.Upsert {
+		if n := bytes.TrimSpace(v); len(n) == 0 || n[0] != '[' {
+			raw[k] = v
+			continue
+		}
+		if raw[k], err = merge(raw[k], v, nil); err != nil {
+			return nil, []error{code.New(code.Unreadable, "%s: %v", k, err)}
+		}
+	}
+	for k, names := range c.Remove {
+		if raw[k], err = merge(raw[k], nil, names); err != nil {
+			return nil, []error{code.New(code.Unreadable, "%s: %v", k, err)}
+		}
+	}
+	return build(raw)
+}
+
+type named struct {
+	Name string `json:"name"`
+}
+
+// merge puts the items of up into the list old, or in place of those of the
+// same name, and leaves out those named by drop.
+func merge(old, up json.RawMessage, drop []string) (json.RawMessage, error) {
+	var have, put []json.RawMessage
+	if len(old) > 0 {
+		if err := json.Unmarshal(old, &have); err != nil {
+			return nil, err
+		}
+	}
+	if len(up) > 0 {
+		if err := json.Unmarshal(up, &put); err != nil {
+			return nil, err
+		}
+	}
+	at, gone := map[string]int{}, map[string]bool{}
+	for _, n := range drop {
+		gone[n] = true
+	}
+	kept := []json.RawMessage{}
+	for _, it := range have {
+		var n named
+		if err := json.Unmarshal(it, &n); err != nil {
+			return nil, err
+		}
+		if gone[n.Name] {
+			continue
+		}
+		at[n.Name] = len(kept)
+		kept = append(kept, it)
+	}
+	fresh := map[string]bool{}
+	for _, it := range put {
+		var n named
+		if err := json.Unmarshal(it, &n); err != nil {
+			return nil, err
+		}
+		if fresh[n.Name] {
+			return nil, errors.New("two items are named " + n.Name)
+		}
+		fresh[n.Name] = true
+		if i, ok := at[n.Name]; ok {
+			kept[i] = it
+			continue
+		}
+		at[n.Name] = len(kept)
+		kept = append(kept, it)
+	}
+	return json.Marshal(kept)
+}
+
+// Diff lists what stands in d and e differently, by field and name.
+func (d *Doc) Diff(e *Doc) []string {
+	var out []string
+	for _, f := range []string{routesField, servicesField} {
+		a, b := byName(d.raw[f]), byName(e.raw[f])
+		for n, v := range a {
+			if w, ok := b[n]; !ok {
+				out = append(out, "- "+f+" "+n)
+			} else if v != w {
+				out = append(out, "~ "+f+" "+n+" "+w)
+			}
+		}
+		for n, w := range b {
+			if _, ok := a[n]; !ok {
+				out = append(out, "+ "+f+" "+n+" "+w)
+			}
+		}
+	}
+	if flat(d.raw["limits"]) != flat(e.raw["limits"]) {
+		out = append(out, "~ limits "+flat(e.raw["limits"]))
+	}
+	sort.Strings(out)
+	return out
+}
+
+func byName(b json.RawMessage) map[string]string {
+	var items []json.RawMessage
+	out := map[string]string{}
+	if json.Unmarshal(b, &items) != nil {
+		return out
+	}
+	for _, it := range items {
+		var n named
+		if json.Unmarshal(it, &n) == nil {
+			out[n.Name] = flat(it)
+		}
+	}
+	return out
+}
+
+func flat(b json.RawMessage) string {
+	var v any
+	if json.Unmarshal(b, &v) != nil {
+		return string(b)
+	}
+	o, err := json.Marshal(v)
+	if err != nil {
+		return string(b)
+	}
+	return string(o)
+}
--- /dev/null
+++ b/internal/ctl/daemon.go
@@ -0,0 +1,121 @@
+package ctl
+
+import (
+	"net"
+	"runtime/debug"
+
+	"spoolswitch/internal/boot"
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
+	"spoolswitch/internal/disk"
+	"spoolswitch/internal/feed"
+	"spoolswitch/internal/keep"
+	"spoolswitch/internal/list"
+	"spoolswitch/internal/note"
+	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/wire"
+	"spoolswitch/internal/word"
+)
+
+// Daemon is a running keeper.
+type Daemon struct {
+	Keeper *keep.Keeper
+	Hub    *feed.Hub
+	ls     []net.Listener
+}
+
+// Start starts a keeper from its settings.
+func Start(s *boot.Settings) (*Daemon, error) {
+	debug.SetMemoryLimit(s.Limits.MemoryMB << 20 * 7 / 10)
+	if s.Bindings.Control == "" {
+		return nil, code.New(code.BadSettings, "bindings.control-addr is missing")
+	}
+	acc := keep.NewAcceptor()
+	hub := feed.NewHub()
+	self := word.Node(s.Inner(s.IP, 0))
+	k := keep.New(self, acc, &keep.Wires{}, hub)
+	k.Locality = s.Zone
+	k.Decider = Decide
+	for _, a := range s.Seeds {
+		k.Founders = append(k.Founders, word.Node(s.Keeper(a)))
+	}
+	hub.Status = k
+	d := &Daemon{Keeper: k, Hub: hub}
+	li, err := wire.Listen(word.Addr(self))
+	if err != nil {
+		return nil, code.New(code.BadSettings, "%v", err)
+	}
+	lc, err := wire.Listen(word.Addr(s.Bindings.Control))
+	if err != nil {
+		return nil, code.New(code.BadSettings, "%v", err)
+	}
+	d.ls = []net.Listener{li, lc}
+	opened := spawn.NewMark()
+	spawn.Go(func() {
+		d.open(s, acc)
+		opened.Set()
+	})
+	opened.Wait(2 * clk.Second)
+	wire.Serve(li, func(m keep.Msg, push func(keep.Msg) error) (keep.Msg, bool) {
+		if m.Kind == keep.Follow {
+			hub.Follow(m, push)
+			return keep.Msg{}, false
+		}
+		return k.Handle(m), true
+	})
+	srv := &Server{Keeper: k, Zones: s.Zones}
+	spawn.Go(func() { _ = srv.Serve(lc) })
+	spawn.Every(keep.Beat, func() bool {
+		if !acc.Voting() && acc.Ready() {
+			k.Regain()
+		}
+		k.Round()
+		return true
+	})
+	rd := &list.Reader{Addr: word.Addr(s.Platform.Address)}
+	duty := &list.Duty{Keeper: k, Read: rd.Read, Value: hub.Value}
+	spawn.Every(list.Pause, func() bool {
+		duty.Step()
+		return true
+	})
+	note.State("keeper up", "node", self, "voting", acc.Voting())
+	return d, nil
+}
+
+// open opens the disk, as often as it takes.
+func (d *Daemon) open(s *boot.Settings, acc *keep.Acceptor) {
+	if s.DataDir == "" {
+		note.Trouble("no data-dir, not voting")
+		return
+	}
+	for {
+		st, err := acc.Open(disk.Dir(s.DataDir))
+		if err != nil {
+			note.Trouble("disk refused", "err", err)
+			clk.Sleep(200 * clk.Millisecond)
+			continue
+		}
+		seat := false
+		for _, n := range d.Keeper.Founders {
+			seat = seat || n == d.Keeper.Self
+		}
+		switch {
+		case st == disk.Empty && s.Initial && seat:
+			if err := acc.Found(keep.Founding(d.Keeper.Founders), nil); err != nil {
+				note.Trouble("founding record refused", "err", err)
+				clk.Sleep(200 * clk.Millisecond)
+				continue
+			}
+		case st != disk.Whole:
+			note.Trouble("disk without its records, not voting", "state", int(st))
+		}
+		return
+	}
+}
+
+// Stop ends the daemon's listening.
+func (d *Daemon) Stop() {
+	for _, l := range d.ls {
+		_ = l.Close()
+	}
+}
--- /dev/null
+++ b/internal/feed/hub.go
@@ -0,0 +1,160 @@
+// Package feed brings committed values from keepers to relays: a snapshot
+// first, then numbered changes.
+package feed
+
+import (
+	"sort"
+	"sync"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/keep"
+	"spoolswitch/internal/note"
+	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/word"
+)
+
+const (
+	beat     = 500 * clk.Millisecond
+	freshFor = 1200 * clk.Millisecond
+)
+
+type kept struct {
+	it    keep.Item
+	since clk.Tick
+}
+
+type follower struct {
+	name word.Node
+	mark *spawn.Mark
+	num  uint64
+	had  word.Edition
+}
+
+// Status is what the hub says of its keeper with each message.
+type Status interface {
+	Life() uint64
+	Sure(clk.Span) bool
+	Relays() int
+	ListAge() clk.Span
+	Locals() map[word.Node]word.Locality
+}
+
+// Hub is the keeper's end of the feed.
+type Hub struct {
+	Status Status
+	mu     sync.Mutex
+	num    uint64
+	items  map[word.Key]kept
+	who    map[*follower]bool
+}
+
+// NewHub makes an empty hub.
+func NewHub() *Hub { return &Hub{items: map[word.Key]kept{}, who: map[*follower]bool{}} }
+
+// Publish takes a value in; false if it is not newer than what is there.
+func (h *Hub) Publish(it keep.Item) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if have, ok := h.items[it.Key]; ok && !have.it.At.Less(it.At) {
+		return false
+	}
+	h.num++
+	it.Num = h.num
+	h.items[it.Key] = kept{it, clk.Now()}
+	for f := range h.who {
+		f.mark.Set()
+	}
+	return true
+}
+
+// Known tells the place of each value that the hub has.
+func (h *Hub) Known() map[word.Key]word.Place {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make(map[word.Key]word.Place, len(h.items))
+	for k, v := range h.items {
+		out[k] = v.it.At
+	}
+	return out
+}
+
+// Value reads one value.
+func (h *Hub) Value(k word.Key) ([]byte, word.Place) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	it := h.items[k].it
+	return it.Val, it.At
+}
+
+// Num is the number of the newest change.
+func (h *Hub) Num() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.num
+}
+
+// Followers names the relays that follow.
+func (h *Hub) Followers() []word.Node {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []word.Node
+	for f := range h.who {
+		out = append(out, f.name)
+	}
+	return out
+}
+
+func (h *Hub) since(n uint64) ([]keep.Item, uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []keep.Item
+	for _, v := range h.items {
+		if v.it.Num > n && v.it.Key != word.Roster && v.it.Key != word.ListDuty {
+			it := v.it
+			it.Age = clk.Since(v.since)
+			out = append(out, it)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Num < out[j].Num })
+	return out, h.num
+}
+
+// Follow feeds one relay until it is gone.
+func (h *Hub) Follow(m keep.Msg, push func(keep.Msg) error) {
+	f := &follower{name: m.From, mark: spawn.NewMark()}
+	if m.Life == h.Status.Life() {
+		f.num = m.Num
+	}
+	h.mu.Lock()
+	h.who[f] = true
+	h.mu.Unlock()
+	defer func() {
+		h.mu.Lock()
+		delete(h.who, f)
+		h.mu.Unlock()
+	}()
+	first := true
+	locals := -1
+	for {
+		out := keep.Msg{Kind: keep.Follow, Life: h.Status.Life(), Fresh: h.Status.Sure(freshFor),
+			Count: h.Status.Relays(), ListAge: h.Status.ListAge()}
+		if out.Fresh {
+			out.Snapshot = first && f.num == 0
+			out.Items, out.Num = h.since(f.num)
+			if l := h.Status.Locals(); len(l) != locals {
+				out.Locals, locals = l, len(l)
+			}
+		}
+		if err := push(out); err != nil {
+			return
+		}
+		if out.Fresh {
+			f.num, first = out.Num, false
+		}
+		f.mark.Wait(beat)
+	}
+}
+
+var _ keep.Sink = (*Hub)(nil)
+
+var newsTaken = note.Counter("feed.news")
--- /dev/null
+++ b/internal/feed/tail.go
@@ -0,0 +1,201 @@
+package feed
+
+import (
+	"hash/fnv"
+	"sort"
+	"sync"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/keep"
+	"spoolswitch/internal/note"
+	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/wire"
+	"spoolswitch/internal/word"
+)
+
+const (
+	staleAfter = 1300 * clk.Millisecond
+	firstWait  = 700 * clk.Millisecond
+)
+
+// Tail is the relay's end of the feed. It follows one keeper at a time and
+// goes over to another when the news turn stale.
+type Tail struct {
+	Self     word.Node
+	IP       string
+	Locality word.Locality
+	Seeds    func() []word.Addr
+	Take     func(it keep.Item)
+	Heard    func(count int, listAge clk.Span)
+
+	mu     sync.Mutex
+	places map[word.Key]word.Place
+	locals map[word.Node]word.Locality
+	fresh  clk.Tick
+	life   uint64
+	num    uint64
+	at     word.Addr
+}
+
+// Fresh tells whether news came within d.
+func (t *Tail) Fresh(d clk.Span) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fresh != 0 && clk.Since(t.fresh) < d
+}
+
+// Place tells which keeper is followed and how far.
+func (t *Tail) Place() (word.Addr, uint64, map[word.Key]word.Place) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := map[word.Key]word.Place{}
+	for k, p := range t.places {
+		out[k] = p
+	}
+	return t.at, t.num, out
+}
+
+// Taken takes one item in; older ones than those had are left.
+func (t *Tail) Taken(it keep.Item) {
+	t.mu.Lock()
+	if t.places == nil {
+		t.places = map[word.Key]word.Place{}
+	}
+	if have, ok := t.places[it.Key]; ok && !have.Less(it.At) {
+		t.mu.Unlock()
+		return
+	}
+	t.places[it.Key] = it.At
+	t.mu.Unlock()
+	newsTaken.Add(1)
+	t.Take(it)
+}
+
+func (t *Tail) order() []word.Addr {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	seen := map[word.Addr]bool{}
+	var out []word.Addr
+	add := func(a word.Addr) {
+		if a != "" && !seen[a] {
+			seen[a] = true
+			out = append(out, a)
+		}
+	}
+	for n := range t.locals {
+		add(word.Addr(n))
+	}
+	for _, a := range t.Seeds() {
+		add(a)
+	}
+	rank := func(a word.Addr) uint64 {
+		h := fnv.New64a()
+		h.Write([]byte(string(t.Self) + "|" + string(a)))
+		r := h.Sum64() >> 2
+		if t.locals[word.Node(a)] != t.Locality {
+			r |= 1 << 62
+		}
+		return r
+	}
+	sort.Slice(out, func(i, j int) bool { return rank(out[i]) < rank(out[j]) })
+	return out
+}
+
+func (t *Tail) home(a word.Addr) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.locals[word.Node(a)] == t.Locality {
+		return true
+	}
+	for _, z := range t.locals {
+		if z == t.Locality {
+			return false
+		}
+	}
+	return true
+}
+
+// Run follows for good.
+func (t *Tail) Run() {
+	spawn.Go(func() {
+		for {
+			for _, a := range t.order() {
+				if t.follow(a) {
+					break
+				}
+			}
+			clk.Sleep(100 * clk.Millisecond)
+		}
+	})
+}
+
+// follow follows one keeper until it turns stale; false if it never was fresh.
+func (t *Tail) follow(a word.Addr) bool {
+	p := wire.NewPeer[keep.Msg](a)
+	defer p.Close()
+	k := spawn.NewMark()
+	var mu sync.Mutex
+	var last clk.Tick
+	lost, away := false, false
+	t.mu.Lock()
+	m := keep.Msg{Kind: keep.Follow, From: t.Self, Life: t.life, Num: t.num, Locality: t.Locality}
+	t.mu.Unlock()
+	end, err := p.Stream(m, firstWait, func(m keep.Msg, ok bool) {
+		if ok && m.Fresh {
+			t.news(a, m)
+		}
+		mu.Lock()
+		if !ok {
+			lost = true
+		} else if m.Fresh {
+			last = clk.Now()
+		}
+		mu.Unlock()
+		k.Set()
+	})
+	if err != nil {
+		return false
+	}
+	defer end()
+	begun := clk.Now()
+	was := false
+	for {
+		k.Wait(staleAfter / 2)
+		mu.Lock()
+		gone, l := lost, last
+		mu.Unlock()
+		if l != 0 && !was {
+			was = true
+			if away = !t.home(a); away {
+				return true
+			}
+			note.State("following", "keeper", a)
+		}
+		if gone || (l == 0 && clk.Since(begun) > firstWait) || (l != 0 && clk.Since(l) > staleAfter) {
+			if was {
+				note.State("keeper left", "keeper", a, "lost", gone)
+			}
+			return was
+		}
+	}
+}
+
+func (t *Tail) news(a word.Addr, m keep.Msg) {
+	t.mu.Lock()
+	if m.Life != t.life {
+		t.life, t.num = m.Life, 0
+	}
+	if m.Locals != nil {
+		t.locals = m.Locals
+	}
+	t.at = a
+	t.mu.Unlock()
+	for _, it := range m.Items {
+		t.Taken(it)
+	}
+	t.mu.Lock()
+	t.num = m.Num
+	t.fresh = clk.Now()
+	t.mu.Unlock()
+	t.Heard(m.Count, m.ListAge)
+}
--- /dev/null
+++ b/internal/head/event.go
@@ -0,0 +1,103 @@
+package head
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// Events cuts a stream into whole events.
+type Events struct {
+	buf  []byte
+	Last int64
+	Seen bool
+}
+
+// Add adds bytes of the stream and returns those that end with a whole event
+// and were not passed before. Events up to skip are left out. The bytes are
+// good until the next call.
+func (e *Events) Add(b []byte, skip int64) []byte {
+	if len(e.buf) == 0 && skip < 0 {
+		if out, rest := e.split(b); len(rest) == 0 {
+			return out
+		}
+	}
+	e.buf = append(e.buf, b...)
+	var out []byte
+	rest := e.buf
+	for {
+		n := end(rest)
+		if n == 0 {
+			break
+		}
+		ev := rest[:n]
+		rest = rest[n:]
+		id, ok := ID(ev)
+		if ok && id <= skip {
+			continue
+		}
+		if ok {
+			e.Last, e.Seen = id, true
+		}
+		out = append(out, ev...)
+	}
+	e.buf = append([]byte(nil), rest...)
+	return out
+}
+
+func (e *Events) split(b []byte) (out, rest []byte) {
+	rest = b
+	last, seen := e.Last, e.Seen
+	for {
+		n := end(rest)
+		if n == 0 {
+			break
+		}
+		if id, ok := ID(rest[:n]); ok {
+			last, seen = id, true
+		}
+		rest = rest[n:]
+	}
+	if len(rest) == 0 {
+		e.Last, e.Seen = last, seen
+	}
+	return b[:len(b)-len(rest)], rest
+}
+
+// Left tells whether part of an event is held.
+func (e *Events) Left() bool { return len(e.buf) > 0 }
+
+// Cut forgets a part of an event that will not be whole any more.
+func (e *Events) Cut() { e.buf = nil }
+
+// end finds the length of the first whole event, 0 if there is none.
+func end(b []byte) int {
+	for i := 0; i < len(b); i++ {
+		if b[i] != '\n' {
+			continue
+		}
+		if i+1 < len(b) && b[i+1] == '\n' {
+			return i + 2
+		}
+		if i+2 < len(b) && b[i+1] == '\r' && b[i+2] == '\n' {
+			return i + 3
+		}
+	}
+	return 0
+}
+
+// ID reads the id of an event.
+func ID(ev []byte) (int64, bool) {
+	for len(ev) > 0 {
+		ln := ev
+		if i := bytes.IndexByte(ev, '\n'); i >= 0 {
+			ln, ev = ev[:i], ev[i+1:]
+		} else {
+			ev = nil
+		}
+		if v, ok := bytes.CutPrefix(ln, []byte("id:")); ok {
+			n, err := strconv.ParseInt(string(bytes.TrimSpace(v)), 10, 64)
+			return n, err == nil
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/keep/acceptor.go
@@ -0,0 +1,272 @@
+package keep
+
+import (
+	"bytes"
+	"encoding/gob"
+	"sync"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
+	"spoolswitch/internal/disk"
+	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/word"
+)
+
+// Cell is what an acceptor has of one key.
+type Cell struct {
+	Promised word.Epoch
+	At       word.Place
+	Val      []byte
+}
+
+// Store keeps records; an error means that the record does not count.
+type Store interface {
+	Append(p []byte) error
+	Long(live int64) bool
+	Rewrite(ps [][]byte) error
+}
+
+type entry struct {
+	Key    word.Key
+	Cell   Cell
+	Roster *Roster
+	Voting bool
+}
+
+func (e *entry) encode() []byte {
+	var b bytes.Buffer
+	if gob.NewEncoder(&b).Encode(e) != nil {
+		return nil
+	}
+	return b.Bytes()
+}
+
+// Acceptor promises and accepts for one disk.
+type Acceptor struct {
+	lane   spawn.Turn
+	st     Store
+	mu     sync.Mutex
+	cells  map[word.Key]Cell
+	roster Roster
+	voting bool
+}
+
+const laneWait = 3 * clk.Second
+
+// NewAcceptor makes an acceptor out of the records of its disk.
+func NewAcceptor() *Acceptor {
+	return &Acceptor{lane: spawn.Turn{Max: 256}, cells: map[word.Key]Cell{}}
+}
+
+// Replay takes one record of the disk in.
+func (a *Acceptor) Replay(p []byte) {
+	var e entry
+	if gob.NewDecoder(bytes.NewReader(p)).Decode(&e) != nil {
+		return
+	}
+	a.apply(&e)
+}
+
+func (a *Acceptor) apply(e *entry) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if e.Key != "" {
+		a.cells[e.Key] = e.Cell
+	}
+	if e.Roster != nil && e.Roster.Num >= a.roster.Num {
+		a.roster = *e.Roster
+	}
+	if e.Voting {
+		a.voting = true
+	}
+}
+
+// Use tells the acceptor which store to write to.
+func (a *Acceptor) Use(st Store) { a.st = st }
+
+// Open opens the disk and takes its records in.
+func (a *Acceptor) Open(fs disk.FS) (disk.State, error) {
+	l, s, err := disk.Open(fs, a.Replay)
+	if err != nil {
+		return s, err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.st = l
+	if s == disk.Corrupt {
+		a.voting = false
+	}
+	return s, nil
+}
+
+// Voting tells whether the acceptor may vote.
+func (a *Acceptor) Voting() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.voting
+}
+
+// Roster is the roster that the acceptor goes by.
+func (a *Acceptor) Roster() Roster {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.roster
+}
+
+// Cell reads what the acceptor has of a key.
+func (a *Acceptor) Cell(k word.Key) Cell {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.cells[k]
+}
+
+// Cells reads all that the acceptor has.
+func (a *Acceptor) Cells() map[word.Key]Cell {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := make(map[word.Key]Cell, len(a.cells))
+	for k, c := range a.cells {
+		out[k] = c
+	}
+	return out
+}
+
+// write puts a record on the disk and then takes it in. The caller has the lane.
+func (a *Acceptor) write(e *entry) error {
+	if err := a.st.Append(e.encode()); err != nil {
+		return err
+	}
+	a.apply(e)
+	return nil
+}
+
+// Found starts the log of a keeper that takes part from the beginning, or of
+// one that has read enough others.
+func (a *Acceptor) Found(r Roster, cells map[word.Key]Cell) error {
+	if !a.lane.Take(laneWait) {
+		return code.New(code.DiskRefused, "busy")
+	}
+	defer a.lane.Give()
+	for k, c := range cells {
+		if have := a.Cell(k); !have.At.Less(c.At) && !have.Promised.Less(c.Promised) {
+			continue
+		}
+		if err := a.write(&entry{Key: k, Cell: c}); err != nil {
+			return err
+		}
+	}
+	return a.write(&entry{Roster: &r, Voting: true})
+}
+
+// Adopt goes over to a newer roster.
+func (a *Acceptor) Adopt(r Roster) error {
+	if r.Num <= a.Roster().Num {
+		return nil
+	}
+	if !a.lane.Take(laneWait) {
+		return code.New(code.DiskRefused, "busy")
+	}
+	defer a.lane.Give()
+	if r.Num <= a.Roster().Num {
+		return nil
+	}
+	return a.write(&entry{Roster: &r})
+}
+
+func (a *Acceptor) answer(k word.Key, ok bool, c code.Code) Msg {
+	cell := a.Cell(k)
+	return Msg{OK: ok, Code: c, Key: k, Epoch: cell.Promised, At: cell.At, Val: cell.Val, Roster: a.Roster()}
+}
+
+// Vote asks for a promise to take nothing of an epoch before e.
+func (a *Acceptor) Vote(k word.Key, e word.Epoch, r Roster) Msg {
+	if !a.lane.Take(laneWait) {
+		return Msg{Code: code.DiskRefused}
+	}
+	defer a.lane.Give()
+	if !a.Voting() {
+		return Msg{Code: code.NotVoting, Roster: a.Roster()}
+	}
+	c := a.Cell(k)
+	if r.Num < a.Roster().Num || e.Less(c.Promised) {
+		return a.answer(k, false, code.NoMajority)
+	}
+	if c.Promised == e {
+		return a.answer(k, true, code.OK)
+	}
+	c.Promised = e
+	if err := a.write(&entry{Key: k, Cell: c}); err != nil {
+		return Msg{Code: code.Of(err)}
+	}
+	return a.answer(k, true, code.OK)
+}
+
+// Accept asks to have a value on the disk.
+func (a *Acceptor) Accept(k word.Key, at word.Place, val []byte, r Roster) Msg {
+	if !a.lane.Take(laneWait) {
+		return Msg{Code: code.DiskRefused}
+	}
+	defer a.lane.Give()
+	if !a.Voting() {
+		return Msg{Code: code.NotVoting, Roster: a.Roster()}
+	}
+	c := a.Cell(k)
+	if r.Num < a.Roster().Num || at.Epoch.Less(c.Promised) || at.Less(c.At) {
+		return a.answer(k, false, code.NoMajority)
+	}
+	if c.At == at {
+		return Msg{OK: true, Key: k, At: at}
+	}
+	if err := a.write(&entry{Key: k, Cell: Cell{Promised: at.Epoch, At: at, Val: val}}); err != nil {
+		return Msg{Code: code.Of(err)}
+	}
+	a.shorten()
+	return Msg{OK: true, Key: k, At: at}
+}
+
+// Hold tells whether the epoch e still has this acceptor's promise.
+func (a *Acceptor) Hold(k word.Key, e word.Epoch, r Roster) Msg {
+	if !a.Voting() {
+		return Msg{Code: code.NotVoting, Roster: a.Roster()}
+	}
+	if r.Num < a.Roster().Num || a.Cell(k).Promised != e {
+		return a.answer(k, false, code.NoMajority)
+	}
+	return Msg{OK: true, Key: k}
+}
+
+func (a *Acceptor) shorten() {
+	var live int64
+	cells := a.Cells()
+	for _, c := range cells {
+		live += int64(len(c.Val)) + 256
+	}
+	if a.st.Long(live) {
+		_ = a.st.Rewrite(a.records(cells))
+	}
+}
+
+func (a *Acceptor) records(cells map[word.Key]Cell) [][]byte {
+	r := a.Roster()
+	ps := [][]byte{(&entry{Roster: &r, Voting: a.Voting()}).encode()}
+	for k, c := range cells {
+		ps = append(ps, (&entry{Key: k, Cell: c}).encode())
+	}
+	return ps
+}
+
+// Rewrite rewrites the log with what counts.
+func (a *Acceptor) Rewrite() error {
+	if !a.lane.Take(laneWait) {
+		return code.New(code.DiskRefused, "busy")
+	}
+	defer a.lane.Give()
+	return a.st.Rewrite(a.records(a.Cells()))
+}
+
+// Ready tells whether the disk is open.
+func (a *Acceptor) Ready() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.st != nil
+}
--- /dev/null
+++ b/internal/keep/beat.go
@@ -0,0 +1,265 @@
+package keep
+
+import (
+	"slices"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
+	"spoolswitch/internal/note"
+	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/word"
+)
+
+// Beat is the pause between two rounds in which a keeper confirms itself.
+const Beat = 400 * clk.Millisecond
+
+func (k *Keeper) askAllLater(to []word.Node, m Msg) {
+	for _, n := range to {
+		spawn.Go(func() { k.Net.Ask(n, m, askLimit) })
+	}
+}
+
+func (k *Keeper) learnFrom(m Msg) {
+	if m.Key == word.List {
+		k.mu.Lock()
+		k.listAt = clk.Now()
+		k.mu.Unlock()
+	}
+	k.learn(m.Key, m.At, m.Val)
+}
+
+// ListSeen says that the list was read just now.
+func (k *Keeper) ListSeen() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.listAt = clk.Now()
+}
+
+// ListAge is how long ago the list was last read, as far as is known here.
+func (k *Keeper) ListAge() clk.Span {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.listAt == 0 {
+		return clk.Span(1<<62 - 1)
+	}
+	return clk.Since(k.listAt)
+}
+
+// Share tells the other keepers of a value that is not kept on disks.
+func (k *Keeper) Share(key word.Key, at word.Place, val []byte) {
+	k.learn(key, at, val)
+	k.tell(Msg{Kind: Learn, Key: key, At: at, Val: val})
+}
+
+func (k *Keeper) digest() Msg {
+	m := Msg{OK: true, From: k.Self, Locality: k.Locality, Marks: map[word.Key]Mark{}, Roster: k.acc.Roster(), Relays: k.Sink.Followers(), ListAge: k.ListAge()}
+	m.Code = code.OK
+	if !k.acc.Voting() {
+		m.Code = code.NotVoting
+	}
+	for key, c := range k.acc.Cells() {
+		m.Marks[key] = Mark{Promised: c.Promised, At: c.At}
+	}
+	for key, at := range k.Sink.Known() {
+		mk := m.Marks[key]
+		mk.Known = at
+		m.Marks[key] = mk
+	}
+	return m
+}
+
+// Round confirms this keeper with a majority, and takes in what a majority has
+// and this keeper has not.
+func (k *Keeper) Round() {
+	begun := clk.Now()
+	r := k.acc.Roster()
+	to := k.peers()
+	mine := k.digest()
+	got := k.askAll(to, Msg{Kind: Digest, Locality: k.Locality}, Beat, func(g map[word.Node]Msg) bool { return len(g) == len(to) })
+	got[k.Self] = mine
+	for n, a := range got {
+		a.From = n
+		k.hear(a)
+		if a.Roster.Num > r.Num {
+			_ = k.acc.Adopt(a.Roster)
+		}
+	}
+	k.mu.Lock()
+	for n, a := range got {
+		for _, name := range a.Relays {
+			k.relays[name] = clk.Now()
+		}
+		if n != k.Self && a.ListAge < clk.Since(k.listAt) {
+			k.listAt = clk.Now().Add(-a.ListAge)
+		}
+	}
+	for n, at := range k.relays {
+		if clk.Since(at) > 30*clk.Second {
+			delete(k.relays, n)
+		}
+	}
+	k.mu.Unlock()
+	if k.acc.Roster().Num != r.Num {
+		return
+	}
+	voting := func(n word.Node) bool { a, ok := got[n]; return ok && a.Code == code.OK }
+	if !r.Majority(voting) {
+		return
+	}
+	k.settle(r, got, voting)
+	k.mu.Lock()
+	k.sure = begun
+	k.mu.Unlock()
+}
+
+// doubt is a value that some disk has and no majority is known to have.
+type doubt struct {
+	at    word.Place
+	since clk.Tick
+}
+
+// settle finds for each key what stands with a majority.
+func (k *Keeper) settle(r Roster, got map[word.Node]Msg, voting func(word.Node) bool) {
+	keys := map[word.Key]bool{}
+	for _, a := range got {
+		for key := range a.Marks {
+			keys[key] = true
+		}
+	}
+	for key := range keys {
+		var top, known word.Place
+		var has word.Node
+		for n, a := range got {
+			mk := a.Marks[key]
+			if voting(n) && top.Less(mk.At) {
+				top, has = mk.At, n
+			}
+			if known.Less(mk.Known) {
+				known = mk.Known
+				if key == word.List {
+					has = n
+				}
+			}
+		}
+		mine := k.Sink.Known()[key]
+		if key == word.List {
+			if mine.Less(known) {
+				k.fetch(key, known, has)
+			}
+			continue
+		}
+		if !mine.Less(top) {
+			delete(k.odd, key)
+			continue
+		}
+		agreed := r.Majority(func(n word.Node) bool { return voting(n) && got[n].Marks[key].At == top })
+		if agreed || !known.Less(top) {
+			if k.fetch(key, top, has) {
+				delete(k.odd, key)
+			}
+			continue
+		}
+		if o := k.odd[key]; o.at != top {
+			k.odd[key] = doubt{top, clk.Now()}
+		}
+		if clk.Since(k.odd[key].since) > Beat && k.acc.Voting() {
+			delete(k.odd, key)
+			note.Trouble("unsettled value taken up", "key", key, "at", top)
+			spawn.Go(func() {
+				k.Own(key, clk.Now().Add(2*clk.Second), func([]byte) ([]byte, Msg) { return nil, Msg{OK: true} })
+			})
+		}
+	}
+}
+
+func (k *Keeper) fetch(key word.Key, at word.Place, from word.Node) bool {
+	c := k.acc.Cell(key)
+	if c.At != at {
+		a, ok := k.Net.Ask(from, Msg{Kind: Fetch, From: k.Self, Key: key}, askLimit)
+		if !ok || a.At != at {
+			return false
+		}
+		c.Val = a.Val
+	}
+	k.learn(key, at, c.Val)
+	return true
+}
+
+func (k *Keeper) survey() Msg {
+	m := Msg{OK: k.acc.Voting(), From: k.Self, Roster: k.acc.Roster(), Cells: k.acc.Cells()}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for key, e := range k.tried {
+		c := m.Cells[key]
+		if c.Promised.Less(e) {
+			c.Promised = e
+			m.Cells[key] = c
+		}
+	}
+	return m
+}
+
+// Regain reads enough others to take the place of a lost disk. It tells
+// whether this keeper may vote now.
+func (k *Keeper) Regain() bool {
+	if k.acc.Voting() {
+		return true
+	}
+	to := k.peers()
+	for _, n := range k.Founders {
+		if n != k.Self && !slices.Contains(to, n) {
+			to = append(to, n)
+		}
+	}
+	got := k.askAll(to, Msg{Kind: Survey, Locality: k.Locality}, askLimit*2, func(g map[word.Node]Msg) bool { return len(g) == len(to) })
+	var r Roster
+	for _, a := range got {
+		if a.Roster.Num > r.Num {
+			r = a.Roster
+		}
+	}
+	if r.Num == 0 || !r.Has(k.Self) || !r.Covers(k.Self, func(n word.Node) bool { return got[n].OK && got[n].Roster.Num == r.Num }) {
+		return false
+	}
+	cells := map[word.Key]Cell{}
+	for n, a := range got {
+		if !a.OK || !r.Has(n) {
+			continue
+		}
+		for key, c := range a.Cells {
+			have := cells[key]
+			if have.At.Less(c.At) {
+				have.At, have.Val = c.At, c.Val
+			}
+			if have.Promised.Less(c.Promised) {
+				have.Promised = c.Promised
+			}
+			cells[key] = have
+		}
+	}
+	if err := k.acc.Found(r, cells); err != nil {
+		return false
+	}
+	note.State("disk regained from others", "read", len(got))
+	return true
+}
+
+// Relays is how many relays there are, as far as the keepers know.
+func (k *Keeper) Relays() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.relays)
+}
+
+// Locals tells the localities of keepers.
+func (k *Keeper) Locals() map[word.Node]word.Locality {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := map[word.Node]word.Locality{k.Self: k.Locality}
+	for n, z := range k.others {
+		if at, ok := k.heard[n]; ok && clk.Since(at) < 10*clk.Second {
+			out[n] = z
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/keep/keeper.go
@@ -0,0 +1,199 @@
+package keep
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
+	"spoolswitch/internal/note"
+	"spoolswitch/internal/word"
+)
+
+// Sink takes committed values in; it ignores those older than what it has.
+type Sink interface {
+	Publish(it Item) bool
+	Known() map[word.Key]word.Place
+	Followers() []word.Node
+	Value(k word.Key) ([]byte, word.Place)
+}
+
+// Keeper is one daemon of the control plane.
+type Keeper struct {
+	Self     word.Node
+	Locality word.Locality
+	Founders []word.Node
+	Net      Net
+	Sink     Sink
+	Decider  func(key word.Key, o *Order) Decide
+
+	acc      *Acceptor
+	mu       sync.Mutex
+	terms    map[word.Key]*term
+	tried    map[word.Key]word.Epoch
+	round    uint64
+	life     uint64
+	heard    map[word.Node]clk.Tick
+	local0   clk.Tick
+	sure     clk.Tick
+	odd      map[word.Key]doubt
+	trail    []Step
+	trailAt  []clk.Tick
+	others   map[word.Node]word.Locality
+	relays   map[word.Node]clk.Tick
+	listAt   clk.Tick
+	editions map[word.Node]word.Edition
+}
+
+// New makes a keeper over an acceptor.
+func New(self word.Node, acc *Acceptor, net Net, sink Sink) *Keeper {
+	return &Keeper{Self: self, acc: acc, Net: net, Sink: sink, life: rand.Uint64() | 1,
+		terms: map[word.Key]*term{}, tried: map[word.Key]word.Epoch{}, heard: map[word.Node]clk.Tick{},
+		odd: map[word.Key]doubt{}, others: map[word.Node]word.Locality{}, relays: map[word.Node]clk.Tick{},
+		editions: map[word.Node]word.Edition{}, local0: clk.Now()}
+}
+
+// Life tells the starts of this keeper apart.
+func (k *Keeper) Life() uint64 { return k.life }
+
+// Acceptor is the keeper's own disk.
+func (k *Keeper) Acceptor() *Acceptor { return k.acc }
+
+// learn takes in a value that a majority is known to have.
+func (k *Keeper) learn(key word.Key, at word.Place, val []byte) {
+	if key == word.Roster {
+		if r, ok := DecodeRoster(val); ok && r.Num > k.acc.Roster().Num {
+			_ = k.acc.Adopt(r)
+			note.State("roster", "num", r.Num, "seats", len(r.Seat), "next", len(r.Next))
+		}
+	}
+	if k.Sink.Publish(Item{Key: key, At: at, Val: val}) {
+		k.step(key, at, "in the feed")
+	}
+}
+
+// tell sends m to all other keepers without waiting for answers.
+func (k *Keeper) tell(m Msg) {
+	m.From = k.Self
+	k.askAllLater(k.peers(), m)
+}
+
+// peers are all other keepers that are known of.
+func (k *Keeper) peers() []word.Node {
+	var out []word.Node
+	add := func(n word.Node) {
+		if n != k.Self && !slices.Contains(out, n) {
+			out = append(out, n)
+		}
+	}
+	for _, n := range k.acc.Roster().All() {
+		add(n)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.acc.Roster().Num == 0 {
+		for _, n := range k.Founders {
+			add(n)
+		}
+	}
+	for n, at := range k.heard {
+		if clk.Since(at) < 10*clk.Second {
+			add(n)
+		}
+	}
+	return out
+}
+
+func (k *Keeper) recent(n word.Node, d clk.Span) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	at, ok := k.heard[n]
+	if !ok {
+		at = k.local0
+	}
+	return clk.Since(at) < d
+}
+
+// Sure tells whether a majority confirmed this keeper within d.
+func (k *Keeper) Sure(d clk.Span) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.sure != 0 && clk.Since(k.sure) < d
+}
+
+// owner is the keeper that last won the key, as far as is known here.
+func (k *Keeper) owner(key word.Key) word.Node {
+	n := k.acc.Cell(key).Promised.Node
+	if at := k.Sink.Known()[key]; at.Epoch.Node != "" && !at.Epoch.Less(k.acc.Cell(key).Promised) {
+		n = at.Epoch.Node
+	}
+	return n
+}
+
+// Change has an order carried out by the owner of its key, here or elsewhere.
+func (k *Keeper) Change(key word.Key, o *Order, limit clk.Tick) Msg {
+	if n := k.owner(key); n != "" && n != k.Self && k.recent(n, 1500*clk.Millisecond) {
+		a, ok := k.Net.Ask(n, Msg{Kind: Change, From: k.Self, Key: key, Order: o}, min(sendOn, clk.Until(limit)))
+		if ok && a.Code != code.NoMajority && a.Code != code.NotVoting {
+			return a
+		}
+	}
+	return k.Own(key, limit, k.Decider(key, o))
+}
+
+// local answers what this keeper's own disk is asked.
+func (k *Keeper) local(m Msg) Msg {
+	if m.Roster.Num > k.acc.Roster().Num {
+		_ = k.acc.Adopt(m.Roster)
+	}
+	switch m.Kind {
+	case Vote:
+		return k.acc.Vote(m.Key, m.Epoch, m.Roster)
+	case Accept:
+		return k.acc.Accept(m.Key, m.At, m.Val, m.Roster)
+	case Hold:
+		return k.acc.Hold(m.Key, m.Epoch, m.Roster)
+	}
+	return Msg{Code: code.NoCall}
+}
+
+// Handle answers a message of another daemon.
+func (k *Keeper) Handle(m Msg) Msg {
+	k.hear(m)
+	switch m.Kind {
+	case Vote, Accept, Hold:
+		if m.Kind != Hold {
+			k.raise(m.Epoch)
+		}
+		return k.local(m)
+	case Learn:
+		k.learnFrom(m)
+		return Msg{OK: true}
+	case Digest:
+		return k.digest()
+	case Fetch:
+		c := k.acc.Cell(m.Key)
+		if m.Key == word.List {
+			c.Val, c.At = k.Sink.Value(m.Key)
+		}
+		return Msg{OK: true, Key: m.Key, At: c.At, Val: c.Val}
+	case Survey:
+		return k.survey()
+	case Change:
+		return k.Own(m.Key, clk.Now().Add(sendOn), k.Decider(m.Key, m.Order))
+	}
+	return Msg{Code: code.NoCall}
+}
+
+func (k *Keeper) hear(m Msg) {
+	if m.From == "" {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.heard[m.From] = clk.Now()
+	if m.Locality != "" {
+		k.others[m.From] = m.Locality
+	}
+}
--- /dev/null
+++ b/internal/keep/msg.go
@@ -0,0 +1,94 @@
+package keep
+
+import (
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
+	"spoolswitch/internal/word"
+)
+
+// Kind tells what a message asks for.
+type Kind int
+
+// The kinds of messages.
+const (
+	Vote Kind = iota + 1
+	Accept
+	Hold
+	Learn
+	Digest
+	Fetch
+	Survey
+	Change
+	Query
+	Follow
+	Join
+	Trace
+)
+
+// Mark is what one keeper has of one key.
+type Mark struct {
+	Promised word.Epoch
+	At       word.Place
+	Known    word.Place
+}
+
+// Item is one key's committed value in the feed, with its number there.
+type Item struct {
+	Key word.Key
+	At  word.Place
+	Val []byte
+	Age clk.Span
+	Num uint64
+}
+
+// Order is a change or a question that a caller of control brings.
+type Order struct {
+	Body   []byte
+	Base   word.Edition
+	Modify bool
+	On     bool
+	Query  bool
+	Joiner word.Node
+	Gone   word.Node
+}
+
+// Msg is a message between daemons; which fields count depends on Kind.
+type Msg struct {
+	Kind   Kind
+	From   word.Node
+	Key    word.Key
+	Epoch  word.Epoch
+	At     word.Place
+	Val    []byte
+	Roster Roster
+	OK     bool
+	Code   code.Code
+	Text   string
+	Order  *Order
+	Marks  map[word.Key]Mark
+	Cells  map[word.Key]Cell
+
+	Life      uint64
+	Num       uint64
+	Items     []Item
+	Snapshot  bool
+	Fresh     bool
+	ListAge   clk.Span
+	Relays    []word.Node
+	Count     int
+	Locality  word.Locality
+	Locals    map[word.Node]word.Locality
+	Steps     []Step
+	Detail    map[string]string
+	Editions  map[word.Node]word.Edition
+	Confirmed clk.Span
+}
+
+// Step is one step of a change as a daemon saw it.
+type Step struct {
+	Key  word.Key
+	At   word.Place
+	What string
+	Node word.Node
+	Ago  clk.Span
+}
--- /dev/null
+++ b/internal/keep/net.go
@@ -0,0 +1,87 @@
+package keep
+
+import (
+	"sync"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/wire"
+	"spoolswitch/internal/word"
+)
+
+// Net asks other keepers.
+type Net interface {
+	Ask(to word.Node, m Msg, limit clk.Span) (Msg, bool)
+}
+
+// Wires is a Net over the wire.
+type Wires struct {
+	mu    sync.Mutex
+	peers map[word.Node]*wire.Peer[Msg]
+}
+
+// Ask sends m and waits for the answer.
+func (w *Wires) Ask(to word.Node, m Msg, limit clk.Span) (Msg, bool) {
+	w.mu.Lock()
+	if w.peers == nil {
+		w.peers = map[word.Node]*wire.Peer[Msg]{}
+	}
+	p := w.peers[to]
+	if p == nil {
+		p = wire.NewPeer[Msg](word.Addr(to))
+		w.peers[to] = p
+	}
+	w.mu.Unlock()
+	a, err := p.Call(m, limit)
+	return a, err == nil
+}
+
+// poll gathers answers until done says so, all have answered or the limit is
+// reached.
+type poll struct {
+	mu   sync.Mutex
+	got  map[word.Node]Msg
+	left int
+	over bool
+	mark *spawn.Mark
+}
+
+// askAll sends m to all in to and returns what had come when done was content.
+func (k *Keeper) askAll(to []word.Node, m Msg, limit clk.Span, done func(map[word.Node]Msg) bool) map[word.Node]Msg {
+	p := &poll{got: map[word.Node]Msg{}, left: len(to), mark: spawn.NewMark()}
+	m.From = k.Self
+	at := clk.Now().Add(limit)
+	for _, n := range to {
+		spawn.Go(func() {
+			var a Msg
+			ok := true
+			if n == k.Self {
+				a = k.local(m)
+			} else {
+				a, ok = k.Net.Ask(n, m, limit)
+			}
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.left--
+			if p.over {
+				return
+			}
+			if ok {
+				p.got[n] = a
+			}
+			if p.left == 0 || done(p.got) {
+				p.over = true
+				p.mark.Set()
+			}
+		})
+	}
+	p.mark.Wait(clk.Until(at))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.over = true
+	return p.got
+}
+
+func oks(got map[word.Node]Msg) func(word.Node) bool {
+	return func(n word.Node) bool { return got[n].OK }
+}
--- /dev/null
+++ b/internal/keep/term.go
@@ -0,0 +1,159 @@
+package keep
+
+import (
+	"bytes"
+	"math/rand/v2"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
+	"spoolswitch/internal/note"
+	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/word"
+)
+
+const (
+	askLimit = 450 * clk.Millisecond
+	sendOn   = 350 * clk.Millisecond
+)
+
+// term is one key's ownership as this keeper has it. The turn guards all.
+type term struct {
+	turn spawn.Turn
+	held bool
+	at   word.Place
+	val  []byte
+}
+
+func (k *Keeper) term(key word.Key) *term {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	t := k.terms[key]
+	if t == nil {
+		t = &term{turn: spawn.Turn{Max: 64}}
+		k.terms[key] = t
+	}
+	return t
+}
+
+// Decide makes the next value out of the current one. A nil next value leaves
+// things as they are.
+type Decide func(cur []byte) (next []byte, a Msg)
+
+// Own runs d as the owner of the key: it wins a term if it has none, and
+// answers once the change, or that there is none, stands with a majority.
+func (k *Keeper) Own(key word.Key, limit clk.Tick, d Decide) Msg {
+	t := k.term(key)
+	if !t.turn.Take(clk.Until(limit)) {
+		return Msg{Code: code.NoMajority}
+	}
+	defer t.turn.Give()
+	for clk.Until(limit) > 0 {
+		if !t.held && !k.win(key, t, limit) {
+			clk.Sleep(clk.Span(20+rand.IntN(60)) * clk.Millisecond)
+			continue
+		}
+		next, a := d(t.val)
+		if next == nil || bytes.Equal(next, t.val) {
+			if k.holds(key, t, limit) {
+				return a
+			}
+			t.held = false
+			continue
+		}
+		at := word.Place{Epoch: t.at.Epoch, Seq: t.at.Seq + 1}
+		if !k.commit(key, at, next, limit) {
+			t.held = false
+			continue
+		}
+		t.at, t.val = at, next
+		a.At = at
+		return a
+	}
+	return Msg{Code: code.NoMajority}
+}
+
+func (k *Keeper) commit(key word.Key, at word.Place, val []byte, limit clk.Tick) bool {
+	r := k.acc.Roster()
+	k.step(key, at, "sent to the disks")
+	got := k.askAll(r.All(), Msg{Kind: Accept, Key: key, At: at, Val: val, Roster: r}, min(askLimit, clk.Until(limit)),
+		func(g map[word.Node]Msg) bool { return r.Majority(oks(g)) })
+	if !r.Majority(oks(got)) {
+		k.heed(got)
+		return false
+	}
+	for n, a := range got {
+		if a.OK {
+			k.stepOf(n, key, at, "synced")
+		}
+	}
+	k.learn(key, at, val)
+	k.tell(Msg{Kind: Learn, Key: key, At: at, Val: val})
+	return true
+}
+
+func (k *Keeper) holds(key word.Key, t *term, limit clk.Tick) bool {
+	r := k.acc.Roster()
+	got := k.askAll(r.All(), Msg{Kind: Hold, Key: key, Epoch: t.at.Epoch, Roster: r}, min(askLimit, clk.Until(limit)),
+		func(g map[word.Node]Msg) bool { return r.Majority(oks(g)) })
+	if r.Majority(oks(got)) {
+		return true
+	}
+	k.heed(got)
+	return false
+}
+
+// heed takes in newer rosters and epochs out of answers.
+func (k *Keeper) heed(got map[word.Node]Msg) {
+	for _, a := range got {
+		if a.Roster.Num > k.acc.Roster().Num {
+			_ = k.acc.Adopt(a.Roster)
+		}
+		k.raise(a.Epoch)
+	}
+}
+
+func (k *Keeper) raise(e word.Epoch) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.round = max(k.round, e.Round)
+}
+
+// win holds a round of ballots for the key and rewrites the value found.
+func (k *Keeper) win(key word.Key, t *term, limit clk.Tick) bool {
+	if !k.acc.Voting() {
+		return false
+	}
+	c := k.acc.Cell(key)
+	k.raise(c.Promised)
+	k.mu.Lock()
+	k.round++
+	e := word.Epoch{Round: k.round, Node: k.Self, Life: k.life}
+	k.tried[key] = e
+	k.mu.Unlock()
+	r := k.acc.Roster()
+	got := k.askAll(r.All(), Msg{Kind: Vote, Key: key, Epoch: e, Roster: r}, min(askLimit, clk.Until(limit)),
+		func(g map[word.Node]Msg) bool { return r.Majority(oks(g)) })
+	k.heed(got)
+	if !r.Majority(oks(got)) {
+		return false
+	}
+	var best Msg
+	for n, a := range got {
+		if !a.OK {
+			continue
+		}
+		k.stepOf(n, key, word.Place{Epoch: e}, "voted")
+		if best.At.Less(a.At) {
+			best = a
+		}
+	}
+	at := word.Place{Epoch: e, Seq: 1}
+	if !k.commit(key, at, best.Val, limit) {
+		return false
+	}
+	t.held, t.at, t.val = true, at, best.Val
+	if key != word.ListDuty {
+		note.State("term won", "key", key, "epoch", e)
+	}
+	return true
+}
--- /dev/null
+++ b/internal/link/conn.go
@@ -0,0 +1,116 @@
+// Package link keeps connections to replicas and carries one inquiry at a
+// time over each.
+package link
+
+import (
+	"bufio"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/head"
+	"spoolswitch/internal/note"
+	"spoolswitch/internal/wire"
+	"spoolswitch/internal/word"
+)
+
+const (
+	readSize    = 4096
+	idleDefault = 4 * clk.Second
+	idleMargin  = 500 * clk.Millisecond
+	alive       = 2 * clk.Second
+	strangers   = 2
+)
+
+var (
+	dials    = note.Counter("link.dials")
+	reused   = note.Counter("link.reused")
+	surplus  = note.Counter("link.surplus")
+	mistaken = note.Counter("link.mistaken")
+)
+
+// Conn is a connection to a replica.
+type Conn struct {
+	c     net.Conn
+	rc    syscall.RawConn
+	br    *bufio.Reader
+	used  int
+	until clk.Tick
+	spent bool
+}
+
+func dial(a word.Addr, limit clk.Span) (*Conn, error) {
+	dials.Add(1)
+	c, err := wire.Dial(a, limit)
+	if err != nil {
+		return nil, err
+	}
+	wire.Tune(c, alive)
+	k := &Conn{c: c, br: bufio.NewReaderSize(c, readSize)}
+	if t, ok := c.(*net.TCPConn); ok {
+		k.rc, _ = t.SyscallConn()
+	}
+	return k, nil
+}
+
+// quiet tells whether nothing has come and the other end is there.
+func (k *Conn) quiet() bool {
+	if k.br.Buffered() > 0 {
+		return false
+	}
+	if k.rc == nil {
+		return true
+	}
+	ok := false
+	err := k.rc.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		ok = err == unix.EAGAIN
+	})
+	return err == nil && ok
+}
+
+// Put sends bytes; whole tells whether all of them left. A request of which a
+// part never left cannot have run.
+func (k *Conn) Put(b []byte, limit clk.Tick) (whole bool, err error) {
+	_ = k.c.SetDeadline(limit.Limit())
+	n, err := k.c.Write(b)
+	return n == len(b), err
+}
+
+// Limit sets the moment past which reading ends.
+func (k *Conn) Limit(t clk.Tick) { _ = k.c.SetReadDeadline(t.Limit()) }
+
+// Answer reads the head of the answer to the try id. Answers to other tries
+// are passed over, and the connection is not used again.
+func (k *Conn) Answer(id []byte) (*head.Answer, error) {
+	for i := 0; ; i++ {
+		a, err := head.ReadAnswer(k.br)
+		if err != nil {
+			k.spent = true
+			return nil, err
+		}
+		if string(a.Field(head.AttemptID)) == string(id) {
+			if a.Close {
+				k.spent = true
+			}
+			return a, nil
+		}
+		k.spent = true
+		mistaken.Add(1)
+		if i >= strangers || (a.None && !a.Chunked) {
+			return nil, errStranger
+		}
+		if _, err := head.NewBody(k.br, a.Framing).ReadAll(1 << 20); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// Body is the reader of the answer's body.
+func (k *Conn) Body(a *head.Answer) *head.Body { return head.NewBody(k.br, a.Framing) }
+
+// Cut closes the connection at once.
+func (k *Conn) Cut() { _ = k.c.Close() }
--- /dev/null
+++ b/internal/link/pool.go
@@ -0,0 +1,116 @@
+package link
+
+import (
+	"errors"
+	"sync"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/head"
+	"spoolswitch/internal/word"
+)
+
+var errStranger = errors.New("the answer belongs to another try")
+
+// Pool keeps the idle connections to one life of a replica.
+type Pool struct {
+	Addr word.Addr
+	mu   sync.Mutex
+	idle []*Conn
+	shut bool
+	open int
+}
+
+// Open is how many connections there are.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
+// Get finds an idle connection or makes one.
+func (p *Pool) Get(limit clk.Span) (*Conn, error) {
+	for {
+		p.mu.Lock()
+		n := len(p.idle)
+		if n == 0 {
+			p.open++
+			p.mu.Unlock()
+			break
+		}
+		k := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		p.mu.Unlock()
+		if clk.Now() < k.until && k.quiet() {
+			reused.Add(1)
+			return k, nil
+		}
+		p.Drop(k)
+	}
+	k, err := dial(p.Addr, limit)
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, err
+	}
+	return k, nil
+}
+
+// Drop closes a connection.
+func (p *Pool) Drop(k *Conn) {
+	k.Cut()
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// Give takes a connection back after a whole answer, or closes it if it may
+// not be used again.
+func (p *Pool) Give(k *Conn, a *head.Answer) {
+	if k.spent || a.Close {
+		p.Drop(k)
+		return
+	}
+	if k.br.Buffered() > 0 {
+		surplus.Add(1)
+		p.Drop(k)
+		return
+	}
+	d := idleDefault
+	if a.Alive > 0 {
+		d = a.Alive - idleMargin
+	}
+	if d <= 0 {
+		p.Drop(k)
+		return
+	}
+	k.until = clk.Now().Add(d)
+	k.used++
+	p.mu.Lock()
+	if p.shut {
+		p.mu.Unlock()
+		p.Drop(k)
+		return
+	}
+	p.idle = append(p.idle, k)
+	var old []*Conn
+	for len(p.idle) > 0 && clk.Now() >= p.idle[0].until {
+		old = append(old, p.idle[0])
+		p.idle = p.idle[1:]
+	}
+	p.mu.Unlock()
+	for _, o := range old {
+		p.Drop(o)
+	}
+}
+
+// Shut closes the idle connections; those in use are closed when given back.
+func (p *Pool) Shut() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle, p.shut = nil, true
+	p.mu.Unlock()
+	for _, k := range idle {
+		p.Drop(k)
+	}
+}
--- /dev/null
+++ b/internal/list/duty.go
@@ -0,0 +1,102 @@
+package list
+
+import (
+	"sync"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/keep"
+	"spoolswitch/internal/note"
+	"spoolswitch/internal/word"
+)
+
+// Duty is the duty of reading the list, done by one keeper at a time.
+type Duty struct {
+	Keeper *keep.Keeper
+	Read   func() ([]Replica, error)
+	Value  func(word.Key) ([]byte, word.Place)
+	mu     sync.Mutex
+	epoch  word.Epoch
+	seq    uint64
+	last   []Replica
+	at     clk.Tick
+	asked  clk.Tick
+}
+
+const (
+	// Pause is the time between two readings.
+	Pause  = 900 * clk.Millisecond
+	vacant = 1500 * clk.Millisecond
+)
+
+// Step takes one step: reads the list if the duty is this keeper's, and holds
+// a ballot if the duty is vacant.
+func (d *Duty) Step() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	k := d.Keeper
+	if !k.Sure(vacant) {
+		return
+	}
+	val, at := d.Value(word.ListDuty)
+	mine := string(val) == string(k.Self) && at.Epoch.Node == k.Self && at.Epoch.Life == k.Life()
+	if !mine {
+		if k.ListAge() > vacant+Pause && clk.Since(d.asked) > vacant/2 {
+			d.asked = clk.Now()
+			d.win()
+		}
+		return
+	}
+	if d.epoch != at.Epoch {
+		d.epoch, d.seq, d.last = at.Epoch, 0, nil
+	}
+	rs, err := d.Read()
+	if err != nil {
+		note.Counter("list.failed").Add(1)
+		return
+	}
+	now := clk.Now()
+	if d.seq > 0 && same(d.last, rs, now.Sub(d.at)) {
+		k.ListSeen()
+		return
+	}
+	d.seq++
+	d.last, d.at = rs, now
+	k.ListSeen()
+	k.Share(word.List, word.Place{Epoch: d.epoch, Seq: d.seq}, Encode(rs))
+}
+
+func (d *Duty) win() {
+	k := d.Keeper
+	a := k.Own(word.ListDuty, clk.Now().Add(clk.Second), func(cur []byte) ([]byte, keep.Msg) {
+		if string(cur) == string(k.Self) {
+			return nil, keep.Msg{OK: true}
+		}
+		return []byte(k.Self), keep.Msg{OK: true}
+	})
+	if a.OK {
+		note.State("list duty won", "node", k.Self)
+	}
+}
+
+// same tells whether b says no more than a does d later.
+func same(a, b []Replica, d clk.Span) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		x, y := a[i], b[i]
+		if x.ID != y.ID || x.Addr != y.Addr || x.State != y.State || x.Service != y.Service ||
+			x.Locality != y.Locality || x.Slots != y.Slots || x.Version != y.Version || len(x.Models) != len(y.Models) {
+			return false
+		}
+		for j := range x.Models {
+			if x.Models[j] != y.Models[j] {
+				return false
+			}
+		}
+		if y.ColdMs > max(0, x.ColdMs-float64(d/clk.Millisecond))+250 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/list/reader.go
@@ -0,0 +1,101 @@
+package list
+
+import (
+	"bufio"
+	"encoding/json"
+	"net"
+	"net/url"
+	"sort"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
+	"spoolswitch/internal/note"
+	"spoolswitch/internal/wire"
+	"spoolswitch/internal/word"
+)
+
+const (
+	callLimit = 800 * clk.Millisecond
+	pagesMost = 1000
+)
+
+var calls = note.Counter("list.calls")
+
+// Reader reads the whole list, page by page, on one connection.
+type Reader struct {
+	Addr word.Addr
+	mu   sync.Mutex
+	c    net.Conn
+	br   *bufio.Reader
+}
+
+type page struct {
+	Replicas []Replica `json:"replicas"`
+	Next     *string   `json:"next-token"`
+}
+
+// Read reads the list, sorted by id.
+func (r *Reader) Read() ([]Replica, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Replica
+	token := ""
+	for range pagesMost {
+		p, err := r.page(token)
+		if err != nil {
+			r.drop()
+			return nil, err
+		}
+		out = append(out, p.Replicas...)
+		if p.Next == nil || *p.Next == "" {
+			sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+			return out, nil
+		}
+		token = *p.Next
+	}
+	return nil, code.New(code.ListRefused, "more than %d pages", pagesMost)
+}
+
+func (r *Reader) drop() {
+	if r.c != nil {
+		_ = r.c.Close()
+		r.c = nil
+	}
+}
+
+func (r *Reader) page(token string) (*page, error) {
+	if r.c == nil {
+		c, err := wire.Dial(r.Addr, callLimit)
+		if err != nil {
+			return nil, code.New(code.ListRefused, "%v", err)
+		}
+		r.c, r.br = c, bufio.NewReaderSize(c, 4096)
+	}
+	calls.Add(1)
+	_ = r.c.SetDeadline(clk.Now().Add(callLimit).Limit())
+	path := "/replicas"
+	if token != "" {
+		path += "?page-token=" + url.QueryEscape(token)
+	}
+	if _, err := r.c.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: " + string(r.Addr) + "\r\n\r\n")); err != nil {
+		return nil, code.New(code.ListRefused, "%v", err)
+	}
+	var a fasthttp.Response
+	if err := a.ReadLimitBody(r.br, 8<<20); err != nil {
+		return nil, code.New(code.ListRefused, "%v", err)
+	}
+	if a.ConnectionClose() {
+		defer r.drop()
+	}
+	if a.StatusCode() != 200 {
+		return nil, code.New(code.ListRefused, "status %d", a.StatusCode())
+	}
+	p := &page{}
+	if err := json.Unmarshal(a.Body(), p); err != nil {
+		return nil, code.New(code.ListRefused, "%v", err)
+	}
+	return p, nil
+}
--- /dev/null
+++ b/internal/pick/budget.go
@@ -0,0 +1,97 @@
+package pick
+
+import (
+	"sync"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/word"
+)
+
+// Budget is this relay's share of the bound on repeats. The shares of all
+// relays add up to less than the bound, so nobody is asked.
+type Budget struct {
+	Ratio  float64
+	Slack  float64
+	Window clk.Span
+	Shares func() int
+
+	mu sync.Mutex
+	of map[word.Service]*account
+}
+
+const cells = 20
+
+// The parts of the bound that relays use: the rest is for relays that come
+// and go, and for those that forgot what they spent.
+const (
+	slackPart = 0.6
+	ratioPart = 0.7
+)
+
+type account struct {
+	n       [cells]int
+	at      [cells]int64
+	repeats []clk.Tick
+}
+
+func (b *Budget) account(s word.Service) *account {
+	if b.of == nil {
+		b.of = map[word.Service]*account{}
+	}
+	a := b.of[s]
+	if a == nil {
+		a = &account{}
+		b.of[s] = a
+	}
+	return a
+}
+
+// Note counts a caller's inquiry for a service.
+func (b *Budget) Note(s word.Service) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(s)
+	c := int64(clk.Now()) / max(1, int64(b.Window)/cells)
+	i := c % cells
+	if a.at[i] != c {
+		a.at[i], a.n[i] = c, 0
+	}
+	a.n[i]++
+}
+
+// Spend takes one repeat out of the share; false if there is none left.
+func (b *Budget) Spend(s word.Service) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(s)
+	now := clk.Now()
+	i := 0
+	for i < len(a.repeats) && now.Sub(a.repeats[i]) > b.Window+clk.Second {
+		i++
+	}
+	a.repeats = a.repeats[i:]
+	if float64(len(a.repeats)+1) > b.left(a, now) {
+		return false
+	}
+	a.repeats = append(a.repeats, now)
+	return true
+}
+
+func (b *Budget) left(a *account, now clk.Tick) float64 {
+	c := int64(now) / max(1, int64(b.Window)/cells)
+	n := 0
+	for i := range a.n {
+		if c-a.at[i] < cells {
+			n += a.n[i]
+		}
+	}
+	return slackPart*b.Slack/float64(max(1, b.Shares())) + ratioPart*b.Ratio*float64(n)
+}
+
+// Left is how many repeats are left of the share.
+func (b *Budget) Left(s word.Service) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(s)
+	return b.left(a, clk.Now()) - float64(len(a.repeats))
+}
--- /dev/null
+++ b/internal/relay/caller.go
@@ -0,0 +1,180 @@
+package relay
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
+	"spoolswitch/internal/conf"
+	"spoolswitch/internal/head"
+	"spoolswitch/internal/note"
+	"spoolswitch/internal/result"
+	"spoolswitch/internal/spawn"
+)
+
+// Caller is a caller's connection.
+type Caller struct {
+	c    net.Conn
+	br   *bufio.Reader
+	r    *Relay
+	gone atomic.Bool
+	cut  func()
+	mu   sync.Mutex
+	dead bool
+}
+
+const (
+	writeLimit  = 10 * clk.Second
+	longestHead = 64 << 10
+)
+
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 16<<10) }}
+
+func (k *Caller) reader(most int) {
+	if most+2 <= 16<<10 {
+		k.br = readers.Get().(*bufio.Reader)
+		k.br.Reset(k.c)
+		return
+	}
+	k.br = bufio.NewReaderSize(k.c, min(most, longestHead)+2)
+}
+
+func (k *Caller) free() {
+	if k.br.Size() == 16<<10 {
+		k.br.Reset(nil)
+		readers.Put(k.br)
+	}
+}
+
+// serve serves one connection until it ends.
+func (k *Caller) serve() {
+	lim := conf.Limits{}.Whole()
+	if t := k.r.View.Table(); t != nil {
+		lim = t.Limits
+	}
+	k.reader(lim.HeadBytes)
+	defer k.free()
+	defer k.c.Close()
+	for {
+		if t := k.r.View.Table(); t != nil {
+			lim = t.Limits
+		}
+		k.limit(clk.Now().Add(clk.Ms(lim.IdleMs)))
+		if k.br.Buffered() == 0 {
+			if !k.r.idle(k, true) {
+				return
+			}
+			_, err := k.br.Peek(1)
+			k.r.idle(k, false)
+			if err != nil {
+				return
+			}
+		}
+		k.limit(clk.Now().Add(clk.Ms(lim.HeadMs)))
+		q, err := head.ReadInquiry(k.br)
+		if err != nil {
+			k.refuse(err)
+			return
+		}
+		if !k.inquiry(q, lim) {
+			return
+		}
+	}
+}
+
+func (k *Caller) limit(t clk.Tick) { _ = k.c.SetReadDeadline(t.Limit()) }
+
+// refuse answers what could not be read, and the connection ends.
+func (k *Caller) refuse(err error) {
+	var f *code.Fault
+	switch {
+	case errors.As(err, &f):
+		note.Counter("caller.malformed").Add(1)
+		k.write(result.Of(f.Code, f.Text).Last().Append(nil))
+		k.linger()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		note.Counter("caller.slow").Add(1)
+		if k.br.Buffered() > 0 {
+			k.write(result.Of(code.HeadTooSlow, "").Last().Append(nil))
+		}
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		note.Counter("caller.cutshort").Add(1)
+	}
+}
+
+// linger reads what is still coming, so that closing does not reset the
+// connection before the caller has read the answer.
+func (k *Caller) linger() {
+	if t, ok := k.c.(*net.TCPConn); ok {
+		_ = t.CloseWrite()
+	}
+	k.limit(clk.Now().Add(300 * clk.Millisecond))
+	_, _ = io.CopyN(io.Discard, k.br, 1<<20)
+}
+
+func (k *Caller) write(b []byte) bool {
+	_ = k.c.SetWriteDeadline(clk.Now().Add(writeLimit).Limit())
+	_, err := k.c.Write(b)
+	return err == nil
+}
+
+// inquiry reads the body and hands the inquiry to the senders; false if the
+// connection ends.
+func (k *Caller) inquiry(q *head.Inquiry, lim conf.Limits) bool {
+	begun := clk.Now()
+	if q.Expect && !q.None {
+		k.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	}
+	k.limit(begun.Add(clk.Ms(lim.HeadMs + lim.IdleMs)))
+	b := head.NewBody(k.br, q.Framing)
+	body, err := b.ReadAll(lim.BodyBytes)
+	if err != nil {
+		k.refuse(err)
+		return false
+	}
+	n := &Inquiry{Head: q, Body: body, k: k, r: k.r, begun: begun, done: spawn.NewMark()}
+	if !k.r.enter() {
+		k.write(result.Of(code.Leaving, "").For(q.Field(head.AttemptID)).Later(k.r.back()).Last().Append(nil))
+		return false
+	}
+	defer k.r.exit()
+	if !k.r.senders.Try(func() {
+		n.run()
+		k.mu.Lock()
+		k.dead = true
+		k.mu.Unlock()
+		_ = k.c.SetReadDeadline(clk.Past())
+		n.done.Set()
+	}) {
+		n.reject(code.HoldingFull)
+		return !n.last
+	}
+	k.watch(n)
+	return !n.last && !k.gone.Load()
+}
+
+// watch waits for the end of the inquiry and notices a caller that has gone.
+func (k *Caller) watch(n *Inquiry) {
+	if k.br.Buffered() == 0 {
+		_ = k.c.SetReadDeadline(clk.NoLimit())
+		k.mu.Lock()
+		over := k.dead
+		k.mu.Unlock()
+		if !over {
+			if _, err := k.br.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+				k.gone.Store(true)
+				n.abandon()
+			}
+		}
+	}
+	n.done.Wait(clk.Span(1<<62 - 1))
+	k.mu.Lock()
+	k.dead = false
+	k.mu.Unlock()
+}
--- /dev/null
+++ b/internal/relay/daemon.go
@@ -0,0 +1,118 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"net"
+	"runtime/debug"
+
+	"github.com/valyala/fasthttp"
+
+	"spoolswitch/internal/boot"
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
+	"spoolswitch/internal/feed"
+	"spoolswitch/internal/list"
+	"spoolswitch/internal/note"
+	"spoolswitch/internal/pick"
+	"spoolswitch/internal/result"
+	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/wire"
+	"spoolswitch/internal/word"
+)
+
+// Daemon is a running relay.
+type Daemon struct {
+	Relay *Relay
+	Tail  *feed.Tail
+	s     *boot.Settings
+	ls    []net.Listener
+}
+
+const (
+	unready  = 3200 * clk.Millisecond
+	cutAfter = 3 * clk.Second
+	ownPause = 2 * clk.Second
+)
+
+// Start starts a relay from its settings.
+func Start(s *boot.Settings) (*Daemon, error) {
+	debug.SetMemoryLimit(s.Limits.MemoryMB << 20 * 7 / 10)
+	if s.Bindings.Front == "" || s.Bindings.Readiness == "" {
+		return nil, code.New(code.BadSettings, "bindings lack front-addr or readiness")
+	}
+	f := pick.NewFleet(s.Zone, clk.Ms(s.Session.IdleS*1000))
+	f.Overrun, f.Slack = s.Bounds.ColdOverrun, s.Bounds.ColdSlack
+	v := &View{Fleet: f}
+	b := &pick.Budget{Ratio: s.Bounds.RetryBudgetRatio, Slack: s.Bounds.RetrySlack,
+		Window: clk.Ms(s.Bounds.RetryWindowS * 1000), Shares: f.Share}
+	most := max(32, (s.Limits.Descriptors-200)/3)
+	d := &Daemon{Relay: NewRelay(v, b, most, most, most), s: s}
+	d.Tail = &feed.Tail{Self: s.Node, IP: s.IP, Locality: s.Zone, Take: v.Take,
+		Heard: func(n int, _ clk.Span) { f.Relays(n) }, Seeds: d.seeds}
+	lf, err := wire.Listen(word.Addr(s.Bindings.Front))
+	if err != nil {
+		return nil, code.New(code.BadSettings, "%v", err)
+	}
+	lr, err := wire.Listen(word.Addr(s.Bindings.Readiness))
+	if err != nil {
+		return nil, code.New(code.BadSettings, "%v", err)
+	}
+	d.ls = []net.Listener{lf, lr}
+	d.Tail.Run()
+	spawn.Go(func() { d.Relay.Serve(lf) })
+	spawn.Go(func() { _ = d.readiness(lr) })
+	rd := &list.Reader{Addr: word.Addr(s.Platform.Address)}
+	spawn.Every(ownPause, func() bool {
+		d.readOwn(rd)
+		f.Reap()
+		return true
+	})
+	note.State("relay up", "node", s.Node, "locality", s.Zone)
+	return d, nil
+}
+
+func (d *Daemon) seeds() []word.Addr {
+	var out []word.Addr
+	for _, a := range d.s.Seeds {
+		out = append(out, d.s.Keeper(a))
+	}
+	return out
+}
+
+// readOwn reads the list from the platform while no keeper can be followed.
+func (d *Daemon) readOwn(rd *list.Reader) {
+	if d.Tail.Fresh(cutAfter) || d.Relay.View.Table() == nil {
+		return
+	}
+	clk.Sleep(clk.Span(rand.Int64N(int64(ownPause / 4))))
+	rs, err := rd.Read()
+	if err != nil {
+		note.Counter("list.failed").Add(1)
+		return
+	}
+	d.Relay.Fleet.Listed(rs, 0)
+}
+
+func (d *Daemon) readiness(l net.Listener) error {
+	srv := &fasthttp.Server{NoDefaultServerHeader: true, NoDefaultDate: true, IdleTimeout: 30 * clk.Second, Concurrency: 32,
+		Handler: func(x *fasthttp.RequestCtx) {
+			switch {
+			case string(x.Path()) != "/-/ready":
+				result.Of(code.NoCall, "").Fill(x)
+			case d.Relay.Ready():
+				result.OK(nil).Fill(x)
+			default:
+				result.Of(code.NotReady, "").Fill(x)
+			}
+		}}
+	return srv.Serve(l)
+}
+
+// Stop ends the relay in order.
+func (d *Daemon) Stop() {
+	note.State("leaving")
+	d.Relay.Leave(d.s.Grace()-500*clk.Millisecond, unready)
+	for _, l := range d.ls {
+		_ = l.Close()
+	}
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,142 @@
+package relay
+
+import (
+	"net"
+	"sync"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/note"
+	"spoolswitch/internal/pick"
+	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/wire"
+)
+
+// Relay takes connections of callers and serves them.
+type Relay struct {
+	View   *View
+	Fleet  *pick.Fleet
+	Budget *pick.Budget
+	// Current tells whether what the relay knows may be acted upon.
+	Current func() bool
+
+	senders *spawn.Pool
+	mu      sync.Mutex
+	leaving bool
+	closing bool
+	active  int
+	idles   map[*Caller]bool
+	open    int
+	most    int
+}
+
+// NewRelay makes a relay that holds at most most connections of callers.
+func NewRelay(v *View, b *pick.Budget, senders, holding, most int) *Relay {
+	return &Relay{View: v, Fleet: v.Fleet, Budget: b, senders: spawn.NewPool(senders, holding), idles: map[*Caller]bool{}, most: most,
+		Current: func() bool { return true }}
+}
+
+// Serve serves callers that come in at l.
+func (r *Relay) Serve(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			r.mu.Lock()
+			over := r.closing
+			r.mu.Unlock()
+			if over {
+				return
+			}
+			clk.Sleep(5 * clk.Millisecond)
+			continue
+		}
+		note.Counter("caller.connections").Add(1)
+		wire.Tune(c, 5*clk.Second)
+		r.mu.Lock()
+		if r.open >= r.most {
+			r.mu.Unlock()
+			_ = c.Close()
+			continue
+		}
+		r.open++
+		r.mu.Unlock()
+		spawn.Go(func() {
+			(&Caller{c: c, r: r}).serve()
+			r.mu.Lock()
+			r.open--
+			r.mu.Unlock()
+		})
+	}
+}
+
+// idle notes that a connection waits for its next inquiry, or has it; false
+// if it is to end instead.
+func (r *Relay) idle(k *Caller, on bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !on {
+		delete(r.idles, k)
+		return true
+	}
+	if r.closing {
+		return false
+	}
+	r.idles[k] = true
+	return true
+}
+
+func (r *Relay) enter() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.active++
+	return true
+}
+
+func (r *Relay) exit() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.active--
+}
+
+// Leaving tells whether the relay is on its way out.
+func (r *Relay) Leaving() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaving
+}
+
+// Active is how many inquiries are under way.
+func (r *Relay) Active() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.active
+}
+
+func (r *Relay) back() clk.Span { return 250 * clk.Millisecond }
+
+// Ready tells whether the platform may send new connections here.
+func (r *Relay) Ready() bool {
+	return !r.Leaving() && r.View.Table() != nil && r.Fleet.HasList()
+}
+
+// Leave ends the relay in order: unready first, then no more on connections
+// that are open, then what runs is finished, for at most grace.
+func (r *Relay) Leave(grace, unready clk.Span) {
+	begun := clk.Now()
+	r.mu.Lock()
+	r.leaving = true
+	r.mu.Unlock()
+	clk.Sleep(min(unready, grace/2))
+	r.mu.Lock()
+	r.closing = true
+	var ks []*Caller
+	for k := range r.idles {
+		ks = append(ks, k)
+	}
+	r.mu.Unlock()
+	for _, k := range ks {
+		_ = k.c.SetReadDeadline(clk.Past())
+	}
+	for clk.Since(begun) < grace && r.Active() > 0 {
+		clk.Sleep(20 * clk.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/relay/send.go
@@ -0,0 +1,308 @@
+package relay
+
+import (
+	"io"
+	"strconv"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
+	"spoolswitch/internal/conf"
+	"spoolswitch/internal/head"
+	"spoolswitch/internal/link"
+	"spoolswitch/internal/note"
+	"spoolswitch/internal/pick"
+)
+
+const (
+	dialLimit = 300 * clk.Millisecond
+	holdStep  = 15 * clk.Millisecond
+	wholeMost = 256 << 10
+	reachMost = 4
+)
+
+// verdict is how one send to a replica ended.
+type verdict int
+
+const (
+	over    verdict = iota // the caller has a final answer, whole or cut
+	notRun                 // the replica surely did not run it
+	mayHave                // it may have run
+)
+
+// send selects replicas and sends on until there is an answer.
+func (n *Inquiry) send() {
+	reach := 0
+	refused := false
+	for {
+		if n.deserted() {
+			n.last = true
+			return
+		}
+		rep, err := n.pick()
+		if err != nil {
+			n.fail(code.Of(err))
+			return
+		}
+		if n.sends > 0 && !n.r.Budget.Spend(n.ask.Service) {
+			n.r.Fleet.Done(rep, pick.CutByCaller)
+			n.fail(code.NoReplica)
+			return
+		}
+		before := n.sends
+		v, o := n.try(rep)
+		n.r.Fleet.Done(rep, o)
+		switch v {
+		case over:
+			return
+		case notRun:
+			refused = true
+		case mayHave:
+			n.ran = true
+			if !n.route.Repeatable() {
+				n.fail(code.ReplicaBroke)
+				return
+			}
+		}
+		n.not(rep.ID)
+		if n.sends == before {
+			if reach++; reach >= reachMost {
+				n.fail(code.NoReplica)
+				return
+			}
+		}
+		if n.sends >= n.route.Attempts() {
+			if refused && !n.ran {
+				n.fail(code.HoldingFull)
+			} else {
+				n.fail(code.ReplicaBroke)
+			}
+			return
+		}
+	}
+}
+
+// pick selects a replica, waiting a little for a place if all are taken.
+func (n *Inquiry) pick() (*pick.Rep, error) {
+	hold := n.begun.Add(min(clk.Ms(n.route.TargetMs/5), clk.Until(n.limit)/3))
+	for {
+		rep, err := n.r.Fleet.Select(&n.ask)
+		if err == nil {
+			return rep, nil
+		}
+		if clk.Now() >= hold || n.deserted() {
+			return nil, err
+		}
+		clk.Sleep(holdStep)
+	}
+}
+
+// fail ends an inquiry that no replica answered.
+func (n *Inquiry) fail(c code.Code) {
+	if n.first {
+		n.abort()
+		return
+	}
+	if clk.Now() >= n.limit {
+		if n.ran {
+			c = code.PastLimit
+		} else {
+			c = code.HoldingFull
+		}
+	}
+	if n.ran && c != code.PastLimit {
+		c = code.ReplicaBroke
+	}
+	n.reject(c)
+}
+
+// try sends the inquiry to one replica and passes the answer on.
+func (n *Inquiry) try(rep *pick.Rep) (verdict, pick.Outcome) {
+	left := clk.Until(n.limit)
+	if left <= 0 {
+		return notRun, pick.CutByCaller
+	}
+	c, err := rep.Pool.Get(min(dialLimit, left))
+	if err != nil {
+		return notRun, pick.Unreached
+	}
+	if !n.hold(c) {
+		rep.Pool.Drop(c)
+		n.last = true
+		return over, pick.CutByCaller
+	}
+	defer n.hold(nil)
+	set := []head.Set{{K: head.Expected, V: string(rep.ID)}}
+	if len(n.Head.Field(head.DeadlineMs)) > 0 {
+		set = append(set, head.Set{K: head.DeadlineMs, V: strconv.FormatInt(max(1, int64(left/clk.Millisecond)), 10)})
+	}
+	if n.first && n.events.Seen {
+		set = append(set, head.Set{K: head.LastEvent, V: strconv.FormatInt(n.events.Last, 10)})
+	}
+	b := n.Head.Append(make([]byte, 0, len(n.Body)+1024), len(n.Body), set...)
+	whole, err := c.Put(append(b, n.Body...), n.limit)
+	if !whole {
+		rep.Pool.Drop(c)
+		return notRun, pick.Unreached
+	}
+	n.sends++
+	if err != nil {
+		rep.Pool.Drop(c)
+		return mayHave, pick.Broke
+	}
+	a, err := c.Answer(n.id)
+	if err != nil {
+		rep.Pool.Drop(c)
+		return n.broke(err)
+	}
+	n.r.Fleet.Begun(rep, n.ask.Tokens)
+	if v := a.Field(head.Load); len(v) > 0 {
+		n.r.Fleet.Told(rep, string(v))
+	}
+	if n.Head.Method == "HEAD" {
+		a.Framing = head.Framing{}
+	}
+	if a.None {
+		rep.Pool.Drop(c)
+		if a.Status == 421 {
+			return notRun, pick.Stranger
+		}
+		return mayHave, pick.Broke
+	}
+	if a.Status == 421 || len(a.Field(head.NotExecuted)) > 0 {
+		return n.turned(rep, c, a)
+	}
+	if a.Status/100 == 2 && len(a.Field(head.Seal)) == 0 {
+		rep.Pool.Drop(c)
+		return mayHave, pick.Broke
+	}
+	if n.route.Class == conf.Streaming && a.Status/100 == 2 {
+		return n.stream(rep, c, a)
+	}
+	if n.first {
+		rep.Pool.Drop(c)
+		return mayHave, pick.Broke
+	}
+	return n.pass(rep, c, a)
+}
+
+func (n *Inquiry) broke(err error) (verdict, pick.Outcome) {
+	if n.deserted() {
+		n.last = true
+		return over, pick.CutByCaller
+	}
+	if clk.Now() >= n.limit {
+		n.ran = true
+		n.fail(code.PastLimit)
+		return over, pick.CutByCaller
+	}
+	_ = err
+	return mayHave, pick.Broke
+}
+
+// turned takes an answer that says that the replica did not run the inquiry.
+func (n *Inquiry) turned(rep *pick.Rep, c *link.Conn, a *head.Answer) (verdict, pick.Outcome) {
+	o := pick.Refused
+	if a.Status == 421 {
+		o = pick.Stranger
+	}
+	if _, err := c.Body(a).ReadAll(64 << 10); err != nil {
+		rep.Pool.Drop(c)
+		return notRun, o
+	}
+	rep.Pool.Give(c, a)
+	return notRun, o
+}
+
+// pass passes a plain answer on, whole.
+func (n *Inquiry) pass(rep *pick.Rep, c *link.Conn, a *head.Answer) (verdict, pick.Outcome) {
+	body, err := c.Body(a).ReadAll(8 << 20)
+	if err != nil {
+		rep.Pool.Drop(c)
+		return n.broke(err)
+	}
+	rep.Pool.Give(c, a)
+	n.finish()
+	b := a.Append(make([]byte, 0, len(body)+512), len(body), n.last)
+	if !n.k.write(append(b, body...)) {
+		n.last = true
+	}
+	return over, pick.Fine
+}
+
+func (n *Inquiry) finish() {
+	if n.r.Leaving() || n.Head.Close {
+		n.last = true
+	}
+}
+
+var resumed = note.Counter("stream.resumed")
+
+// stream passes events on as they come, whole ones only.
+func (n *Inquiry) stream(rep *pick.Rep, c *link.Conn, a *head.Answer) (verdict, pick.Outcome) {
+	body := c.Body(a)
+	skip := int64(-1)
+	if n.first {
+		resumed.Add(1)
+		if n.events.Seen {
+			skip = n.events.Last
+		}
+	}
+	n.events.Cut()
+	buf := make([]byte, 4096)
+	var out []byte
+	for {
+		m, err := body.Read(buf)
+		if m > 0 {
+			ev := n.events.Add(buf[:m], skip)
+			out = out[:0]
+			if !n.first && len(ev) > 0 {
+				n.finish()
+				out = a.Append(out, -1, n.last)
+				n.first = true
+			}
+			if len(ev) > 0 {
+				out = chunk(out, ev)
+				if !n.k.write(out) {
+					rep.Pool.Drop(c)
+					n.last = true
+					return over, pick.CutByCaller
+				}
+			}
+			continue
+		}
+		if err == io.EOF && body.Whole() && !n.events.Left() {
+			rep.Pool.Give(c, a)
+			out = out[:0]
+			if !n.first {
+				n.finish()
+				out = a.Append(out, -1, n.last)
+				n.first = true
+			}
+			if !n.k.write(append(out, "0\r\n\r\n"...)) {
+				n.last = true
+			}
+			return over, pick.Fine
+		}
+		if err == nil {
+			continue
+		}
+		rep.Pool.Drop(c)
+		if n.deserted() {
+			n.last = true
+			return over, pick.CutByCaller
+		}
+		if clk.Now() >= n.limit {
+			n.ran = true
+			n.fail(code.PastLimit)
+			return over, pick.CutByCaller
+		}
+		return mayHave, pick.Broke
+	}
+}
+
+func chunk(b, p []byte) []byte {
+	b = strconv.AppendInt(b, int64(len(p)), 16)
+	b = append(b, "\r\n"...)
+	b = append(b, p...)
+	return append(b, "\r\n"...)
+}
--- /dev/null
+++ b/internal/wire/peer.go
@@ -0,0 +1,184 @@
+// Package wire carries gob messages between daemons: many calls at once on
+// one connection, each with one answer or a run of them.
+package wire
+
+import (
+	"bufio"
+	"encoding/gob"
+	"net"
+	"sync"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
+	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/word"
+)
+
+// Frame is a message with the number of the call that it belongs to.
+type Frame[M any] struct {
+	ID uint64
+	M  M
+}
+
+const silent = 1500 * clk.Millisecond
+
+type pipe[M any] struct {
+	c   net.Conn
+	mu  sync.Mutex
+	w   *bufio.Writer
+	enc *gob.Encoder
+	dec *gob.Decoder
+}
+
+func newPipe[M any](c net.Conn) *pipe[M] {
+	w := bufio.NewWriterSize(c, 2048)
+	return &pipe[M]{c: c, w: w, enc: gob.NewEncoder(w), dec: gob.NewDecoder(bufio.NewReaderSize(c, 2048))}
+}
+
+func (p *pipe[M]) put(f *Frame[M]) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.c.SetWriteDeadline(clk.Now().Add(silent).Limit())
+	if err := p.enc.Encode(f); err != nil {
+		return err
+	}
+	return p.w.Flush()
+}
+
+// Peer is the caller's end of the wire to one daemon. It dials when needed.
+type Peer[M any] struct {
+	Addr word.Addr
+	turn spawn.Turn
+	mu   sync.Mutex
+	p    *pipe[M]
+	next uint64
+	open map[uint64]func(M, bool)
+}
+
+// NewPeer makes the wire to a daemon.
+func NewPeer[M any](a word.Addr) *Peer[M] {
+	return &Peer[M]{Addr: a, turn: spawn.Turn{Max: 64}, open: map[uint64]func(M, bool){}}
+}
+
+func (r *Peer[M]) line(limit clk.Tick) (*pipe[M], error) {
+	r.mu.Lock()
+	p := r.p
+	r.mu.Unlock()
+	if p != nil {
+		return p, nil
+	}
+	if !r.turn.Take(clk.Until(limit)) {
+		return nil, code.New(code.PeerLost, "%s", r.Addr)
+	}
+	defer r.turn.Give()
+	r.mu.Lock()
+	p = r.p
+	r.mu.Unlock()
+	if p != nil {
+		return p, nil
+	}
+	c, err := Dial(r.Addr, min(clk.Until(limit), silent))
+	if err != nil {
+		return nil, code.New(code.PeerLost, "%v", err)
+	}
+	p = newPipe[M](c)
+	r.mu.Lock()
+	r.p = p
+	r.mu.Unlock()
+	spawn.Go(func() { r.read(p) })
+	return p, nil
+}
+
+func (r *Peer[M]) read(p *pipe[M]) {
+	for {
+		var f Frame[M]
+		if err := p.dec.Decode(&f); err != nil {
+			r.drop(p)
+			return
+		}
+		r.mu.Lock()
+		fn := r.open[f.ID]
+		r.mu.Unlock()
+		if fn != nil {
+			fn(f.M, true)
+		}
+	}
+}
+
+func (r *Peer[M]) drop(p *pipe[M]) {
+	_ = p.c.Close()
+	r.mu.Lock()
+	if r.p != p {
+		r.mu.Unlock()
+		return
+	}
+	r.p = nil
+	open := r.open
+	r.open = map[uint64]func(M, bool){}
+	r.mu.Unlock()
+	var none M
+	for _, fn := range open {
+		fn(none, false)
+	}
+}
+
+// Close cuts the wire; open calls end.
+func (r *Peer[M]) Close() {
+	r.mu.Lock()
+	p := r.p
+	r.mu.Unlock()
+	if p != nil {
+		r.drop(p)
+	}
+}
+
+// Stream sends m and hands every answer to fn, until the wire breaks (ok is
+// false then) or the function that it returns is called.
+func (r *Peer[M]) Stream(m M, limit clk.Span, fn func(m M, ok bool)) (func(), error) {
+	p, err := r.line(clk.Now().Add(limit))
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	r.next++
+	id := r.next
+	r.open[id] = fn
+	r.mu.Unlock()
+	end := func() {
+		r.mu.Lock()
+		delete(r.open, id)
+		r.mu.Unlock()
+	}
+	if err := p.put(&Frame[M]{id, m}); err != nil {
+		end()
+		r.drop(p)
+		return nil, code.New(code.PeerLost, "%v", err)
+	}
+	return end, nil
+}
+
+// Call sends m and waits for the answer.
+func (r *Peer[M]) Call(m M, limit clk.Span) (M, error) {
+	var a M
+	var got bool
+	var mu sync.Mutex
+	k := spawn.NewMark()
+	at := clk.Now().Add(limit)
+	end, err := r.Stream(m, limit, func(m M, ok bool) {
+		mu.Lock()
+		a, got = m, ok
+		mu.Unlock()
+		k.Set()
+	})
+	if err != nil {
+		return a, err
+	}
+	defer end()
+	k.Wait(clk.Until(at))
+	mu.Lock()
+	defer mu.Unlock()
+	if !got {
+		return a, code.New(code.PeerLost, "%s", r.Addr)
+	}
+	return a, nil
+}
--- /dev/null
+++ b/internal/wire/serve.go
@@ -0,0 +1,91 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/word"
+)
+
+// Tune sets the options that let a dead peer be noticed.
+func Tune(c net.Conn, d clk.Span) {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	rc, err := t.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = rc.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d/clk.Millisecond))
+	})
+}
+
+// Dial connects to an address given by numbers.
+func Dial(a word.Addr, limit clk.Span) (net.Conn, error) {
+	d := net.Dialer{Timeout: max(limit, clk.Millisecond), KeepAlive: -1}
+	c, err := d.DialContext(context.Background(), "tcp4", string(a))
+	if err != nil {
+		return nil, err
+	}
+	Tune(c, silent)
+	return c, nil
+}
+
+// Listen listens on an address.
+func Listen(a word.Addr) (net.Listener, error) {
+	lc := net.ListenConfig{KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+		})
+	}}
+	return lc.Listen(context.Background(), "tcp4", string(a))
+}
+
+// Handler answers one message. It may push any number of answers before; ok
+// is false if the last answer has been pushed.
+type Handler[M any] func(m M, push func(M) error) (a M, ok bool)
+
+// Serve answers the calls that come in at l.
+func Serve[M any](l net.Listener, h Handler[M]) {
+	spawn.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				if isClosed(err) {
+					return
+				}
+				clk.Sleep(10 * clk.Millisecond)
+				continue
+			}
+			Tune(c, silent)
+			spawn.Go(func() { serve(c, h) })
+		}
+	})
+}
+
+func serve[M any](c net.Conn, h Handler[M]) {
+	defer c.Close()
+	p := newPipe[M](c)
+	for {
+		var f Frame[M]
+		if err := p.dec.Decode(&f); err != nil {
+			return
+		}
+		spawn.Go(func() {
+			a, ok := h(f.M, func(m M) error { return p.put(&Frame[M]{f.ID, m}) })
+			if ok && p.put(&Frame[M]{f.ID, a}) != nil {
+				_ = c.Close()
+			}
+		})
+	}
+}
+
+func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- /dev/null
+++ b/internal/word/word.go
@@ -0,0 +1,93 @@
+// Package word holds the small types that ids, editions and places are made of.
+package word
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Edition is the version of a configuration.
+type Edition int64
+
+// Node names a daemon.
+type Node string
+
+// Addr is the address of a daemon or replica, IP and port.
+type Addr string
+
+// Locality names a zone.
+type Locality string
+
+// Service names a service.
+type Service string
+
+// Replica is the id of one life of a replica.
+type Replica string
+
+// Key names a register of the control state.
+type Key string
+
+const (
+	// Configuration is the key of the configuration.
+	Configuration Key = "configuration"
+	// Roster is the key of the keepers' own roster.
+	Roster Key = "roster"
+	// ListDuty is the key of the duty of polling the platform's list.
+	ListDuty Key = "duty/list"
+	// List is the key under which the list travels in the feed.
+	List Key = "list"
+
+	evac = "evacuation/"
+)
+
+// Evacuation is the key of a locality's evacuation.
+func Evacuation(z Locality) Key { return Key(evac + string(z)) }
+
+// Evacuated tells which locality an evacuation key is about.
+func (k Key) Evacuated() (Locality, bool) {
+	s, ok := strings.CutPrefix(string(k), evac)
+	return Locality(s), ok
+}
+
+// Epoch orders the terms of a key. No two terms share one: Life is drawn anew
+// at each start of a daemon.
+type Epoch struct {
+	Round uint64
+	Node  Node
+	Life  uint64
+}
+
+// Less tells whether e comes before f.
+func (e Epoch) Less(f Epoch) bool {
+	if e.Round != f.Round {
+		return e.Round < f.Round
+	}
+	if e.Node != f.Node {
+		return e.Node < f.Node
+	}
+	return e.Life < f.Life
+}
+
+// Zero tells whether e is no epoch at all.
+func (e Epoch) Zero() bool { return e.Round == 0 }
+
+func (e Epoch) String() string { return fmt.Sprintf("%d@%s", e.Round, e.Node) }
+
+// Place is the place of a value among all values of its key.
+type Place struct {
+	Epoch Epoch
+	Seq   uint64
+}
+
+// Less tells whether p comes before q.
+func (p Place) Less(q Place) bool {
+	if p.Epoch != q.Epoch {
+		return p.Epoch.Less(q.Epoch)
+	}
+	return p.Seq < q.Seq
+}
+
+// Zero tells whether p is no place at all.
+func (p Place) Zero() bool { return p.Epoch.Zero() }
+
+func (p Place) String() string { return fmt.Sprintf("%s.%d", p.Epoch, p.Seq) }
