--- a/internal/list/duty.go
+++ b/internal/list/duty.go
@@ -19,7 +19,8 @@
 	seq    uint64
 	last   []Replica
 	at     clk.Tick
-	asked  clk.Tick
+	held   word.Place
+	since  clk.Tick
 }
 
 const (
@@ -37,14 +38,18 @@
 	if !k.Sure(vacant) {
 		return
 	}
-	val, at := d.Value(word.ListDuty)
-	mine := string(val) == string(k.Self) && at.Epoch.Node == k.Self && at.Epoch.Life == k.Life()
+	mine, at := d.mine()
 	if !mine {
-		if k.ListAge() > vacant+Pause && clk.Since(d.asked) > vacant/2 {
-			d.asked = clk.Now()
-			d.win()
+		if at != d.held {
+			d.held, d.since = at, clk.Now()
+		}
+		if !at.Zero() && (k.ListAge() < vacant+Pause || clk.Since(d.since) < vacant+Pause) {
+			return
+		}
+		d.win()
+		if mine, at = d.mine(); !mine {
+			return
 		}
-		return
 	}
 	if d.epoch != at.Epoch {
 		d.epoch, d.seq, d.last = at.Epoch, 0, nil
@@ -65,6 +70,12 @@
 	k.Share(word.List, word.Place{Epoch: d.epoch, Seq: d.seq}, Encode(rs))
 }
 
+func (d *Duty) mine() (bool, word.Place) {
+	val, at := d.Value(word.ListDuty)
+	k := d.Keeper
+	return string(val) == string(k.Self) && at.Epoch.Node == k.Self && at.Epoch.Life == k.Life(), at
+}
+
 func (d *Duty) win() {
 	k := d.Keeper
 	a := k.Own(word.ListDuty, clk.Now().Add(clk.Second), func(cur []byte) ([]byte, keep.Msg) {
