--- a/internal/keep/beat.go
+++ b/internal/keep/beat.go
@@ -107,6 +107,7 @@
 		return
 	}
 	k.settle(r, got, voting)
+	k.reseat()
 	k.mu.Lock()
 	k.sure = begun
 	k.mu.Unlock()
@@ -218,7 +219,11 @@
 			r = a.Roster
 		}
 	}
-	if r.Num == 0 || !r.Has(k.Self) || !r.Covers(k.Self, func(n word.Node) bool { return got[n].OK && got[n].Roster.Num == r.Num }) {
+	if r.Num != 0 && !r.Has(k.Self) {
+		k.wantSeat(r)
+		return false
+	}
+	if r.Num == 0 || !r.Covers(k.Self, func(n word.Node) bool { return got[n].OK && got[n].Roster.Num == r.Num }) {
 		return false
 	}
 	cells := map[word.Key]Cell{}
--- /dev/null
+++ b/internal/keep/join.go
@@ -0,0 +1,126 @@
+package keep
+
+import (
+	"slices"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/note"
+	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/word"
+)
+
+const (
+	goneAfter = 3 * clk.Second
+	hereFor   = 1200 * clk.Millisecond
+	seatsMost = 5
+)
+
+// wantSeat asks the others for a seat.
+func (k *Keeper) wantSeat(r Roster) {
+	for _, n := range r.All() {
+		if a, ok := k.Net.Ask(n, Msg{Kind: Join, From: k.Self, Locality: k.Locality}, askLimit); ok && a.OK {
+			return
+		}
+	}
+}
+
+// join starts a change of the roster that gives j a seat: that of one gone, or
+// one more if all are here. It answers before the change is through.
+func (k *Keeper) join(j word.Node) Msg {
+	r := k.acc.Roster()
+	if !k.acc.Voting() || !r.Has(k.Self) || !k.Sure(hereFor) {
+		return Msg{}
+	}
+	if r.Has(j) || len(r.Next) > 0 {
+		return Msg{OK: true}
+	}
+	var gone word.Node
+	for _, n := range r.Seat {
+		switch {
+		case n == k.Self || k.recent(n, hereFor):
+		case !k.recent(n, goneAfter):
+			gone = n
+		default:
+			return Msg{OK: true}
+		}
+	}
+	if gone == "" && len(r.Seat) >= seatsMost {
+		return Msg{OK: true}
+	}
+	if !k.seating.TryLock() {
+		return Msg{OK: true}
+	}
+	spawn.Go(func() {
+		defer k.seating.Unlock()
+		a := k.Own(word.Roster, clk.Now().Add(3*clk.Second), func(cur []byte) ([]byte, Msg) {
+			if len(cur) == 0 {
+				cur = k.acc.Roster().Encode()
+			}
+			return DecideRoster(cur, &Order{Joiner: j, Gone: gone})
+		})
+		if a.OK {
+			note.State("seat given", "to", j, "instead of", gone)
+			k.seat()
+		}
+	})
+	return Msg{OK: true}
+}
+
+// seat ends a change of the roster: every key is brought under majorities of
+// both sets, then the new set stands alone. The caller has the seating lock.
+func (k *Keeper) seat() {
+	r := k.acc.Roster()
+	if len(r.Next) == 0 {
+		return
+	}
+	limit := clk.Now().Add(4 * clk.Second)
+	keys := []word.Key{word.Roster}
+	for key := range k.acc.Cells() {
+		keys = append(keys, key)
+	}
+	for key := range k.Sink.Known() {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	for _, key := range slices.Compact(keys) {
+		if key == word.List {
+			continue
+		}
+		if !k.rewin(key, limit) {
+			return
+		}
+	}
+	a := k.Own(word.Roster, limit, func(cur []byte) ([]byte, Msg) { return DecideRoster(cur, &Order{On: true}) })
+	if a.OK {
+		note.State("roster changed", "num", k.acc.Roster().Num)
+	}
+}
+
+// rewin wins the key anew under the roster in force.
+func (k *Keeper) rewin(key word.Key, limit clk.Tick) bool {
+	t := k.term(key)
+	if !t.turn.Take(clk.Until(limit)) {
+		return false
+	}
+	t.held = false
+	t.turn.Give()
+	return k.Own(key, limit, func([]byte) ([]byte, Msg) { return nil, Msg{OK: true} }).OK
+}
+
+// reseat ends a change of the roster that whoever began it left behind.
+func (k *Keeper) reseat() {
+	r := k.acc.Roster()
+	k.mu.Lock()
+	if len(r.Next) == 0 || k.joint.num != r.Num {
+		k.joint.num, k.joint.since = r.Num, clk.Now()
+	}
+	old := clk.Since(k.joint.since) > 2*clk.Second
+	k.mu.Unlock()
+	if len(r.Next) == 0 || !old || !r.Has(k.Self) || !k.acc.Voting() || !k.seating.TryLock() {
+		return
+	}
+	spawn.Go(func() {
+		defer k.seating.Unlock()
+		k.seat()
+	})
+}
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -28,6 +28,11 @@
 	Sink     Sink
 	Decider  func(key word.Key, o *Order) Decide
 
+	seating sync.Mutex
+	joint   struct {
+		num   uint64
+		since clk.Tick
+	}
 	acc      *Acceptor
 	mu       sync.Mutex
 	terms    map[word.Key]*term
@@ -180,6 +185,8 @@
 		return Msg{OK: true, Key: m.Key, At: c.At, Val: c.Val}
 	case Survey:
 		return k.survey()
+	case Join:
+		return k.join(m.From)
 	case Change:
 		return k.Own(m.Key, clk.Now().Add(sendOn), k.Decider(m.Key, m.Order))
 	}
--- a/internal/keep/seats.go
+++ b/internal/keep/seats.go
@@ -11,12 +11,12 @@
 // sets named, or out of it, with the new set alone.
 func DecideRoster(cur []byte, o *Order) ([]byte, Msg) {
 	r, ok := DecodeRoster(cur)
-	if !ok {
+	if !ok || len(r.Seat) == 0 {
 		return nil, Msg{Code: code.Nothing}
 	}
 	if len(r.Next) > 0 {
 		if !o.On {
-			return nil, Msg{Code: code.NoMajority, Text: "a change is under way"}
+			return nil, Msg{Code: code.HoldingFull, Text: "a change is under way"}
 		}
 		n := Roster{Num: r.Num + 1, Seat: r.Next}
 		return n.Encode(), Msg{OK: true}
