--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -65,16 +65,23 @@
 	})
 	srv := &Server{Keeper: k, Zones: s.Zones}
 	spawn.Go(func() { _ = srv.Serve(lc) })
-	spawn.Every(keep.Beat, func() bool {
-		if !acc.Voting() && acc.Ready() {
-			k.Regain()
+	spawn.Go(func() {
+		for {
+			if !acc.Voting() && acc.Ready() {
+				k.Regain()
+			}
+			k.Round()
+			if !k.Sure(3 * keep.Beat) {
+				clk.Sleep(keep.Beat / 4)
+				continue
+			}
+			hub.Wake()
+			clk.Sleep(keep.Beat)
 		}
-		k.Round()
-		return true
 	})
 	rd := &list.Reader{Addr: word.Addr(s.Platform.Address)}
 	duty := &list.Duty{Keeper: k, Read: rd.Read, Value: hub.Value}
-	spawn.Every(list.Pause, func() bool {
+	spawn.Every(list.Glance, func() bool {
 		duty.Step()
 		return true
 	})
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -27,7 +27,8 @@
 	name word.Node
 	mark *spawn.Mark
 	num  uint64
-	had  word.Edition
+	// waits says that the relay was last told that its keeper is not sure.
+	waits bool
 }
 
 // Status is what the hub says of its keeper with each message.
@@ -67,6 +68,17 @@
 	return true
 }
 
+// Wake has followers told at once that their keeper has become sure.
+func (h *Hub) Wake() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for f := range h.who {
+		if f.waits {
+			f.mark.Set()
+		}
+	}
+}
+
 // Known tells the place of each value that the hub has.
 func (h *Hub) Known() map[word.Key]word.Place {
 	h.mu.Lock()
@@ -151,6 +163,9 @@
 		if out.Fresh {
 			f.num, first = out.Num, false
 		}
+		h.mu.Lock()
+		f.waits = !out.Fresh
+		h.mu.Unlock()
 		f.mark.Wait(beat)
 	}
 }
--- a/internal/feed/tail.go
+++ b/internal/feed/tail.go
@@ -15,7 +15,7 @@
 
 const (
 	staleAfter = 1300 * clk.Millisecond
-	firstWait  = 700 * clk.Millisecond
+	firstWait  = 500 * clk.Millisecond
 )
 
 // Tail is the relay's end of the feed. It follows one keeper at a time and
@@ -124,7 +124,7 @@
 					break
 				}
 			}
-			clk.Sleep(100 * clk.Millisecond)
+			clk.Sleep(50 * clk.Millisecond)
 		}
 	})
 }
@@ -160,7 +160,7 @@
 	begun := clk.Now()
 	was := false
 	for {
-		k.Wait(staleAfter / 2)
+		k.Wait(min(staleAfter/2, firstWait))
 		mu.Lock()
 		gone, l := lost, last
 		mu.Unlock()
--- a/internal/list/duty.go
+++ b/internal/list/duty.go
@@ -1,6 +1,7 @@
 package list
 
 import (
+	"math/rand/v2"
 	"sync"
 
 	"spoolswitch/internal/clk"
@@ -21,9 +22,13 @@
 	at     clk.Tick
 	held   word.Place
 	since  clk.Tick
+	wait   clk.Span
+	done   clk.Tick
 }
 
 const (
+	// Glance is the time between two steps.
+	Glance = 100 * clk.Millisecond
 	// Pause is the time between two readings.
 	Pause  = 900 * clk.Millisecond
 	vacant = 1500 * clk.Millisecond
@@ -40,10 +45,7 @@
 	}
 	mine, at := d.mine()
 	if !mine {
-		if at != d.held {
-			d.held, d.since = at, clk.Now()
-		}
-		if !at.Zero() && (k.ListAge() < vacant+Pause || clk.Since(d.since) < vacant+Pause) {
+		if !d.vacant(at) {
 			return
 		}
 		d.win()
@@ -54,6 +56,10 @@
 	if d.epoch != at.Epoch {
 		d.epoch, d.seq, d.last = at.Epoch, 0, nil
 	}
+	if d.seq > 0 && clk.Since(d.done) < Pause-Glance/2 {
+		return
+	}
+	d.done = clk.Now()
 	rs, err := d.Read()
 	if err != nil {
 		note.Counter("list.failed").Add(1)
@@ -70,6 +76,20 @@
 	k.Share(word.List, word.Place{Epoch: d.epoch, Seq: d.seq}, Encode(rs))
 }
 
+// vacant tells whether nobody does the duty: the list is old, and whoever won
+// it last has had time. Where no list was read in this life, each keeper waits
+// for a little time of its own.
+func (d *Duty) vacant(at word.Place) bool {
+	if at != d.held || d.since == 0 {
+		d.held, d.since = at, clk.Now()
+		d.wait = clk.Span(rand.Int64N(int64(350 * clk.Millisecond)))
+	}
+	if age := d.Keeper.ListAge(); age < clk.Second*3600 {
+		return age >= vacant+Pause && clk.Since(d.since) >= vacant+Pause
+	}
+	return clk.Since(d.since) >= d.wait
+}
+
 func (d *Duty) mine() (bool, word.Place) {
 	val, at := d.Value(word.ListDuty)
 	k := d.Keeper
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -32,6 +32,8 @@
 	unready  = 3200 * clk.Millisecond
 	cutAfter = 3 * clk.Second
 	ownPause = 2 * clk.Second
+	glance   = 50 * clk.Millisecond
+	firstOwn = 250 * clk.Millisecond
 )
 
 // Start starts a relay from its settings.
@@ -67,6 +69,7 @@
 		f.Reap()
 		return true
 	})
+	spawn.Every(glance, func() bool { return !d.readFirst(rd) })
 	note.State("relay up", "node", s.Node, "locality", s.Zone)
 	return d, nil
 }
@@ -93,6 +96,24 @@
 	d.Relay.Fleet.Listed(rs, 0)
 }
 
+// readFirst reads the list from the platform once, if the feed brought a
+// configuration and no list soon after. It tells whether there is a list.
+func (d *Daemon) readFirst(rd *list.Reader) bool {
+	if d.Relay.Fleet.HasList() {
+		return true
+	}
+	if d.Relay.View.Table() == nil {
+		return false
+	}
+	clk.Sleep(firstOwn)
+	if !d.Relay.Fleet.HasList() {
+		if rs, err := rd.Read(); err == nil && !d.Relay.Fleet.HasList() {
+			d.Relay.Fleet.Listed(rs, 0)
+		}
+	}
+	return d.Relay.Fleet.HasList()
+}
+
 func (d *Daemon) readiness(l net.Listener) error {
 	srv := &fasthttp.Server{NoDefaultServerHeader: true, NoDefaultDate: true, IdleTimeout: 30 * clk.Second, Concurrency: 32,
 		Handler: func(x *fasthttp.RequestCtx) {
