--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,511 @@
+package relay
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/conf"
+	"spoolswitch/internal/keep"
+	"spoolswitch/internal/list"
+	"spoolswitch/internal/pick"
+	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/standin"
+	"spoolswitch/internal/word"
+)
+
+const host = "h.example"
+
+type rig struct {
+	t     *testing.T
+	r     *Relay
+	addr  word.Addr
+	reps  []*standin.Replica
+	place uint64
+}
+
+// newRig starts a relay in front of one replica for each play.
+func newRig(t *testing.T, plays ...standin.Play) *rig {
+	f := pick.NewFleet("z1", 300*clk.Second)
+	f.Overrun, f.Slack = 1.5, 5
+	v := &View{Fleet: f}
+	b := &pick.Budget{Ratio: 0.2, Slack: 10, Window: 10 * clk.Second, Shares: f.Share}
+	g := &rig{t: t, r: NewRelay(v, b, 64, 64, 64)}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.addr = word.Addr(l.Addr().String())
+	spawn.Go(func() { g.r.Serve(l) })
+	for i, p := range plays {
+		g.reps = append(g.reps, standin.NewReplica(word.Replica(fmt.Sprintf("i-%d", i)), p))
+	}
+	t.Cleanup(func() {
+		_ = l.Close()
+		for _, r := range g.reps {
+			r.Close()
+		}
+	})
+	g.configure(1)
+	g.list("in_service")
+	return g
+}
+
+func (g *rig) at() word.Place {
+	g.place++
+	return word.Place{Epoch: word.Epoch{Round: 1}, Seq: g.place}
+}
+
+func (g *rig) configure(edition int, more ...string) {
+	routes := []string{
+		`{"name":"safe","authority":"h.example","path-prefix":"/safe/","route-class":"safe","timeout-ms":3000,"target-ms":400,"service":"s","max-attempts":3}`,
+		`{"name":"unsafe","authority":"h.example","path-prefix":"/unsafe/","route-class":"unsafe","timeout-ms":3000,"target-ms":400,"service":"s","max-attempts":3}`,
+		`{"name":"stream","authority":"h.example","path-prefix":"/stream/","route-class":"streaming","timeout-ms":3000,"target-ms":400,"service":"s","max-attempts":3,"session-affinity":true}`,
+		`{"name":"resume","authority":"h.example","path-prefix":"/resume/","route-class":"streaming","timeout-ms":3000,"target-ms":400,"service":"s","max-attempts":3,"session-affinity":true,"stream-resumption":true}`,
+	}
+	routes = append(routes, more...)
+	doc := fmt.Sprintf(`{"version":%d,"route-table":[%s],"service-table":[{"name":"s"},{"name":"t"}],"limits":{"max-header-bytes":4096,"max-body-bytes":10000,"header-timeout-ms":300,"idle-timeout-ms":2000}}`, edition, strings.Join(routes, ","))
+	if !json.Valid([]byte(doc)) {
+		g.t.Fatal(doc)
+	}
+	st := &conf.State{Edition: word.Edition(edition), JSON: []byte(doc)}
+	g.r.View.Take(keep.Item{Key: word.Configuration, At: g.at(), Val: st.Encode()})
+}
+
+func (g *rig) list(state string) {
+	var rs []list.Replica
+	for _, r := range g.reps {
+		rs = append(rs, list.Replica{ID: r.ID, Service: "s", Addr: r.Addr, Locality: "z1", Slots: 8, State: state})
+	}
+	g.r.View.Take(keep.Item{Key: word.List, At: g.at(), Val: list.Encode(rs)})
+}
+
+func (g *rig) ask(path, id string, fields ...string) (standin.Reply, error) {
+	k := standin.Call(g.addr)
+	defer k.Close()
+	return k.Ask(host, path, id, "the body", fields...)
+}
+
+func (g *rig) arrivals() int {
+	n := 0
+	for _, r := range g.reps {
+		n += len(r.Got())
+	}
+	return n
+}
+
+func until(t *testing.T, what string, fn func() bool) {
+	t.Helper()
+	for end := clk.Now().Add(20 * clk.Second); clk.Now() < end; runtime.Gosched() {
+		if fn() {
+			return
+		}
+	}
+	t.Fatal("never came: " + what)
+}
+
+func TestPassesUnchanged(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, standin.Well)
+	r, err := g.ask("/safe/a%20b?x=1", "id1", "Deadline-Ms: 2000", "Extra: kept", "Connection: gone", "Gone: 1")
+	is.NoErr(err)
+	is.Equal(r.Status, 200)
+	is.Equal(r.Body, "body of id1")
+	is.Equal(r.Seal, "s.1")
+	got := g.reps[0].Got()[0]
+	is.Equal(got.URI, "/safe/a%20b?x=1")
+	is.Equal(got.Host, host)
+	is.Equal(got.Body, "the body")
+	is.Equal(got.Expect, "i-0")
+	is.Equal(got.Method, "POST")
+}
+
+func TestNoRoute(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, standin.Well)
+	r, err := g.ask("/nowhere/", "id1")
+	is.NoErr(err)
+	is.Equal(r.Status, 404)
+	is.Equal(g.arrivals(), 0)
+}
+
+// MIXED: what is no whole answer to this very try never reaches a caller as a success.
+func TestMixed(t *testing.T) {
+	raw := func(s string) standin.Play {
+		return func(w net.Conn, g standin.Got) bool {
+			_, _ = w.Write([]byte(strings.ReplaceAll(s, "ID", g.ID)))
+			return false
+		}
+	}
+	for name, p := range map[string]standin.Play{
+		"another try":   raw("HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nReplica-Seal: s\r\nContent-Length: 2\r\n\r\nno"),
+		"no seal":       raw("HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nContent-Length: 2\r\n\r\nno"),
+		"cut short":     raw("HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nReplica-Seal: s\r\nContent-Length: 20\r\n\r\nno"),
+		"garbage":       raw("no answer at all\r\n\r\n"),
+		"two lengths":   raw("HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nReplica-Seal: s\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nno!"),
+		"no length":     raw("HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nReplica-Seal: s\r\n\r\nno"),
+		"bad chunk":     raw("HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nReplica-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nno\r\n0\r\n\r\n"),
+		"half a stream": raw("HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nReplica-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := newRig(t, p)
+			for _, path := range []string{"/unsafe/", "/safe/", "/stream/"} {
+				r, err := g.ask(path, "id1")
+				is.True(err != nil || r.Status != 200 || !r.Whole) // no whole success
+			}
+		})
+	}
+}
+
+// MIXED: a surplus answer that comes late is not taken for the next one.
+func TestSurplusAnswer(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, func(w net.Conn, g standin.Got) bool {
+		return standin.Say(w, g.ID, 200, standin.Seal, "body of "+g.ID) && standin.Say(w, g.ID, 200, standin.Seal, "again "+g.ID)
+	})
+	k := standin.Call(g.addr)
+	defer k.Close()
+	for i := range 20 {
+		id := fmt.Sprintf("id%d", i)
+		r, err := k.Ask(host, "/unsafe/", id, "x")
+		is.NoErr(err)
+		is.Equal(r.ID, id)
+		is.Equal(r.Body, "body of "+id)
+	}
+}
+
+// MIXED: a late answer to an earlier try is passed over for the one that is due.
+func TestLateAnswer(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, func(w net.Conn, g standin.Got) bool {
+		return standin.Say(w, "earlier", 200, standin.Seal, "not yours") && standin.Well(w, g)
+	})
+	r, err := g.ask("/unsafe/", "id1")
+	is.NoErr(err)
+	is.Equal(r.Body, "body of id1")
+}
+
+// UNASKED: what can be read in two ways is turned away and nothing is sent on.
+func TestUnasked(t *testing.T) {
+	g := newRig(t, standin.Well)
+	for name, s := range map[string]string{
+		"both lengths":  "POST /safe/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"two lengths":   "POST /safe/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
+		"odd coding":    "POST /safe/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+		"bad chunk":     "POST /safe/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n\r\n",
+		"folded":        "POST /safe/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\n Content-Length: 4\r\n\r\n",
+		"spaced name":   "POST /safe/ HTTP/1.1\r\nHost: h.example\r\nContent-Length : 4\r\n\r\nabcd",
+		"bare feed":     "POST /safe/ HTTP/1.1\nHost: h.example\n\n",
+		"two hosts":     "POST /safe/ HTTP/1.1\r\nHost: h.example\r\nHost: other\r\n\r\n",
+		"two ids":       "POST /safe/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\nAttempt-Id: b\r\n\r\n",
+		"control byte":  "POST /safe/ HTTP/1.1\r\nHost: h.example\r\nX: a\x00b\r\n\r\n",
+		"no protocol":   "POST /safe/\r\nHost: h.example\r\n\r\n",
+		"signed length": "POST /safe/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: +4\r\n\r\nabcd",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			k := standin.Call(g.addr)
+			defer k.Close()
+			k.Put(s)
+			r, err := k.Get()
+			is.NoErr(err)
+			is.Equal(r.Status, 400)
+			is.True(r.Close)
+			is.True(!k.More())
+		})
+	}
+	is.New(t).Equal(g.arrivals(), 0)
+}
+
+func TestTooLarge(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, standin.Well)
+	k := standin.Call(g.addr)
+	defer k.Close()
+	r, err := k.Ask(host, "/safe/", "a", strings.Repeat("x", 10001))
+	is.NoErr(err)
+	is.Equal(r.Status, 413)
+	k2 := standin.Call(g.addr)
+	defer k2.Close()
+	r, err = k2.Ask(host, "/safe/", "a", "", "Long: "+strings.Repeat("x", 20000))
+	is.NoErr(err)
+	is.Equal(r.Status, 431)
+	is.Equal(g.arrivals(), 0)
+}
+
+func TestSlowHead(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, standin.Well)
+	k := standin.Call(g.addr)
+	defer k.Close()
+	k.Put("POST /safe/ HTTP/1.1\r\n")
+	r, err := k.Get()
+	is.NoErr(err)
+	is.Equal(r.Status, 408)
+	is.True(!k.More())
+}
+
+// TWICE and REFUSED: what may have run and may not be repeated is sent once, and
+// its answer makes no promise that it did not run.
+func TestTwice(t *testing.T) {
+	for _, path := range []string{"/unsafe/", "/stream/"} {
+		is := is.New(t)
+		g := newRig(t, standin.Break, standin.Break, standin.Break)
+		r, err := g.ask(path, "id1")
+		is.NoErr(err)
+		is.Equal(g.arrivals(), 1)
+		is.Equal(r.Status, 502)
+	}
+}
+
+// A promise that nothing ran lets even an unsafe inquiry go to another replica.
+func TestTurnedAway(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, standin.Full, standin.Full, standin.Full)
+	r, err := g.ask("/unsafe/", "id1")
+	is.NoErr(err)
+	is.Equal(r.Status, 503)
+	is.True(r.Back != "")
+	is.Equal(g.arrivals(), 3) // max-attempts
+	g.reps[1].Set(standin.Well)
+	r, err = g.ask("/unsafe/", "id2")
+	is.NoErr(err)
+	is.Equal(r.Status, 200)
+}
+
+// REFUSED: turned away first, then broken: it may have run, so no promise.
+func TestTurnedAwayThenBroken(t *testing.T) {
+	is := is.New(t)
+	var first string
+	p := func(w net.Conn, g standin.Got) bool {
+		if first == "" {
+			first = g.Expect
+		}
+		if first == g.Expect {
+			return standin.Full(w, g)
+		}
+		return false
+	}
+	g := newRig(t, p, p)
+	r, err := g.ask("/unsafe/", "id1")
+	is.NoErr(err)
+	is.Equal(r.Status, 502)
+	is.Equal(g.arrivals(), 2)
+}
+
+func TestSafeIsRepeated(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, standin.Break, standin.Break)
+	g.reps[0].Set(standin.Well)
+	for i := range 4 {
+		r, err := g.ask("/safe/", fmt.Sprintf("id%d", i))
+		is.NoErr(err)
+		is.Equal(r.Status, 200)
+	}
+}
+
+// ROUTE: every inquiry names the replica it is for; another one that has the
+// address answers 421 and is not asked again.
+func TestRoute(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, standin.Well, standin.Well)
+	g.reps[0].ID = "i-new"
+	for i := range 6 {
+		r, err := g.ask("/unsafe/", fmt.Sprintf("id%d", i))
+		is.NoErr(err)
+		is.Equal(r.Status, 200)
+	}
+	is.True(len(g.reps[0].Got()) <= 1)
+	for _, got := range g.reps[0].Got() {
+		is.Equal(got.Expect, "i-0")
+	}
+}
+
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		b.WriteString(standin.Event(i))
+	}
+	return b.String()
+}
+
+// ORDER: a stream that may be resumed goes on at another replica, with no piece
+// lost or twice, under its first head.
+func TestOrderResumed(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, standin.Stream(10, 4), standin.Stream(10, 4), standin.Stream(10, 4))
+	r, err := g.ask("/resume/", "id1", "Prompt-Prefix: a:10,b:5")
+	is.NoErr(err)
+	is.True(r.Whole)
+	is.Equal(r.Body, events(1, 10))
+	is.Equal(g.arrivals(), 3)
+}
+
+// ORDER: events that a resumed run repeats are left out.
+func TestOrderRepeated(t *testing.T) {
+	is := is.New(t)
+	again := func(w net.Conn, g standin.Got) bool {
+		if g.LastEvent != "" {
+			g.LastEvent = "1"
+		}
+		return standin.Stream(8, 3)(w, g)
+	}
+	whole := func(w net.Conn, g standin.Got) bool {
+		g.LastEvent = ""
+		return standin.Stream(8, 0)(w, g)
+	}
+	n := 0
+	p := func(w net.Conn, g standin.Got) bool {
+		if n++; n == 1 {
+			return again(w, g)
+		}
+		return whole(w, g)
+	}
+	g := newRig(t, p, p)
+	r, err := g.ask("/resume/", "id1")
+	is.NoErr(err)
+	is.True(r.Whole)
+	is.Equal(r.Body, events(1, 8))
+}
+
+// ORDER: a stream that may not be resumed ends cut, not as though whole, and
+// only whole pieces reach the caller.
+func TestOrderCut(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, standin.Stream(10, 4), standin.Stream(10, 4))
+	r, err := g.ask("/stream/", "id1")
+	is.NoErr(err)
+	is.True(!r.Whole)
+	is.Equal(r.Body, events(1, 4))
+	is.Equal(g.arrivals(), 1)
+}
+
+// BUDGET: repeats stay within this relay's share.
+func TestBudget(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, standin.Full, standin.Full, standin.Full)
+	const asked = 40
+	for i := range asked {
+		_, err := g.ask("/safe/", fmt.Sprintf("id%d", i))
+		is.NoErr(err)
+	}
+	repeats := g.arrivals() - asked
+	is.True(repeats > 0)
+	is.True(float64(repeats) <= 0.2*asked+10)
+}
+
+// DRAIN and EVAC: what the feed takes out is not sent to.
+func TestLeftAlone(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, standin.Well)
+	g.list("draining")
+	r, err := g.ask("/safe/", "id1")
+	is.NoErr(err)
+	is.Equal(r.Status, 503)
+	g.list("in_service")
+	g.r.View.Take(keep.Item{Key: word.Evacuation("z1"), At: g.at(), Val: []byte("on")})
+	r, err = g.ask("/safe/", "id2")
+	is.NoErr(err)
+	is.Equal(r.Status, 503)
+	is.Equal(g.arrivals(), 0)
+	g.r.View.Take(keep.Item{Key: word.Evacuation("z1"), At: g.at(), Val: []byte("off")})
+	r, err = g.ask("/safe/", "id3")
+	is.NoErr(err)
+	is.Equal(r.Status, 200)
+}
+
+// CONFIG: a relay takes newer editions only.
+func TestNeverBack(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, standin.Well)
+	g.configure(5, `{"name":"new","authority":"h.example","path-prefix":"/new/","route-class":"safe","timeout-ms":3000,"service":"s"}`)
+	g.configure(4)
+	r, err := g.ask("/new/", "id1")
+	is.NoErr(err)
+	is.Equal(r.Status, 200)
+}
+
+func TestUnreadyWithoutNews(t *testing.T) {
+	is := is.New(t)
+	f := pick.NewFleet("z1", clk.Second)
+	r := NewRelay(&View{Fleet: f}, &pick.Budget{Shares: f.Share, Window: clk.Second}, 8, 8, 8)
+	is.True(!r.Ready())
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	spawn.Go(func() { r.Serve(l) })
+	k := standin.Call(word.Addr(l.Addr().String()))
+	defer k.Close()
+	a, err := k.Ask(host, "/safe/", "id", "")
+	is.NoErr(err)
+	is.Equal(a.Status, 503)
+}
+
+// LOST: a relay that leaves finishes what runs and says that it closes.
+func TestLeave(t *testing.T) {
+	is := is.New(t)
+	in, out := spawn.NewMark(), spawn.NewMark()
+	g := newRig(t, func(w net.Conn, g standin.Got) bool {
+		in.Set()
+		out.Wait(10 * clk.Second)
+		return standin.Well(w, g)
+	})
+	var r standin.Reply
+	var err error
+	done, left := spawn.NewMark(), spawn.NewMark()
+	spawn.Go(func() {
+		r, err = g.ask("/unsafe/", "id1")
+		done.Set()
+	})
+	is.True(in.Wait(10 * clk.Second))
+	spawn.Go(func() {
+		g.r.Leave(10*clk.Second, 0)
+		left.Set()
+	})
+	until(t, "leaving", g.r.Leaving)
+	is.True(!g.r.Ready())
+	out.Set()
+	is.True(done.Wait(10 * clk.Second))
+	is.NoErr(err)
+	is.Equal(r.Status, 200)
+	is.True(r.Close)
+	is.True(left.Wait(10 * clk.Second))
+}
+
+// A caller that goes away takes its run along.
+func TestDeserted(t *testing.T) {
+	is := is.New(t)
+	in, cut := spawn.NewMark(), spawn.NewMark()
+	g := newRig(t, func(w net.Conn, g standin.Got) bool {
+		in.Set()
+		var b [1]byte
+		_, _ = w.Read(b[:])
+		cut.Set()
+		return false
+	})
+	k := standin.Call(g.addr)
+	k.Put("POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n")
+	is.True(in.Wait(10 * clk.Second))
+	k.Close()
+	is.True(cut.Wait(10 * clk.Second))
+	until(t, "the end", func() bool { return g.r.Active() == 0 })
+	is.Equal(g.arrivals(), 1)
+}
+
+func TestMalformedFields(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, standin.Stream(2, 0))
+	for _, f := range []string{"Deadline-Ms: soon", "Last-Event-Id: x", "Token-Counts: 1", "Prompt-Prefix: zz:1", "Prompt-Prefix: a"} {
+		r, err := g.ask("/stream/", "id1", f)
+		is.NoErr(err)
+		is.Equal(r.Status, 400)
+	}
+	is.Equal(g.arrivals(), 0)
+}
--- /dev/null
+++ b/internal/standin/caller.go
@@ -0,0 +1,90 @@
+package standin
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/head"
+	"spoolswitch/internal/word"
+)
+
+// Reply is an answer as a caller got it. Whole tells whether its body was.
+type Reply struct {
+	Status int
+	Body   string
+	Whole  bool
+	Seal   string
+	ID     string
+	Back   string
+	Close  bool
+}
+
+// Caller is a stand-in for a caller's connection.
+type Caller struct {
+	c  net.Conn
+	br *bufio.Reader
+}
+
+// Call opens a connection.
+func Call(a word.Addr) *Caller {
+	c, err := net.Dial("tcp4", string(a))
+	if err != nil {
+		panic(err)
+	}
+	_ = c.SetDeadline(clk.Now().Add(15 * clk.Second).Limit())
+	return &Caller{c: c, br: bufio.NewReader(c)}
+}
+
+// Close closes the connection.
+func (k *Caller) Close() { _ = k.c.Close() }
+
+// Put writes bytes as they are.
+func (k *Caller) Put(s string) {
+	_, _ = io.WriteString(k.c, s)
+}
+
+// Get reads one answer.
+func (k *Caller) Get() (Reply, error) {
+	a, err := head.ReadAnswer(k.br)
+	if err != nil {
+		return Reply{}, err
+	}
+	r := Reply{Status: a.Status, Seal: string(a.Field(head.Seal)), ID: string(a.Field(head.AttemptID)),
+		Back: string(a.Field(head.RetryAfter)), Close: a.Close}
+	b := head.NewBody(k.br, a.Framing)
+	buf := make([]byte, 4096)
+	for {
+		n, err := b.Read(buf)
+		r.Body += string(buf[:n])
+		if errors.Is(err, io.EOF) && b.Whole() {
+			r.Whole = true
+			return r, nil
+		}
+		if err != nil {
+			return r, nil
+		}
+	}
+}
+
+// Ask sends one inquiry and reads the answer. Fields are lines without ends.
+func (k *Caller) Ask(host, path, id, body string, fields ...string) (Reply, error) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\n", path, host, id)
+	for _, f := range fields {
+		b.WriteString(f + "\r\n")
+	}
+	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(body), body)
+	k.Put(b.String())
+	return k.Get()
+}
+
+// More tells whether anything but an end follows.
+func (k *Caller) More() bool {
+	_, err := k.br.Peek(1)
+	return err == nil
+}
--- /dev/null
+++ b/internal/standin/replica.go
@@ -0,0 +1,164 @@
+// Package standin holds stand-ins for the systems outside: replicas, the
+// platform and callers. Tests use them; the programs do not.
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+
+	"spoolswitch/internal/head"
+	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/word"
+)
+
+// Got is an inquiry as a replica received it.
+type Got struct {
+	ID, Method, URI, Host, Expect, LastEvent, Deadline, Body string
+}
+
+// Play answers one inquiry; false closes the connection.
+type Play func(w net.Conn, g Got) bool
+
+// Replica is a stand-in for a replica.
+type Replica struct {
+	ID   word.Replica
+	Addr word.Addr
+
+	mu   sync.Mutex
+	play Play
+	got  []Got
+	l    net.Listener
+	cs   []net.Conn
+}
+
+// NewReplica starts a replica that answers with play.
+func NewReplica(id word.Replica, play Play) *Replica {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	r := &Replica{ID: id, Addr: word.Addr(l.Addr().String()), play: play, l: l}
+	spawn.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			r.mu.Lock()
+			r.cs = append(r.cs, c)
+			r.mu.Unlock()
+			spawn.Go(func() { r.serve(c) })
+		}
+	})
+	return r
+}
+
+// Close ends the replica.
+func (r *Replica) Close() {
+	_ = r.l.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.cs {
+		_ = c.Close()
+	}
+}
+
+// Set changes what the replica does.
+func (r *Replica) Set(p Play) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.play = p
+}
+
+// Got tells what came.
+func (r *Replica) Got() []Got {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Got(nil), r.got...)
+}
+
+func (r *Replica) serve(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReaderSize(c, 64<<10)
+	for {
+		q, err := head.ReadInquiry(br)
+		if err != nil {
+			return
+		}
+		b, err := head.NewBody(br, q.Framing).ReadAll(1 << 24)
+		if err != nil {
+			return
+		}
+		f := func(k string) string { return string(q.Field(k)) }
+		g := Got{ID: f(head.AttemptID), Method: q.Method, URI: q.URI, Host: q.Host, Expect: f(head.Expected),
+			LastEvent: f(head.LastEvent), Deadline: f(head.DeadlineMs), Body: string(b)}
+		r.mu.Lock()
+		r.got = append(r.got, g)
+		p := r.play
+		r.mu.Unlock()
+		if g.Expect != "" && g.Expect != string(r.ID) {
+			if !Misdirected(c, g) {
+				return
+			}
+			continue
+		}
+		if !p(c, g) {
+			return
+		}
+	}
+}
+
+// Say writes an answer of a status, more fields and a body.
+func Say(w net.Conn, id string, status int, fields, body string) bool {
+	_, err := fmt.Fprintf(w, "HTTP/1.1 %d X\r\nAttempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, id, fields, len(body), body)
+	return err == nil
+}
+
+// Seal is the seal field of an answer.
+const Seal = "Replica-Seal: s.1\r\n"
+
+// Misdirected answers 421.
+func Misdirected(w net.Conn, g Got) bool {
+	return Say(w, g.ID, 421, "Not-Executed: 1\r\n", "")
+}
+
+// Well answers 200 with a body that names the try.
+func Well(w net.Conn, g Got) bool { return Say(w, g.ID, 200, Seal, "body of "+g.ID) }
+
+// Full answers that the inquiry did not run.
+func Full(w net.Conn, g Got) bool { return Say(w, g.ID, 503, "Not-Executed: 1\r\n", "") }
+
+// Break reads and closes.
+func Break(net.Conn, Got) bool { return false }
+
+// Event is the text of one event.
+func Event(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
+
+// Stream plays events from the one after Last-Event-Id up to n, and breaks off
+// after cut of them if cut is not 0, in the middle of the next.
+func Stream(n, cut int) Play {
+	return func(w net.Conn, g Got) bool {
+		from := 1
+		if g.LastEvent != "" {
+			_, _ = fmt.Sscan(g.LastEvent, &from)
+			from++
+		}
+		var b strings.Builder
+		fmt.Fprintf(&b, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", g.ID, Seal)
+		for i := from; i <= n; i++ {
+			e := Event(i)
+			if cut > 0 && i-from >= cut {
+				fmt.Fprintf(&b, "%x\r\n%s", len(e), e[:len(e)/2])
+				_, _ = w.Write([]byte(b.String()))
+				return false
+			}
+			fmt.Fprintf(&b, "%x\r\n%s\r\n", len(e), e)
+		}
+		b.WriteString("0\r\n\r\n")
+		_, err := w.Write([]byte(b.String()))
+		return err == nil
+	}
+}
