--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -71,11 +71,11 @@
 				k.Regain()
 			}
 			k.Round()
+			hub.Check()
 			if !k.Sure(3 * keep.Beat) {
 				clk.Sleep(keep.Beat / 4)
 				continue
 			}
-			hub.Wake()
 			clk.Sleep(keep.Beat)
 		}
 	})
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -15,7 +15,7 @@
 
 const (
 	beat     = 500 * clk.Millisecond
-	freshFor = 1200 * clk.Millisecond
+	freshFor = clk.Second
 )
 
 type kept struct {
@@ -27,8 +27,6 @@
 	name word.Node
 	mark *spawn.Mark
 	num  uint64
-	// waits says that the relay was last told that its keeper is not sure.
-	waits bool
 }
 
 // Status is what the hub says of its keeper with each message.
@@ -45,6 +43,7 @@
 	Status Status
 	mu     sync.Mutex
 	num    uint64
+	sure   bool
 	items  map[word.Key]kept
 	who    map[*follower]bool
 }
@@ -68,14 +67,18 @@
 	return true
 }
 
-// Wake has followers told at once that their keeper has become sure.
-func (h *Hub) Wake() {
+// Check has followers told at once when their keeper has become sure or is so
+// no longer.
+func (h *Hub) Check() {
+	now := h.Status.Sure(freshFor)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if now == h.sure {
+		return
+	}
+	h.sure = now
 	for f := range h.who {
-		if f.waits {
-			f.mark.Set()
-		}
+		f.mark.Set()
 	}
 }
 
@@ -163,9 +166,6 @@
 		if out.Fresh {
 			f.num, first = out.Num, false
 		}
-		h.mu.Lock()
-		f.waits = !out.Fresh
-		h.mu.Unlock()
 		f.mark.Wait(beat)
 	}
 }
--- a/internal/feed/tail.go
+++ b/internal/feed/tail.go
@@ -15,6 +15,7 @@
 
 const (
 	staleAfter = 1300 * clk.Millisecond
+	avoid      = 2 * clk.Second
 	firstWait  = 500 * clk.Millisecond
 )
 
@@ -35,6 +36,7 @@
 	life   uint64
 	num    uint64
 	at     word.Addr
+	bad    map[word.Addr]clk.Tick
 }
 
 // Fresh tells whether news came within d.
@@ -95,6 +97,9 @@
 		if t.locals[word.Node(a)] != t.Locality {
 			r |= 1 << 62
 		}
+		if at, ok := t.bad[a]; ok && clk.Since(at) < avoid {
+			r |= 1 << 63
+		}
 		return r
 	}
 	sort.Slice(out, func(i, j int) bool { return rank(out[i]) < rank(out[j]) })
@@ -149,6 +154,8 @@
 			lost = true
 		} else if m.Fresh {
 			last = clk.Now()
+		} else if last != 0 {
+			lost = true
 		}
 		mu.Unlock()
 		k.Set()
@@ -172,6 +179,12 @@
 			note.State("following", "keeper", a)
 		}
 		if gone || (l == 0 && clk.Since(begun) > firstWait) || (l != 0 && clk.Since(l) > staleAfter) {
+			t.mu.Lock()
+			if t.bad == nil {
+				t.bad = map[word.Addr]clk.Tick{}
+			}
+			t.bad[a] = clk.Now()
+			t.mu.Unlock()
 			if was {
 				note.State("keeper left", "keeper", a, "lost", gone)
 			}
--- a/internal/keep/beat.go
+++ b/internal/keep/beat.go
@@ -13,6 +13,8 @@
 // Beat is the pause between two rounds in which a keeper confirms itself.
 const Beat = 400 * clk.Millisecond
 
+const roundLimit = 250 * clk.Millisecond
+
 func (k *Keeper) askAllLater(to []word.Node, m Msg) {
 	for _, n := range to {
 		spawn.Go(func() { k.Net.Ask(n, m, askLimit) })
@@ -75,7 +77,7 @@
 	r := k.acc.Roster()
 	to := k.peers()
 	mine := k.digest()
-	got := k.askAll(to, Msg{Kind: Digest, Locality: k.Locality}, Beat, func(g map[word.Node]Msg) bool { return len(g) == len(to) })
+	got := k.askAll(to, Msg{Kind: Digest, Locality: k.Locality}, roundLimit, func(g map[word.Node]Msg) bool { return len(g) == len(to) })
 	got[k.Self] = mine
 	for n, a := range got {
 		a.From = n
