A lost disk raises a floor on those it reads before it votes again

Cause: the checker over all interleavings found an order in which an owner counted an acceptance that the lost disk no longer had, so an acknowledged value stood on one disk only. The returning keeper now raises an epoch floor on the others between two readings.

--- a/internal/keep/acceptor.go
+++ b/internal/keep/acceptor.go
@@ -175,9 +175,29 @@
 
 func (a *Acceptor) answer(k word.Key, ok bool, c code.Code) Msg {
 	cell := a.Cell(k)
+	if f := a.floor(); cell.Promised.Less(f) {
+		cell.Promised = f
+	}
 	return Msg{OK: ok, Code: c, Key: k, Epoch: cell.Promised, At: cell.At, Val: cell.Val, Roster: a.Roster()}
 }
 
+// floorKey holds the epoch before which nothing of any key is taken.
+const floorKey word.Key = "floor"
+
+func (a *Acceptor) floor() word.Epoch { return a.Cell(floorKey).Promised }
+
+// Raise makes the acceptor take nothing of an epoch before e, of any key.
+func (a *Acceptor) Raise(e word.Epoch) error {
+	if !a.lane.Take(laneWait) {
+		return code.New(code.DiskRefused, "busy")
+	}
+	defer a.lane.Give()
+	if !a.floor().Less(e) {
+		return nil
+	}
+	return a.write(&entry{Key: floorKey, Cell: Cell{Promised: e}})
+}
+
 // Vote asks for a promise to take nothing of an epoch before e.
 func (a *Acceptor) Vote(k word.Key, e word.Epoch, r Roster) Msg {
 	if !a.lane.Take(laneWait) {
@@ -188,7 +208,7 @@
 		return Msg{Code: code.NotVoting, Roster: a.Roster()}
 	}
 	c := a.Cell(k)
-	if r.Num < a.Roster().Num || e.Less(c.Promised) {
+	if r.Num < a.Roster().Num || e.Less(c.Promised) || e.Less(a.floor()) {
 		return a.answer(k, false, code.NoMajority)
 	}
 	if c.Promised == e {
@@ -211,7 +231,7 @@
 		return Msg{Code: code.NotVoting, Roster: a.Roster()}
 	}
 	c := a.Cell(k)
-	if r.Num < a.Roster().Num || at.Epoch.Less(c.Promised) || at.Less(c.At) {
+	if r.Num < a.Roster().Num || at.Epoch.Less(c.Promised) || at.Epoch.Less(a.floor()) || at.Less(c.At) {
 		return a.answer(k, false, code.NoMajority)
 	}
 	if c.At == at {
@@ -229,7 +249,7 @@
 	if !a.Voting() {
 		return Msg{Code: code.NotVoting, Roster: a.Roster()}
 	}
-	if r.Num < a.Roster().Num || a.Cell(k).Promised != e {
+	if r.Num < a.Roster().Num || a.Cell(k).Promised != e || e.Less(a.floor()) {
 		return a.answer(k, false, code.NoMajority)
 	}
 	return Msg{OK: true, Key: k}
--- a/internal/keep/beat.go
+++ b/internal/keep/beat.go
@@ -1,6 +1,7 @@
 package keep
 
 import (
+	"maps"
 	"slices"
 
 	"spoolswitch/internal/clk"
@@ -60,6 +61,9 @@
 		m.Code = code.NotVoting
 	}
 	for key, c := range k.acc.Cells() {
+		if key == floorKey {
+			continue
+		}
 		m.Marks[key] = Mark{Promised: c.Promised, At: c.At}
 	}
 	for key, at := range k.Sink.Known() {
@@ -188,45 +192,43 @@
 	return true
 }
 
-func (k *Keeper) survey() Msg {
-	m := Msg{OK: k.acc.Voting(), From: k.Self, Roster: k.acc.Roster(), Cells: k.acc.Cells()}
+func (k *Keeper) survey(m Msg) Msg {
+	if !m.Epoch.Zero() {
+		k.raise(m.Epoch)
+		if !k.acc.Voting() || k.acc.Raise(m.Epoch) != nil {
+			return Msg{}
+		}
+	}
 	k.mu.Lock()
-	defer k.mu.Unlock()
-	for key, e := range k.tried {
-		c := m.Cells[key]
+	tried := maps.Clone(k.tried)
+	k.mu.Unlock()
+	return Msg{OK: k.acc.Voting(), From: k.Self, Roster: k.acc.Roster(), Cells: Surveyed(k.acc.Cells(), tried)}
+}
+
+// Surveyed adds to the cells of a disk the epochs that its keeper has asked
+// votes for: one whose disk is lost may have promised them.
+func Surveyed(cells map[word.Key]Cell, tried map[word.Key]word.Epoch) map[word.Key]Cell {
+	for key, e := range tried {
+		c := cells[key]
 		if c.Promised.Less(e) {
 			c.Promised = e
-			m.Cells[key] = c
+			cells[key] = c
 		}
 	}
-	return m
+	return cells
 }
 
-// Regain reads enough others to take the place of a lost disk. It tells
-// whether this keeper may vote now.
-func (k *Keeper) Regain() bool {
-	if k.acc.Voting() {
-		return true
-	}
-	to := k.peers()
-	for _, n := range k.Founders {
-		if n != k.Self && !slices.Contains(to, n) {
-			to = append(to, n)
-		}
-	}
-	got := k.askAll(to, Msg{Kind: Survey, Locality: k.Locality}, askLimit*2, func(g map[word.Node]Msg) bool { return len(g) == len(to) })
+// Regained puts together what the others have told of the keys. It is enough
+// only if every majority that self may have been part of is covered.
+func Regained(self word.Node, got map[word.Node]Msg) (Roster, map[word.Key]Cell, bool) {
 	var r Roster
 	for _, a := range got {
 		if a.Roster.Num > r.Num {
 			r = a.Roster
 		}
 	}
-	if r.Num != 0 && !r.Has(k.Self) {
-		k.wantSeat(r)
-		return false
-	}
-	if r.Num == 0 || !r.Covers(k.Self, func(n word.Node) bool { return got[n].OK && got[n].Roster.Num == r.Num }) {
-		return false
+	if r.Num == 0 || !r.Has(self) || !r.Covers(self, func(n word.Node) bool { return got[n].OK }) {
+		return r, nil, false
 	}
 	cells := map[word.Key]Cell{}
 	for n, a := range got {
@@ -244,6 +246,51 @@
 			cells[key] = have
 		}
 	}
+	return r, cells, true
+}
+
+// Floor is an epoch above all that the others have told of. Raised on those
+// that are read before they are read again, it makes sure that no term goes on
+// counting what the lost disk had accepted.
+func Floor(got map[word.Node]Msg, self word.Node, life uint64) word.Epoch {
+	e := word.Epoch{Round: 1, Node: self, Life: life}
+	for _, a := range got {
+		for _, c := range a.Cells {
+			e.Round = max(e.Round, c.Promised.Round+1)
+		}
+	}
+	return e
+}
+
+// Regain reads enough others to take the place of a lost disk. It tells
+// whether this keeper may vote now.
+func (k *Keeper) Regain() bool {
+	if k.acc.Voting() {
+		return true
+	}
+	to := k.peers()
+	for _, n := range k.Founders {
+		if n != k.Self && !slices.Contains(to, n) {
+			to = append(to, n)
+		}
+	}
+	all := func(g map[word.Node]Msg) bool { return len(g) == len(to) }
+	got := k.askAll(to, Msg{Kind: Survey, Locality: k.Locality}, askLimit*2, all)
+	r, _, ok := Regained(k.Self, got)
+	if r.Num != 0 && !r.Has(k.Self) {
+		k.wantSeat(r)
+		return false
+	}
+	if !ok {
+		return false
+	}
+	floor := Floor(got, k.Self, k.life)
+	got = k.askAll(to, Msg{Kind: Survey, Locality: k.Locality, Epoch: floor}, askLimit*2, all)
+	r, cells, ok := Regained(k.Self, got)
+	if !ok {
+		return false
+	}
+	cells[floorKey] = Cell{Promised: floor}
 	if err := k.acc.Found(r, cells); err != nil {
 		return false
 	}
--- a/internal/keep/join.go
+++ b/internal/keep/join.go
@@ -83,7 +83,7 @@
 	}
 	slices.Sort(keys)
 	for _, key := range slices.Compact(keys) {
-		if key == word.List {
+		if key == word.List || key == floorKey {
 			continue
 		}
 		if !k.rewin(key, limit) {
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -184,7 +184,7 @@
 		}
 		return Msg{OK: true, Key: m.Key, At: c.At, Val: c.Val}
 	case Survey:
-		return k.survey()
+		return k.survey(m)
 	case Join:
 		return k.join(m.From)
 	case Change:
--- a/internal/keep/term.go
+++ b/internal/keep/term.go
@@ -118,6 +118,21 @@
 	k.round = max(k.round, e.Round)
 }
 
+// Best finds what a round of ballots has to rewrite: the highest accepted
+// value among a majority's answers.
+func Best(r Roster, got map[word.Node]Msg) (Msg, bool) {
+	var best Msg
+	if !r.Majority(oks(got)) {
+		return best, false
+	}
+	for _, a := range got {
+		if a.OK && best.At.Less(a.At) {
+			best = a
+		}
+	}
+	return best, true
+}
+
 // win holds a round of ballots for the key and rewrites the value found.
 func (k *Keeper) win(key word.Key, t *term, limit clk.Tick) bool {
 	if !k.acc.Voting() {
@@ -134,17 +149,13 @@
 	got := k.askAll(r.All(), Msg{Kind: Vote, Key: key, Epoch: e, Roster: r}, min(askLimit, clk.Until(limit)),
 		func(g map[word.Node]Msg) bool { return r.Majority(oks(g)) })
 	k.heed(got)
-	if !r.Majority(oks(got)) {
+	best, won := Best(r, got)
+	if !won {
 		return false
 	}
-	var best Msg
 	for n, a := range got {
-		if !a.OK {
-			continue
-		}
-		k.stepOf(n, key, word.Place{Epoch: e}, "voted")
-		if best.At.Less(a.At) {
-			best = a
+		if a.OK {
+			k.stepOf(n, key, word.Place{Epoch: e}, "voted")
 		}
 	}
 	at := word.Place{Epoch: e, Seq: 1}
