--- /dev/null
+++ b/internal/pick/select_test.go
@@ -0,0 +1,251 @@
+package pick
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
+	"spoolswitch/internal/conf"
+	"spoolswitch/internal/list"
+	"spoolswitch/internal/word"
+)
+
+func replicas(n int, z word.Locality) []list.Replica {
+	var rs []list.Replica
+	for i := range n {
+		rs = append(rs, list.Replica{ID: word.Replica(fmt.Sprintf("i-%d", i)), Service: "s", Addr: word.Addr(fmt.Sprintf("127.0.0.1:%d", i+1)), Locality: z, Slots: 100, State: "in_service"})
+	}
+	return rs
+}
+
+func fleet(t *testing.T, n int) (*Fleet, *clk.Sim) {
+	t.Helper()
+	sim := &clk.Sim{}
+	t.Cleanup(sim.Use())
+	f := NewFleet("z", 300*clk.Second)
+	f.Overrun, f.Slack = 1.5, 5
+	f.Configured(&conf.Table{Services: map[word.Service]*conf.Service{"s": {Name: "s", ColdS: 3, ColdPerS: 20, Engine: &conf.Engine{KVTokens: 10000}}}})
+	f.Listed(replicas(n, "z"), 0)
+	return f, sim
+}
+
+func chain(t *testing.T, s string) Chain {
+	t.Helper()
+	c, err := ReadChain("m", s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// turn sends one turn of a session whose own part is named own, and ends it.
+func turn(t *testing.T, f *Fleet, prefix, own string) word.Replica {
+	t.Helper()
+	r, err := f.Select(&Ask{Service: "s", Sticky: true, Chain: chain(t, prefix+","+own+":50"), Tokens: 50})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Done(r, Fine)
+	return r.ID
+}
+
+func TestSessionStays(t *testing.T) {
+	is := is.New(t)
+	f, sim := fleet(t, 9)
+	first := turn(t, f, "a:100,b:200", "1")
+	for i := range 50 {
+		sim.Move(10 * clk.Second) // each turn refreshes the timeout
+		is.Equal(turn(t, f, "a:100,b:200", fmt.Sprintf("%x", i+2)), first)
+	}
+}
+
+// Relays that share nothing place a session alike, and so does one that starts anew.
+func TestRelaysAgree(t *testing.T) {
+	is := is.New(t)
+	f, _ := fleet(t, 9)
+	var want []word.Replica
+	for i := range 40 {
+		want = append(want, turn(t, f, fmt.Sprintf("a:100,%x:200", 1000+i), fmt.Sprintf("%x", i)))
+	}
+	g, _ := fleet(t, 9)
+	for i := 39; i >= 0; i-- {
+		is.Equal(turn(t, g, fmt.Sprintf("a:100,%x:200", 1000+i), fmt.Sprintf("%x", 77+i)), want[i])
+	}
+	used := map[word.Replica]bool{}
+	for _, w := range want {
+		used[w] = true
+	}
+	is.True(len(used) >= 7) // a part that all share draws nobody to one replica
+}
+
+// A last part that comes again is the session's own: its turns go where it is kept.
+func TestOwnPart(t *testing.T) {
+	is := is.New(t)
+	f, _ := fleet(t, 9)
+	first := turn(t, f, "a:100,b:200", "c")
+	is.Equal(turn(t, f, "a:100,b:200", "c"), first)
+	is.Equal(turn(t, f, "a:100,b:200,c:60", "d"), first)
+}
+
+func TestIdleBindingIsReaped(t *testing.T) {
+	is := is.New(t)
+	f, sim := fleet(t, 3)
+	turn(t, f, "a:100,b:200", "1")
+	n, _ := f.Gauges()
+	is.Equal(n, 1)
+	sim.Move(299 * clk.Second)
+	n, _ = f.Gauges()
+	is.Equal(n, 1)
+	sim.Move(clk.Second)
+	n, _ = f.Gauges()
+	is.Equal(n, 0)
+}
+
+// A bound replica that is gone, draining or evacuated loses its sessions; one
+// that is full, hot, cold or down lends them to the next and gets them back.
+func TestGivesWay(t *testing.T) {
+	for name, c := range map[string]struct {
+		out   func(f *Fleet, id word.Replica)
+		back  func(f *Fleet, sim *clk.Sim)
+		stays bool
+	}{
+		"gone": {func(f *Fleet, id word.Replica) {
+			var rs []list.Replica
+			for _, r := range replicas(5, "z") {
+				if r.ID != id {
+					rs = append(rs, r)
+				}
+			}
+			f.Listed(rs, 0)
+		}, func(f *Fleet, _ *clk.Sim) { f.Listed(replicas(5, "z"), 0) }, false},
+		"draining": {func(f *Fleet, id word.Replica) {
+			rs := replicas(5, "z")
+			for i := range rs {
+				if rs[i].ID == id {
+					rs[i].State = "draining"
+				}
+			}
+			f.Listed(rs, 0)
+		}, func(f *Fleet, _ *clk.Sim) { f.Listed(replicas(5, "z"), 0) }, false},
+		"evacuated": {func(f *Fleet, id word.Replica) {
+			rs := replicas(5, "z")
+			for i := range rs {
+				if rs[i].ID == id {
+					rs[i].Locality = "y"
+				}
+			}
+			f.reps = map[word.Replica]*Rep{}
+			f.Listed(rs, 0)
+			f.Evacuate("y", true)
+		}, func(f *Fleet, sim *clk.Sim) { f.Evacuate("y", false); sim.Move(4 * clk.Second) }, false},
+		"full": {func(f *Fleet, id word.Replica) { f.Told(f.reps[id], "100,3,100") },
+			func(f *Fleet, sim *clk.Sim) { sim.Move(2 * clk.Second) }, true},
+		"hot": {func(f *Fleet, id word.Replica) { f.Told(f.reps[id], "60,0,100") },
+			func(f *Fleet, sim *clk.Sim) { sim.Move(2 * clk.Second) }, true},
+		"down": {func(f *Fleet, id word.Replica) {
+			f.mu.Lock()
+			f.hurt(f.reps[id], clk.Now())
+			f.mu.Unlock()
+		}, func(f *Fleet, sim *clk.Sim) { sim.Move(4 * clk.Second) }, true},
+		"cold": {func(f *Fleet, id word.Replica) {
+			f.reps[id].cold = clk.Now().Add(clk.Second)
+			for range 100 {
+				f.reps[id].sent = append(f.reps[id].sent, clk.Now())
+			}
+		}, func(f *Fleet, sim *clk.Sim) { sim.Move(2 * clk.Second) }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f, sim := fleet(t, 5)
+			home := turn(t, f, "a:100,b:200", "1")
+			c.out(f, home)
+			next := turn(t, f, "a:100,b:200", "2")
+			is.True(next != home)
+			is.Equal(turn(t, f, "a:100,b:200", "3"), next) // in the same order
+			c.back(f, sim)
+			is.Equal(turn(t, f, "a:100,b:200", "4") == home, c.stays)
+		})
+	}
+}
+
+// FAILBACK: all relays together keep a cold replica within its bound.
+func TestColdBound(t *testing.T) {
+	is := is.New(t)
+	_, sim := fleet(t, 1)
+	const relays = 11
+	var fs []*Fleet
+	for range relays {
+		f := NewFleet("z", clk.Second)
+		f.Overrun, f.Slack = 1.5, 5
+		f.Configured(&conf.Table{Services: map[word.Service]*conf.Service{"s": {Name: "s", ColdPerS: 20}}})
+		f.Relays(relays)
+		rs := replicas(1, "z")
+		rs[0].ColdMs = 5000
+		f.Listed(rs, 0)
+		fs = append(fs, f)
+	}
+	var at []clk.Tick
+	for range 400 {
+		for _, f := range fs {
+			if r, err := f.Select(&Ask{Service: "s"}); err == nil {
+				at = append(at, clk.Now())
+				f.Done(r, Fine)
+			}
+		}
+		sim.Move(10 * clk.Millisecond)
+	}
+	is.True(len(at) > 60) // it is used all the same
+	for i := range at {
+		n := 0
+		for _, u := range at[i:] {
+			if u.Sub(at[i]) < clk.Second {
+				n++
+			}
+		}
+		is.True(n <= 35)
+	}
+}
+
+func TestNobodyLeft(t *testing.T) {
+	is := is.New(t)
+	f, _ := fleet(t, 1)
+	_, err := f.Select(&Ask{Service: "t"})
+	is.Equal(code.Of(err), code.NoReplica)
+	f.Told(f.reps["i-0"], "100,0,100")
+	_, err = f.Select(&Ask{Service: "s"})
+	is.Equal(code.Of(err), code.HoldingFull)
+	_, err = f.Select(&Ask{Service: "s", Not: []word.Replica{"i-0"}})
+	is.Equal(code.Of(err), code.NoReplica)
+}
+
+// Without a session the least loaded is taken, near ones first.
+func TestLeastLoaded(t *testing.T) {
+	is := is.New(t)
+	f, _ := fleet(t, 3)
+	rs := replicas(3, "far")
+	rs[1].Locality = "z"
+	f.reps = map[word.Replica]*Rep{}
+	f.Listed(rs, 0)
+	r, err := f.Select(&Ask{Service: "s"})
+	is.NoErr(err)
+	is.Equal(r.ID, word.Replica("i-1"))
+	f.Told(f.reps["i-1"], "80,0,100")
+	f.Told(f.reps["i-0"], "5,0,100")
+	r, err = f.Select(&Ask{Service: "s"})
+	is.NoErr(err)
+	is.Equal(r.ID, word.Replica("i-2"))
+}
+
+func TestKeptIsBounded(t *testing.T) {
+	is := is.New(t)
+	f, _ := fleet(t, 1)
+	for i := range 500 {
+		turn(t, f, "a:100,b:200", fmt.Sprintf("%x", i))
+	}
+	_, tokens := f.Gauges()
+	is.True(tokens <= 10000)
+	is.True(f.reps["i-0"].overlap(chain(t, "a:100,b:200"), func(uint64) bool { return false }) == 300) // used last, kept
+}
