--- a/internal/relay/inquiry.go
+++ b/internal/relay/inquiry.go
@@ -32,9 +32,10 @@
 	done  *spawn.Mark
 	last  bool
 
-	ask   pick.Ask
-	sends int
-	ran   bool
+	ask     pick.Ask
+	sends   int
+	urgency int
+	ran     bool
 
 	mu   sync.Mutex
 	conn *link.Conn
@@ -96,6 +97,7 @@
 			return err
 		}
 		n.ask.Tokens = in
+		n.urgency = n.r.sizes.Urgency(n.ask.Service, in)
 	}
 	if rt.Affinity {
 		c, err := pick.ReadChain(string(n.Head.Field(head.Model)), string(n.Head.Field(head.Prefix)))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,6 +20,7 @@
 	Current func() bool
 
 	senders *spawn.Pool
+	sizes   pick.Sizes
 	mu      sync.Mutex
 	leaving bool
 	closing bool
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -135,6 +135,9 @@
 	if len(n.Head.Field(head.DeadlineMs)) > 0 {
 		set = append(set, head.Set{K: head.DeadlineMs, V: strconv.FormatInt(max(1, int64(left/clk.Millisecond)), 10)})
 	}
+	if n.urgency != 0 && len(n.Head.Field(head.Urgency)) == 0 {
+		set = append(set, head.Set{K: head.Urgency, V: strconv.Itoa(n.urgency)})
+	}
 	if n.first && n.events.Seen {
 		set = append(set, head.Set{K: head.LastEvent, V: strconv.FormatInt(n.events.Last, 10)})
 	}
