Hold what comes before the first news, and confirm with the first majority

Cause: after everything was killed, streams that were cut came back at once to relays that did not know the configuration yet, and their last try got 503.

--- a/internal/keep/beat.go
+++ b/internal/keep/beat.go
@@ -81,7 +81,13 @@
 	r := k.acc.Roster()
 	to := k.peers()
 	mine := k.digest()
-	got := k.askAll(to, Msg{Kind: Digest, Locality: k.Locality}, roundLimit, func(g map[word.Node]Msg) bool { return len(g) == len(to) })
+	fresh := !k.Sure(3 * Beat)
+	got := k.askAll(to, Msg{Kind: Digest, Locality: k.Locality}, roundLimit, func(g map[word.Node]Msg) bool {
+		return len(g) == len(to) || fresh && r.Majority(func(n word.Node) bool {
+			a, ok := g[n]
+			return n == k.Self && mine.Code == code.OK || ok && a.Code == code.OK
+		})
+	})
 	got[k.Self] = mine
 	for n, a := range got {
 		a.From = n
@@ -169,7 +175,7 @@
 		if o := k.odd[key]; o.at != top {
 			k.odd[key] = doubt{top, clk.Now()}
 		}
-		if clk.Since(k.odd[key].since) > Beat && k.acc.Voting() {
+		if (clk.Since(k.odd[key].since) > Beat || mine.Zero()) && k.acc.Voting() {
 			delete(k.odd, key)
 			note.Trouble("unsettled value taken up", "key", key, "at", top)
 			spawn.Go(func() {
--- a/internal/relay/inquiry.go
+++ b/internal/relay/inquiry.go
@@ -50,11 +50,11 @@
 func (n *Inquiry) run() {
 	n.last = n.Head.Close
 	n.id = bytes.Clone(n.Head.Field(head.AttemptID))
-	t := n.r.View.Table()
-	if t == nil || !n.r.Fleet.HasList() || !n.r.Current() {
+	if !n.awake() {
 		n.reject(code.NotReady)
 		return
 	}
+	t := n.r.View.Table()
 	n.route = t.Match(n.Head.Host, n.Head.URI)
 	if n.route == nil {
 		n.reject(code.NoRoute)
@@ -68,6 +68,27 @@
 	n.send()
 }
 
+const (
+	wakeMost = 1200 * clk.Millisecond
+	wakeStep = 20 * clk.Millisecond
+)
+
+// awake holds an inquiry that came before the first news, for a small part of
+// the time that its caller has.
+func (n *Inquiry) awake() bool {
+	d := wakeMost
+	if ms, err := strconv.ParseFloat(string(n.Head.Field(head.DeadlineMs)), 64); err == nil && ms >= 0 {
+		d = min(d, clk.Ms(ms/4))
+	}
+	for !n.r.known() {
+		if clk.Since(n.begun) > d || n.deserted() {
+			return false
+		}
+		clk.Sleep(wakeStep)
+	}
+	return true
+}
+
 // read reads the fields that the relay goes by.
 func (n *Inquiry) read() error {
 	rt := n.route
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -114,6 +114,8 @@
 
 func (r *Relay) back() clk.Span { return 250 * clk.Millisecond }
 
+func (r *Relay) known() bool { return r.View.Table() != nil && r.Fleet.HasList() && r.Current() }
+
 // Ready tells whether the platform may send new connections here.
 func (r *Relay) Ready() bool {
 	return !r.Leaving() && r.View.Table() != nil && r.Fleet.HasList()
