--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"runtime/debug"
+	"sync/atomic"
 
 	"spoolswitch/internal/boot"
 	"spoolswitch/internal/clk"
@@ -21,7 +22,11 @@
 type Daemon struct {
 	Keeper *keep.Keeper
 	Hub    *feed.Hub
-	ls     []net.Listener
+	lc     net.Listener
+	srv    *Server
+	in     *wire.Server[keep.Msg]
+	net    *keep.Wires
+	over   atomic.Bool
 }
 
 // Start starts a keeper from its settings.
@@ -33,14 +38,16 @@
 	acc := keep.NewAcceptor()
 	hub := feed.NewHub()
 	self := word.Node(s.Inner(s.IP, 0))
-	k := keep.New(self, acc, &keep.Wires{}, hub)
+	wires := &keep.Wires{}
+	k := keep.New(self, acc, wires, hub)
 	k.Locality = s.Zone
 	k.Decider = Decide
+	k.Seats = len(s.Zones)
 	for _, a := range s.Seeds {
 		k.Founders = append(k.Founders, word.Node(s.Keeper(a)))
 	}
 	hub.Status = k
-	d := &Daemon{Keeper: k, Hub: hub}
+	d := &Daemon{Keeper: k, Hub: hub, net: wires}
 	li, err := wire.Listen(word.Addr(self))
 	if err != nil {
 		return nil, code.New(code.BadSettings, "%v", err)
@@ -49,24 +56,24 @@
 	if err != nil {
 		return nil, code.New(code.BadSettings, "%v", err)
 	}
-	d.ls = []net.Listener{li, lc}
+	d.lc = lc
 	opened := spawn.NewMark()
 	spawn.Go(func() {
 		d.open(s, acc)
 		opened.Set()
 	})
 	opened.Wait(2 * clk.Second)
-	wire.Serve(li, func(m keep.Msg, push func(keep.Msg) error) (keep.Msg, bool) {
+	d.in = wire.Serve(li, func(m keep.Msg, push func(keep.Msg) error) (keep.Msg, bool) {
 		if m.Kind == keep.Follow {
 			hub.Follow(m, push)
 			return keep.Msg{}, false
 		}
 		return k.Handle(m), true
 	})
-	srv := &Server{Keeper: k, Zones: s.Zones}
-	spawn.Go(func() { _ = srv.Serve(lc) })
+	d.srv = &Server{Keeper: k, Zones: s.Zones}
+	d.srv.Serve(lc)
 	spawn.Go(func() {
-		for {
+		for !d.over.Load() {
 			if !acc.Voting() && acc.Ready() {
 				k.Regain()
 			}
@@ -83,7 +90,7 @@
 	duty := &list.Duty{Keeper: k, Read: rd.Read, Value: hub.Value}
 	spawn.Every(list.Glance, func() bool {
 		duty.Step()
-		return true
+		return !d.over.Load()
 	})
 	note.State("keeper up", "node", self, "voting", acc.Voting())
 	return d, nil
@@ -95,7 +102,7 @@
 		note.Trouble("no data-dir, not voting")
 		return
 	}
-	for {
+	for !d.over.Load() {
 		st, err := acc.Open(disk.Dir(s.DataDir))
 		if err != nil {
 			note.Trouble("disk refused", "err", err)
@@ -120,9 +127,11 @@
 	}
 }
 
-// Stop ends the daemon's listening.
+// Stop ends the daemon.
 func (d *Daemon) Stop() {
-	for _, l := range d.ls {
-		_ = l.Close()
-	}
+	d.over.Store(true)
+	d.srv.Stop()
+	_ = d.lc.Close()
+	d.in.Close()
+	d.net.Close()
 }
--- a/internal/ctl/server.go
+++ b/internal/ctl/server.go
@@ -14,6 +14,7 @@
 	"spoolswitch/internal/match"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/result"
+	"spoolswitch/internal/spawn"
 	"spoolswitch/internal/word"
 )
 
@@ -56,13 +57,26 @@
 	})
 
 // Serve answers calls that come in at l.
-func (s *Server) Serve(l net.Listener) error {
+func (s *Server) Serve(l net.Listener) {
 	s.srv = &fasthttp.Server{
 		Handler: s.handle, MaxRequestBodySize: bodyMost, ReadTimeout: 10 * clk.Second, IdleTimeout: 30 * clk.Second,
 		NoDefaultServerHeader: true, NoDefaultDate: true, ReadBufferSize: 16 << 10, Concurrency: 256,
 		CloseOnShutdown: true, Logger: quiet{},
 	}
-	return s.srv.Serve(l)
+	spawn.Go(func() { _ = s.srv.Serve(l) })
+}
+
+// Stop ends the answering; calls under way are finished first.
+func (s *Server) Stop() {
+	if s.srv == nil {
+		return
+	}
+	done := spawn.NewMark()
+	spawn.Go(func() {
+		_ = s.srv.Shutdown()
+		done.Set()
+	})
+	done.Wait(clk.Second)
 }
 
 type quiet struct{}
--- a/internal/keep/join.go
+++ b/internal/keep/join.go
@@ -12,7 +12,6 @@
 const (
 	goneAfter = 3 * clk.Second
 	hereFor   = 1200 * clk.Millisecond
-	seatsMost = 5
 )
 
 // wantSeat asks the others for a seat.
@@ -25,7 +24,7 @@
 }
 
 // join starts a change of the roster that gives j a seat: that of one gone, or
-// one more if all are here. It answers before the change is through.
+// one more while there are fewer than localities. It answers before the change is through.
 func (k *Keeper) join(j word.Node) Msg {
 	r := k.acc.Roster()
 	if !k.acc.Voting() || !r.Has(k.Self) || !k.Sure(hereFor) {
@@ -44,7 +43,7 @@
 			return Msg{OK: true}
 		}
 	}
-	if gone == "" && len(r.Seat) >= seatsMost {
+	if gone == "" && len(r.Seat) >= max(len(k.Founders), k.Seats) {
 		return Msg{OK: true}
 	}
 	if !k.seating.TryLock() {
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -24,6 +24,7 @@
 	Self     word.Node
 	Locality word.Locality
 	Founders []word.Node
+	Seats    int
 	Net      Net
 	Sink     Sink
 	Decider  func(key word.Key, o *Order) Decide
--- a/internal/keep/net.go
+++ b/internal/keep/net.go
@@ -18,11 +18,16 @@
 type Wires struct {
 	mu    sync.Mutex
 	peers map[word.Node]*wire.Peer[Msg]
+	shut  bool
 }
 
 // Ask sends m and waits for the answer.
 func (w *Wires) Ask(to word.Node, m Msg, limit clk.Span) (Msg, bool) {
 	w.mu.Lock()
+	if w.shut {
+		w.mu.Unlock()
+		return Msg{}, false
+	}
 	if w.peers == nil {
 		w.peers = map[word.Node]*wire.Peer[Msg]{}
 	}
@@ -36,6 +41,16 @@
 	return a, err == nil
 }
 
+// Close cuts all wires.
+func (w *Wires) Close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, p := range w.peers {
+		p.Close()
+	}
+	w.shut = true
+}
+
 // poll gathers answers until done says so, all have answered or the limit is
 // reached.
 type poll struct {
--- a/internal/wire/serve.go
+++ b/internal/wire/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -53,26 +54,67 @@
 // is false if the last answer has been pushed.
 type Handler[M any] func(m M, push func(M) error) (a M, ok bool)
 
+// Server answers the calls that come in at one address.
+type Server[M any] struct {
+	l    net.Listener
+	h    Handler[M]
+	mu   sync.Mutex
+	cs   map[net.Conn]bool
+	shut bool
+}
+
 // Serve answers the calls that come in at l.
-func Serve[M any](l net.Listener, h Handler[M]) {
-	spawn.Go(func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				if isClosed(err) {
-					return
-				}
-				clk.Sleep(10 * clk.Millisecond)
-				continue
+func Serve[M any](l net.Listener, h Handler[M]) *Server[M] {
+	s := &Server[M]{l: l, h: h, cs: map[net.Conn]bool{}}
+	spawn.Go(s.accept)
+	return s
+}
+
+func (s *Server[M]) accept() {
+	for {
+		c, err := s.l.Accept()
+		if err != nil {
+			if isClosed(err) {
+				return
 			}
-			Tune(c, silent)
-			spawn.Go(func() { serve(c, h) })
+			clk.Sleep(10 * clk.Millisecond)
+			continue
 		}
-	})
+		Tune(c, silent)
+		spawn.Go(func() { s.serve(c) })
+	}
 }
 
-func serve[M any](c net.Conn, h Handler[M]) {
+// Close ends the listening and all connections.
+func (s *Server[M]) Close() {
+	_ = s.l.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shut = true
+	for c := range s.cs {
+		_ = c.Close()
+	}
+}
+
+func (s *Server[M]) keep(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.shut {
+		s.cs[c] = true
+	}
+	return !s.shut
+}
+
+func (s *Server[M]) serve(c net.Conn) {
 	defer c.Close()
+	if !s.keep(c) {
+		return
+	}
+	defer func() {
+		s.mu.Lock()
+		delete(s.cs, c)
+		s.mu.Unlock()
+	}()
 	p := newPipe[M](c)
 	for {
 		var f Frame[M]
@@ -80,7 +122,7 @@
 			return
 		}
 		spawn.Go(func() {
-			a, ok := h(f.M, func(m M) error { return p.put(&Frame[M]{f.ID, m}) })
+			a, ok := s.h(f.M, func(m M) error { return p.put(&Frame[M]{f.ID, m}) })
 			if ok && p.put(&Frame[M]{f.ID, a}) != nil {
 				_ = c.Close()
 			}
