--- a/cmd/spoolctl/main.go
+++ b/cmd/spoolctl/main.go
@@ -1,49 +1,90 @@
-// Command spoolctl checks settings and configurations and calls the fleet.
+// Command spoolctl checks settings and configurations, calls the fleet as an
+// operator does, and follows changes through it.
 package main
 
 import (
-	"bytes"
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"spoolswitch/internal/boot"
 	"spoolswitch/internal/code"
-	"spoolswitch/internal/conf"
+	"spoolswitch/internal/oper"
+	"spoolswitch/internal/trace"
+	"spoolswitch/internal/word"
 )
 
 var version = "0.1.0"
 
 func main() {
-	app := kingpin.New("spoolctl", "Checks the settings and configurations of a router fleet, and calls it.")
+	app := kingpin.New("spoolctl", "Checks the settings and configurations of a router fleet, calls it as an operator does, and follows changes through it.")
 	app.Version(version)
-	chk := app.Command("check", "Check a settings file (TOML) or a configuration (JSON); says every fault.")
-	file := chk.Arg("file", "The file.").Required().String()
-	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
-	case chk.FullCommand():
-		os.Exit(check(*file))
-	}
-}
+	app.HelpFlag.Short('h')
+	limit := app.Flag("limit", "How long to try.").Default("5s").Duration()
+	t := &tool{}
+
+	c := app.Command("check", "Check a settings file (TOML) or a configuration (JSON); says every fault.")
+	t.file = c.Arg("file", "The file.").Required().ExistingFile()
+	c.Action(t.do(t.check))
+
+	d := app.Command("diff", "Tell what stands in two configurations differently.")
+	t.old = d.Arg("old", "A configuration.").Required().ExistingFile()
+	t.fresh = d.Arg("new", "Another.").Required().ExistingFile()
+	d.Action(t.do(t.diff))
 
-func check(p string) int {
-	b, err := os.ReadFile(p)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, code.New(code.NoSettings, "%v", err))
-		return 2
+	var control []string
+	calls := func(name, help string) *kingpin.CmdClause {
+		x := app.Command(name, help)
+		x.Flag("control", "A control address, IP:PORT; may be given again.").Short('c').Required().StringsVar(&control)
+		return x
 	}
-	var errs []error
-	if t := bytes.TrimSpace(b); len(t) > 0 && t[0] == '{' {
-		_, errs = conf.Read(b)
-	} else {
-		_, errs = boot.Parse(b)
+	caller := func() *oper.Caller {
+		o := &oper.Caller{Limit: *limit}
+		for _, a := range control {
+			o.Addrs = append(o.Addrs, word.Addr(a))
+		}
+		return o
 	}
-	for _, err := range errs {
-		fmt.Fprintln(os.Stderr, err)
+	g := calls("get", "Print the configuration in force.")
+	g.Action(t.do(func() error { return t.get(caller()) }))
+	for _, n := range []string{"replace", "modify"} {
+		x := calls(n, "Send a configuration to "+n+" the one in force.")
+		f := x.Arg("file", "The configuration or the change.").Required().ExistingFile()
+		base := x.Flag("base", "The edition that it builds on.").Required().Int64()
+		x.Action(t.do(func() error { return t.send(caller(), n, *f, *base) }))
 	}
-	if len(errs) > 0 {
-		return 2
+	for n, help := range map[string]string{"evacuate": "Send nothing more to a locality's replicas.", "return": "Take a locality back."} {
+		x := calls(n, help)
+		z := x.Arg("locality", "The locality.").Required().String()
+		x.Action(t.do(func() error { return t.evacuate(caller(), n, *z) }))
 	}
-	fmt.Println("0 ok")
-	return 0
+
+	var keeper string
+	var asJSON bool
+	asks := func(name, help string) *kingpin.CmdClause {
+		x := app.Command(name, help)
+		x.Flag("keeper", "The internal address of a keeper, IP:PORT.").Short('k').Required().StringVar(&keeper)
+		x.Flag("json", "Print JSON.").BoolVar(&asJSON)
+		return x
+	}
+	s := asks("status", "Tell how all daemons are.")
+	s.Action(t.do(func() error { return t.status(trace.Wire, word.Addr(keeper), asJSON, *limit) }))
+	tr := asks("trace", "Follow one change through all daemons.")
+	edition := tr.Flag("edition", "An edition of the configuration.").Int64()
+	zone := tr.Flag("evacuation", "A locality, for its evacuation.").String()
+	state := tr.Flag("state", "Which change of the evacuation: on or off.").Default("on").Enum("on", "off")
+	tr.Action(t.do(func() error {
+		key, label := word.Configuration, fmt.Sprint(*edition)
+		switch {
+		case *zone != "":
+			key, label = word.Evacuation(word.Locality(*zone)), *state
+		case *edition <= 0:
+			return code.New(code.UnknownChange, "give --edition or --evacuation")
+		}
+		return t.trace(trace.Wire, word.Addr(keeper), key, label, asJSON, min(*limit, 2*time.Second))
+	}))
+
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	os.Exit(t.exit)
 }
--- /dev/null
+++ b/cmd/spoolctl/tool.go
@@ -0,0 +1,178 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"spoolswitch/internal/boot"
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
+	"spoolswitch/internal/conf"
+	"spoolswitch/internal/oper"
+	"spoolswitch/internal/trace"
+	"spoolswitch/internal/word"
+)
+
+// tool is what the command line has been read into.
+type tool struct {
+	file, old, fresh *string
+	exit             int
+}
+
+// do turns a command into an action; its error is printed with its code.
+func (t *tool) do(fn func() error) kingpin.Action {
+	return func(*kingpin.ParseContext) error {
+		if err := fn(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			t.exit = 1
+		}
+		return nil
+	}
+}
+
+func (t *tool) check() error {
+	b, err := os.ReadFile(*t.file)
+	if err != nil {
+		return code.New(code.NoSettings, "%v", err)
+	}
+	var errs []error
+	if x := bytes.TrimSpace(b); len(x) > 0 && x[0] == '{' {
+		_, errs = conf.Read(b)
+	} else {
+		_, errs = boot.Parse(b)
+	}
+	for _, err := range errs {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	if len(errs) > 0 {
+		t.exit = 2
+		return nil
+	}
+	fmt.Println("0 ok")
+	return nil
+}
+
+func read(p string) (*conf.Doc, error) {
+	b, err := os.ReadFile(p)
+	if err != nil {
+		return nil, code.New(code.NoSettings, "%v", err)
+	}
+	d, errs := conf.Read(b)
+	if len(errs) > 0 {
+		return nil, errs[0]
+	}
+	return d, nil
+}
+
+func (t *tool) diff() error {
+	a, err := read(*t.old)
+	if err != nil {
+		return err
+	}
+	b, err := read(*t.fresh)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%d -> %d\n", a.Edition, b.Edition)
+	for _, l := range a.Diff(b) {
+		fmt.Println(l)
+	}
+	return nil
+}
+
+func (t *tool) get(o *oper.Caller) error {
+	b, err := o.Call("GET", "/-/configuration/retrieve", -1, nil)
+	if err == nil {
+		fmt.Println(string(b))
+	}
+	return err
+}
+
+func (t *tool) send(o *oper.Caller, how, file string, base int64) error {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return code.New(code.NoSettings, "%v", err)
+	}
+	if _, err := o.Call("POST", "/-/configuration/"+how, base, b); err != nil {
+		return err
+	}
+	fmt.Println("0 ok")
+	return nil
+}
+
+func (t *tool) evacuate(o *oper.Caller, how, zone string) error {
+	end := map[string]string{"evacuate": "/initiate", "return": "/terminate"}[how]
+	if _, err := o.Call("POST", "/-/evacuation/"+zone+end, -1, nil); err != nil {
+		return err
+	}
+	fmt.Println("0 ok")
+	return nil
+}
+
+func printJSON(v any) error {
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err == nil {
+		fmt.Println(string(b))
+	}
+	return err
+}
+
+func (t *tool) trace(ask trace.Ask, keeper word.Addr, key word.Key, label string, asJSON bool, limit clk.Span) error {
+	r, err := trace.Change(ask, keeper, key, label, limit)
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		return printJSON(r)
+	}
+	fmt.Print(r.Text())
+	return nil
+}
+
+func (t *tool) status(ask trace.Ask, keeper word.Addr, asJSON bool, limit clk.Span) error {
+	rs, silent, err := trace.Fleet(ask, keeper, word.Configuration, limit)
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		return printJSON(map[string]any{"daemons": rs, "silent": silent})
+	}
+	for _, r := range rs {
+		if r.Role == "keeper" {
+			fmt.Printf("keeper %s in %s: voting %v, sure %v, roster %d %v %v, feed at %d, relays %d\n", r.Node, r.Locality, r.Voting, r.Sure, r.Roster.Num, r.Roster.Seat, r.Roster.Next, r.Feed, len(r.Relays))
+			for _, k := range sorted(r.Owners) {
+				fmt.Printf("  %s: term %s\n", k, r.Owners[word.Key(k)])
+			}
+		} else {
+			fmt.Printf("relay %s in %s: current %v, edition %d, from %s, feed at %d\n", r.Node, r.Locality, r.Sure, r.Edition, r.Keeper, r.Feed)
+		}
+		var gs []string
+		for k, v := range r.Gauges {
+			gs = append(gs, fmt.Sprintf("%s=%g", k, v))
+		}
+		for k, v := range r.Counts {
+			gs = append(gs, fmt.Sprintf("%s=%d", k, v))
+		}
+		sort.Strings(gs)
+		fmt.Println("  " + strings.Join(gs, " "))
+	}
+	for _, n := range silent {
+		fmt.Println("silent " + n)
+	}
+	return nil
+}
+
+func sorted(m map[word.Key]word.Place) []string {
+	var out []string
+	for k := range m {
+		out = append(out, string(k))
+	}
+	sort.Strings(out)
+	return out
+}
--- /dev/null
+++ b/internal/boot/watch_test.go
@@ -0,0 +1,54 @@
+package boot
+
+import (
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func settings(node string) string {
+	return fmt.Sprintf(`
+node-name = %q
+ip = "10.0.0.1"
+zone = "z"
+internal-ports = [7000, 7010]
+seed-nodes = ["10.0.0.1:80"]
+later = "ignored"
+[limits]
+memory-mb = 64
+file-descriptors = 100
+[platform-api]
+address = "10.0.0.2:80"
+rate-per-s = 1.5
+`, node)
+}
+
+func TestParse(t *testing.T) {
+	is := is.New(t)
+	s, errs := Parse([]byte(settings("a")))
+	is.Equal(len(errs), 0)
+	is.Equal(s.Session.IdleS, 300.0)
+	is.Equal(string(s.Keeper("10.0.0.9:80")), "10.0.0.9:7000")
+	_, errs = Parse([]byte("node-name = \"a\"\nip = \"x\"\ninternal-ports = [1]\n"))
+	is.True(len(errs) >= 5) // every fault
+	_, errs = Parse([]byte("= no toml"))
+	is.Equal(len(errs), 1)
+}
+
+func TestWatch(t *testing.T) {
+	is := is.New(t)
+	p := t.TempDir() + "/boot.toml"
+	var got []string
+	w := &Watch{Path: p, Take: func(s *Settings) { got = append(got, string(s.Node)) }}
+	put := func(s string) {
+		is.NoErr(os.WriteFile(p, []byte(s), 0o600))
+		w.Look()
+	}
+	put(settings("a"))
+	put(settings("a"))
+	put("broken")
+	put(settings("b"))
+	is.Equal(got, []string{"a", "b"})
+}
--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -3,11 +3,13 @@
 import (
 	"net"
 	"runtime/debug"
+	"strconv"
 	"sync/atomic"
 
 	"spoolswitch/internal/boot"
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
+	"spoolswitch/internal/conf"
 	"spoolswitch/internal/disk"
 	"spoolswitch/internal/feed"
 	"spoolswitch/internal/keep"
@@ -43,6 +45,7 @@
 	k.Locality = s.Zone
 	k.Decider = Decide
 	k.Seats = len(s.Zones)
+	k.Label = label
 	for _, a := range s.Seeds {
 		k.Founders = append(k.Founders, word.Node(s.Keeper(a)))
 	}
@@ -64,6 +67,11 @@
 	})
 	opened.Wait(2 * clk.Second)
 	d.in = wire.Serve(li, func(m keep.Msg, push func(keep.Msg) error) (keep.Msg, bool) {
+		if m.Kind == keep.Trace {
+			r := k.Report(m.Key)
+			r.Feed, r.Relays, r.Counts = hub.Num(), hub.Relays(), note.Map()
+			return keep.Msg{OK: true, Report: r}, true
+		}
 		if m.Kind == keep.Follow {
 			hub.Follow(m, push)
 			return keep.Msg{}, false
@@ -135,3 +143,17 @@
 	d.in.Close()
 	d.net.Close()
 }
+
+// label names the edition or the state that a value holds.
+func label(key word.Key, val []byte) string {
+	if key == word.Configuration {
+		if s, err := conf.Decode(val); err == nil {
+			return strconv.FormatInt(int64(s.Edition), 10)
+		}
+		return ""
+	}
+	if _, ok := key.Evacuated(); ok {
+		return string(val)
+	}
+	return ""
+}
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -25,6 +25,7 @@
 
 type follower struct {
 	name word.Node
+	addr word.Addr
 	mark *spawn.Mark
 	num  uint64
 }
@@ -119,6 +120,17 @@
 	return out
 }
 
+// Relays tells where each follower answers traces.
+func (h *Hub) Relays() map[word.Node]word.Addr {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := map[word.Node]word.Addr{}
+	for f := range h.who {
+		out[f.name] = f.addr
+	}
+	return out
+}
+
 func (h *Hub) since(n uint64) ([]keep.Item, uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -136,7 +148,7 @@
 
 // Follow feeds one relay until it is gone.
 func (h *Hub) Follow(m keep.Msg, push func(keep.Msg) error) {
-	f := &follower{name: m.From, mark: spawn.NewMark()}
+	f := &follower{name: m.From, addr: m.Addr, mark: spawn.NewMark()}
 	if m.Life == h.Status.Life() {
 		f.num = m.Num
 	}
--- a/internal/feed/tail.go
+++ b/internal/feed/tail.go
@@ -23,6 +23,7 @@
 // goes over to another when the news turn stale.
 type Tail struct {
 	Self     word.Node
+	Addr     word.Addr
 	IP       string
 	Locality word.Locality
 	Seeds    func() []word.Addr
@@ -143,7 +144,7 @@
 	var last clk.Tick
 	lost, away := false, false
 	t.mu.Lock()
-	m := keep.Msg{Kind: keep.Follow, From: t.Self, Life: t.life, Num: t.num, Locality: t.Locality}
+	m := keep.Msg{Kind: keep.Follow, From: t.Self, Life: t.life, Num: t.num, Locality: t.Locality, Addr: t.Addr}
 	t.mu.Unlock()
 	end, err := p.Stream(m, firstWait, func(m keep.Msg, ok bool) {
 		if ok && m.Fresh {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"runtime"
+	"strings"
 	"sync"
 	"testing"
 
@@ -16,11 +17,14 @@
 
 	"spoolswitch/internal/boot"
 	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
 	"spoolswitch/internal/ctl"
 	"spoolswitch/internal/list"
+	"spoolswitch/internal/oper"
 	"spoolswitch/internal/relay"
 	"spoolswitch/internal/spawn"
 	"spoolswitch/internal/standin"
+	"spoolswitch/internal/trace"
 	"spoolswitch/internal/word"
 )
 
@@ -353,3 +357,59 @@
 	_, errs = boot.Parse([]byte("= no toml"))
 	is.Equal(len(errs), 1)
 }
+
+// One change is followed through all daemons; one that is down is named.
+func TestTrace(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3, 2)
+	is.Equal(f.insist(1, replace, 0, doc(3, "/a/")), 200)
+	is.Equal(f.insist(2, "/-/evacuation/z2/initiate", -1, ""), 200)
+	for i := range 2 {
+		f.until("service", func() bool { return f.ask(i+1, "/a/x") == 200 })
+	}
+	keeper := func(i int) word.Addr { return word.Addr(f.keepers[i].Keeper.Self) }
+	var tr *trace.Trace
+	f.until("all relays", func() bool {
+		var err error
+		tr, err = trace.Change(trace.Wire, keeper(2), word.Configuration, "3", 2*clk.Second)
+		return err == nil && len(tr.Relays) == 2 && len(tr.InFeed) == 3
+	})
+	is.True(len(tr.Synced) >= 2)
+	is.True(len(tr.Voted) >= 2)
+	is.Equal(len(tr.Silent), 0)
+	for _, r := range tr.Relays {
+		is.True(r.Applied)
+		is.Equal(r.Edition, word.Edition(3))
+	}
+	is.True(strings.Contains(tr.Text(), "in force"))
+	tr, err := trace.Change(trace.Wire, keeper(1), word.Evacuation("z2"), "on", 2*clk.Second)
+	is.NoErr(err)
+	is.True(!tr.At.Zero())
+	_, err = trace.Change(trace.Wire, keeper(1), word.Configuration, "99", 2*clk.Second)
+	is.Equal(code.Of(err), code.UnknownChange)
+	_, err = trace.Change(trace.Wire, "127.0.0.9:1", word.Configuration, "3", clk.Second)
+	is.Equal(code.Of(err), code.PeerLost)
+	gone := string(keeper(3))
+	f.stopKeepers(3)
+	tr, err = trace.Change(trace.Wire, keeper(1), word.Configuration, "3", clk.Second)
+	is.NoErr(err)
+	is.Equal(tr.Silent, []string{gone})
+	r := f.relays[1].Report()
+	is.True(r.Gauges["relays"] >= 1)
+	is.Equal(r.Edition, word.Edition(3))
+}
+
+func TestOperatorCalls(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3, 0)
+	o := &oper.Caller{Limit: 20 * clk.Second, Addrs: []word.Addr{"127.0.0.9:1", word.Addr(fmt.Sprintf("127.0.0.2:%d", f.base+10))}}
+	_, err := o.Call("POST", replace, 0, []byte(doc(3, "/a/")))
+	is.NoErr(err)
+	b, err := o.Call("GET", retrieve, -1, nil)
+	is.NoErr(err)
+	is.Equal(string(b), doc(3, "/a/"))
+	_, err = o.Call("POST", replace, 0, []byte(doc(4, "/a/")))
+	is.Equal(code.Of(err), code.OtherEdition)
+	_, err = o.Call("POST", "/-/evacuation/nowhere/initiate", -1, nil)
+	is.Equal(code.Of(err), code.NoLocality)
+}
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -28,28 +28,29 @@
 	Net      Net
 	Sink     Sink
 	Decider  func(key word.Key, o *Order) Decide
+	// Label names what a value is, for the trace.
+	Label func(key word.Key, val []byte) string
 
 	seating sync.Mutex
 	joint   struct {
 		num   uint64
 		since clk.Tick
 	}
-	acc      *Acceptor
-	mu       sync.Mutex
-	terms    map[word.Key]*term
-	tried    map[word.Key]word.Epoch
-	round    uint64
-	life     uint64
-	heard    map[word.Node]clk.Tick
-	local0   clk.Tick
-	sure     clk.Tick
-	odd      map[word.Key]doubt
-	trail    []Step
-	trailAt  []clk.Tick
-	others   map[word.Node]word.Locality
-	relays   map[word.Node]clk.Tick
-	listAt   clk.Tick
-	editions map[word.Node]word.Edition
+	acc     *Acceptor
+	mu      sync.Mutex
+	terms   map[word.Key]*term
+	tried   map[word.Key]word.Epoch
+	round   uint64
+	life    uint64
+	heard   map[word.Node]clk.Tick
+	local0  clk.Tick
+	sure    clk.Tick
+	odd     map[word.Key]doubt
+	trail   []Step
+	trailAt []clk.Tick
+	others  map[word.Node]word.Locality
+	relays  map[word.Node]clk.Tick
+	listAt  clk.Tick
 }
 
 // New makes a keeper over an acceptor.
@@ -57,7 +58,7 @@
 	return &Keeper{Self: self, acc: acc, Net: net, Sink: sink, life: rand.Uint64() | 1,
 		terms: map[word.Key]*term{}, tried: map[word.Key]word.Epoch{}, heard: map[word.Node]clk.Tick{},
 		odd: map[word.Key]doubt{}, others: map[word.Node]word.Locality{}, relays: map[word.Node]clk.Tick{},
-		editions: map[word.Node]word.Edition{}, local0: clk.Now()}
+		local0: clk.Now()}
 }
 
 // Life tells the starts of this keeper apart.
@@ -75,7 +76,7 @@
 		}
 	}
 	if k.Sink.Publish(Item{Key: key, At: at, Val: val}) {
-		k.step(key, at, "in the feed")
+		k.stepVal(key, at, val, "in the feed")
 	}
 }
 
--- a/internal/keep/msg.go
+++ b/internal/keep/msg.go
@@ -68,27 +68,45 @@
 	Marks  map[word.Key]Mark
 	Cells  map[word.Key]Cell
 
-	Life      uint64
-	Num       uint64
-	Items     []Item
-	Snapshot  bool
-	Fresh     bool
-	ListAge   clk.Span
-	Relays    []word.Node
-	Count     int
-	Locality  word.Locality
-	Locals    map[word.Node]word.Locality
-	Steps     []Step
-	Detail    map[string]string
-	Editions  map[word.Node]word.Edition
-	Confirmed clk.Span
+	Life     uint64
+	Num      uint64
+	Items    []Item
+	Snapshot bool
+	Fresh    bool
+	ListAge  clk.Span
+	Relays   []word.Node
+	Count    int
+	Locality word.Locality
+	Locals   map[word.Node]word.Locality
+	Addr     word.Addr
+	Report   *Report
+}
+
+// Report is what a daemon tells of itself when it is asked for a trace.
+type Report struct {
+	Node     word.Node
+	Role     string
+	Locality word.Locality
+	Voting   bool
+	Sure     bool
+	Roster   Roster
+	Owners   map[word.Key]word.Place
+	Feed     uint64
+	Keeper   word.Addr
+	Relays   map[word.Node]word.Addr
+	Steps    []Step
+	Applied  map[string]clk.Span
+	Edition  word.Edition
+	Counts   map[string]int64
+	Gauges   map[string]float64
 }
 
 // Step is one step of a change as a daemon saw it.
 type Step struct {
-	Key  word.Key
-	At   word.Place
-	What string
-	Node word.Node
-	Ago  clk.Span
+	Label string
+	Key   word.Key
+	At    word.Place
+	What  string
+	Node  word.Node
+	Ago   clk.Span
 }
--- a/internal/keep/term.go
+++ b/internal/keep/term.go
@@ -74,7 +74,7 @@
 
 func (k *Keeper) commit(key word.Key, at word.Place, val []byte, limit clk.Tick) bool {
 	r := k.acc.Roster()
-	k.step(key, at, "sent to the disks")
+	k.stepVal(key, at, val, "sent to the disks")
 	got := k.askAll(r.All(), Msg{Kind: Accept, Key: key, At: at, Val: val, Roster: r}, min(askLimit, clk.Until(limit)),
 		func(g map[word.Node]Msg) bool { return r.Majority(oks(g)) })
 	if !r.Majority(oks(got)) {
--- a/internal/keep/trail.go
+++ b/internal/keep/trail.go
@@ -7,15 +7,22 @@
 
 const trailKept = 512
 
-func (k *Keeper) step(key word.Key, at word.Place, what string) { k.stepOf(k.Self, key, at, what) }
-
-func (k *Keeper) stepOf(n word.Node, key word.Key, at word.Place, what string) {
+// stepVal notes a step of a value that is at hand.
+func (k *Keeper) stepVal(key word.Key, at word.Place, val []byte, what string) {
 	if key == word.List {
 		return
 	}
+	label := ""
+	if k.Label != nil {
+		label = k.Label(key, val)
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.trail = append(k.trail, Step{Key: key, At: at, What: what, Node: n})
+	k.note(Step{Key: key, At: at, What: what, Node: k.Self, Label: label})
+}
+
+func (k *Keeper) note(s Step) {
+	k.trail = append(k.trail, s)
 	k.trailAt = append(k.trailAt, clk.Now())
 	if len(k.trail) > 2*trailKept {
 		k.trail = append([]Step(nil), k.trail[trailKept:]...)
@@ -23,6 +30,15 @@
 	}
 }
 
+func (k *Keeper) stepOf(n word.Node, key word.Key, at word.Place, what string) {
+	if key == word.List {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.note(Step{Key: key, At: at, What: what, Node: n})
+}
+
 // Trail reads the steps kept of a key, oldest first.
 func (k *Keeper) Trail(key word.Key) []Step {
 	k.mu.Lock()
@@ -36,3 +52,13 @@
 	}
 	return out
 }
+
+// Report tells of this keeper and of the steps that it knows of a key.
+func (k *Keeper) Report(key word.Key) *Report {
+	r := &Report{Node: k.Self, Role: "keeper", Locality: k.Locality, Voting: k.acc.Voting(), Sure: k.Sure(3 * Beat),
+		Roster: k.acc.Roster(), Owners: map[word.Key]word.Place{}, Steps: k.Trail(key)}
+	for n, at := range k.Sink.Known() {
+		r.Owners[n] = at
+	}
+	return r
+}
--- a/internal/note/note.go
+++ b/internal/note/note.go
@@ -58,6 +58,15 @@
 	return ps
 }
 
+// Map reads all counters that moved.
+func Map() map[string]int64 {
+	out := map[string]int64{}
+	for _, p := range Read() {
+		out[p.Name] = p.N
+	}
+	return out
+}
+
 // State logs a change of state.
 func State(what string, kv ...any) { out.Info(what, kv...) }
 
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -11,6 +11,7 @@
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
 	"spoolswitch/internal/feed"
+	"spoolswitch/internal/keep"
 	"spoolswitch/internal/list"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/pick"
@@ -49,7 +50,7 @@
 		Window: clk.Ms(s.Bounds.RetryWindowS * 1000), Shares: f.Share}
 	most := max(32, (s.Limits.Descriptors-200)/3)
 	d := &Daemon{Relay: NewRelay(v, b, most, most, most), s: s}
-	d.Tail = &feed.Tail{Self: s.Node, IP: s.IP, Locality: s.Zone, Take: v.Take,
+	d.Tail = &feed.Tail{Self: s.Node, Addr: s.Inner(s.IP, 1), IP: s.IP, Locality: s.Zone, Take: v.Take,
 		Heard: func(n int, _ clk.Span) { f.Relays(n) }, Seeds: d.seeds}
 	lf, err := wire.Listen(word.Addr(s.Bindings.Front))
 	if err != nil {
@@ -59,7 +60,17 @@
 	if err != nil {
 		return nil, code.New(code.BadSettings, "%v", err)
 	}
-	d.ls = []net.Listener{lf, lr}
+	lt, err := wire.Listen(d.Tail.Addr)
+	if err != nil {
+		return nil, code.New(code.BadSettings, "%v", err)
+	}
+	d.ls = []net.Listener{lf, lr, lt}
+	wire.Serve(lt, func(m keep.Msg, _ func(keep.Msg) error) (keep.Msg, bool) {
+		if m.Kind != keep.Trace {
+			return keep.Msg{Code: code.NoCall}, true
+		}
+		return keep.Msg{OK: true, Report: d.Report()}, true
+	})
 	d.Tail.Run()
 	spawn.Go(func() { d.Relay.Serve(lf) })
 	spawn.Go(func() { _ = d.readiness(lr) })
@@ -129,6 +140,23 @@
 	return srv.Serve(l)
 }
 
+// Report tells of this relay: what it has in force, and its gauges.
+func (d *Daemon) Report() *keep.Report {
+	at, num, places := d.Tail.Place()
+	v := d.Relay.View
+	sessions, tokens := v.Fleet.Gauges()
+	r := &keep.Report{Node: d.s.Node, Role: "relay", Locality: d.s.Zone, Sure: d.Tail.Fresh(cutAfter), Keeper: at, Feed: num,
+		Owners: places, Applied: v.Applied(), Counts: note.Map(), Gauges: map[string]float64{
+			"sessions": float64(sessions), "held_tokens": float64(tokens), "active": float64(d.Relay.Active()), "relays": float64(v.Fleet.Share())}}
+	if t := v.Table(); t != nil {
+		r.Edition = t.Edition
+		for s := range t.Services {
+			r.Gauges["budget_left."+string(s)] = d.Relay.Budget.Left(s)
+		}
+	}
+	return r
+}
+
 // Stop ends the relay in order.
 func (d *Daemon) Stop() {
 	note.State("leaving")
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -3,6 +3,7 @@
 package relay
 
 import (
+	"strconv"
 	"sync"
 
 	"spoolswitch/internal/clk"
@@ -19,8 +20,7 @@
 	Fleet *pick.Fleet
 	mu    sync.Mutex
 	table *conf.Table
-	when  map[word.Edition]clk.Tick
-	lists clk.Tick
+	when  map[string]clk.Tick
 }
 
 // Table is the configuration in force here, nil before the first.
@@ -42,6 +42,9 @@
 	default:
 		if z, ok := it.Key.Evacuated(); ok {
 			v.Fleet.Evacuate(z, string(it.Val) == "on")
+			v.mu.Lock()
+			v.stamp(it.Key, string(it.Val))
+			v.mu.Unlock()
 			note.State("evacuation", "locality", z, "on", string(it.Val) == "on")
 		}
 	}
@@ -64,22 +67,30 @@
 		return
 	}
 	v.table = t
-	if v.when == nil {
-		v.when = map[word.Edition]clk.Tick{}
-	}
-	v.when[t.Edition] = clk.Now()
+	v.stamp(word.Configuration, strconv.FormatInt(int64(t.Edition), 10))
 	v.mu.Unlock()
 	v.Fleet.Configured(t)
 	note.State("configuration in force", "edition", t.Edition, "routes", len(t.Routes))
 }
 
-// Applied tells how long ago each edition was put in force here.
-func (v *View) Applied() map[word.Edition]clk.Span {
+// Applied tells how long ago each change was put in force here, by its key
+// and label.
+func (v *View) Applied() map[string]clk.Span {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	out := map[word.Edition]clk.Span{}
+	out := map[string]clk.Span{}
 	for e, t := range v.when {
 		out[e] = clk.Since(t)
 	}
 	return out
 }
+
+const whenKept = 256
+
+// stamp notes that a change is in force; the caller has the lock.
+func (v *View) stamp(key word.Key, label string) {
+	if v.when == nil || len(v.when) >= whenKept {
+		v.when = map[string]clk.Tick{}
+	}
+	v.when[string(key)+" "+label] = clk.Now()
+}
--- /dev/null
+++ b/internal/trace/trace.go
@@ -0,0 +1,206 @@
+// Package trace follows one change through all daemons.
+package trace
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
+	"spoolswitch/internal/keep"
+	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/wire"
+	"spoolswitch/internal/word"
+)
+
+// Ask asks one daemon for its report on a key.
+type Ask func(a word.Addr, key word.Key, limit clk.Span) (*keep.Report, error)
+
+// Wire asks over the wire.
+func Wire(a word.Addr, key word.Key, limit clk.Span) (*keep.Report, error) {
+	p := wire.NewPeer[keep.Msg](a)
+	defer p.Close()
+	m, err := p.Call(keep.Msg{Kind: keep.Trace, Key: key}, limit)
+	if err != nil {
+		return nil, err
+	}
+	if m.Report == nil {
+		return nil, code.New(code.NoCall, "%s tells no trace", a)
+	}
+	return m.Report, nil
+}
+
+// Relay is where a relay stands with the change.
+type Relay struct {
+	Node    word.Node
+	Keeper  word.Addr
+	Feed    uint64
+	Applied bool
+	Ago     clk.Span
+	Edition word.Edition
+}
+
+// Trace is all that is known of one change.
+type Trace struct {
+	Key     word.Key
+	Label   string
+	Owner   word.Node
+	At      word.Place
+	Voted   []word.Node
+	Synced  []word.Node
+	InFeed  map[word.Node]clk.Span
+	Feeds   map[word.Node]uint64
+	Relays  []Relay
+	Silent  []string
+	Reports []*keep.Report `json:"-"`
+}
+
+// Fleet asks all daemons that a keeper knows of, within limit.
+func Fleet(ask Ask, first word.Addr, key word.Key, limit clk.Span) ([]*keep.Report, []string, error) {
+	r, err := ask(first, key, limit)
+	if err != nil {
+		return nil, nil, code.New(code.PeerLost, "%s: %v", first, err)
+	}
+	var mu sync.Mutex
+	out := []*keep.Report{r}
+	var silent []string
+	gather := func(who map[string]word.Addr) {
+		done := spawn.NewMark()
+		left := len(who)
+		if left == 0 {
+			return
+		}
+		for n, a := range who {
+			spawn.Go(func() {
+				r, err := ask(a, key, limit)
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					silent = append(silent, n)
+				} else {
+					out = append(out, r)
+				}
+				if left--; left == 0 {
+					done.Set()
+				}
+			})
+		}
+		done.Wait(2 * limit)
+	}
+	keepers, relays := map[string]word.Addr{}, map[string]word.Addr{}
+	for _, n := range r.Roster.All() {
+		if n != r.Node {
+			keepers[string(n)] = word.Addr(n)
+		}
+	}
+	gather(keepers)
+	mu.Lock()
+	for _, k := range out {
+		for n, a := range k.Relays {
+			relays[string(n)] = a
+		}
+	}
+	mu.Unlock()
+	gather(relays)
+	mu.Lock()
+	defer mu.Unlock()
+	sort.Strings(silent)
+	sort.Slice(out, func(i, j int) bool { return out[i].Role+string(out[i].Node) < out[j].Role+string(out[j].Node) })
+	return out, silent, nil
+}
+
+// Change traces the change of a key that carries a label.
+func Change(ask Ask, first word.Addr, key word.Key, label string, limit clk.Span) (*Trace, error) {
+	rs, silent, err := Fleet(ask, first, key, limit)
+	if err != nil {
+		return nil, err
+	}
+	t := &Trace{Key: key, Label: label, InFeed: map[word.Node]clk.Span{}, Feeds: map[word.Node]uint64{}, Silent: silent, Reports: rs}
+	for _, r := range rs {
+		for _, s := range r.Steps {
+			if s.Label == label && (t.At.Zero() || t.At.Less(s.At)) {
+				t.At = s.At
+			}
+		}
+	}
+	known := !t.At.Zero()
+	t.Owner = t.At.Epoch.Node
+	voted, synced := map[word.Node]bool{}, map[word.Node]bool{}
+	for _, r := range rs {
+		for _, s := range r.Steps {
+			switch {
+			case s.What == "voted" && s.At.Epoch == t.At.Epoch:
+				voted[s.Node] = true
+			case s.What == "synced" && s.At == t.At:
+				synced[s.Node] = true
+			case s.What == "in the feed" && s.Label == label:
+				if ago, ok := t.InFeed[r.Node]; !ok || s.Ago > ago {
+					t.InFeed[r.Node] = s.Ago
+				}
+			}
+		}
+		if r.Role == "keeper" {
+			t.Feeds[r.Node] = r.Feed
+			continue
+		}
+		ago, ok := r.Applied[string(key)+" "+label]
+		known = known || ok
+		t.Relays = append(t.Relays, Relay{Node: r.Node, Keeper: r.Keeper, Feed: r.Feed, Applied: ok, Ago: ago, Edition: r.Edition})
+	}
+	t.Voted, t.Synced = names(voted), names(synced)
+	if !known {
+		return nil, code.New(code.UnknownChange, "%s %s", key, label)
+	}
+	return t, nil
+}
+
+func names(m map[word.Node]bool) []word.Node {
+	var out []word.Node
+	for n := range m {
+		out = append(out, n)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+func ms(d clk.Span) string { return fmt.Sprintf("%d ms ago", d/clk.Millisecond) }
+
+// Text is the trace for people.
+func (t *Trace) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s\n", t.Key, t.Label)
+	if t.At.Zero() {
+		b.WriteString("  owner    not kept any more\n")
+	} else {
+		fmt.Fprintf(&b, "  owner    %s, term %d, place %s\n", t.Owner, t.At.Epoch.Round, t.At)
+		fmt.Fprintf(&b, "  ballots  %v\n  synced   %v\n", t.Voted, t.Synced)
+	}
+	for _, n := range sortedKeys(t.Feeds) {
+		if ago, ok := t.InFeed[n]; ok {
+			fmt.Fprintf(&b, "  keeper   %s in its feed %s (feed at %d)\n", n, ms(ago), t.Feeds[n])
+		} else {
+			fmt.Fprintf(&b, "  keeper   %s has not noted it (feed at %d)\n", n, t.Feeds[n])
+		}
+	}
+	for _, r := range t.Relays {
+		if r.Applied {
+			fmt.Fprintf(&b, "  relay    %s in force %s (from %s, feed at %d)\n", r.Node, ms(r.Ago), r.Keeper, r.Feed)
+		} else {
+			fmt.Fprintf(&b, "  relay    %s has it not in force (edition %d, from %s, feed at %d)\n", r.Node, r.Edition, r.Keeper, r.Feed)
+		}
+	}
+	for _, n := range t.Silent {
+		fmt.Fprintf(&b, "  silent   %s\n", n)
+	}
+	return b.String()
+}
+
+func sortedKeys(m map[word.Node]uint64) []word.Node {
+	b := map[word.Node]bool{}
+	for n := range m {
+		b[n] = true
+	}
+	return names(b)
+}
