--- a/cmd/keepd/main.go
+++ b/cmd/keepd/main.go
@@ -8,6 +8,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"spoolswitch/internal/boot"
+	"spoolswitch/internal/clk"
 	"spoolswitch/internal/ctl"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/spawn"
@@ -32,8 +33,10 @@
 		os.Exit(1)
 	}
 	done := spawn.NewMark()
-	spawn.Signals(done.Set, func() {})
-	for !done.Wait(60 * 1e9) {
+	w := &boot.Watch{Path: os.Getenv(boot.Env), Take: d.Take}
+	w.Run()
+	spawn.Signals(done.Set, w.Look)
+	for !done.Wait(clk.Minute) {
 		note.Sum()
 	}
 	d.Stop()
--- a/internal/clk/clk.go
+++ b/internal/clk/clk.go
@@ -18,6 +18,8 @@
 	Millisecond = time.Millisecond
 	// Second is one second.
 	Second = time.Second
+	// Minute is one minute.
+	Minute = time.Minute
 )
 
 var start = time.Now()
--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -135,6 +135,16 @@
 	}
 }
 
+// Take takes changed settings in: the localities and the seeds.
+func (d *Daemon) Take(s *boot.Settings) {
+	d.srv.SetZones(s.Zones)
+	var ns []word.Node
+	for _, a := range s.Seeds {
+		ns = append(ns, word.Node(s.Keeper(a)))
+	}
+	d.Keeper.Seeded(ns, len(s.Zones))
+}
+
 // Stop ends the daemon.
 func (d *Daemon) Stop() {
 	d.over.Store(true)
--- a/internal/ctl/server.go
+++ b/internal/ctl/server.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net"
 	"strconv"
+	"sync"
 
 	"github.com/valyala/fasthttp"
 
@@ -30,6 +31,7 @@
 type Server struct {
 	Keeper *keep.Keeper
 	Zones  map[string]string
+	mu     sync.Mutex
 	srv    *fasthttp.Server
 }
 
@@ -66,6 +68,13 @@
 	spawn.Go(func() { _ = s.srv.Serve(l) })
 }
 
+// SetZones changes which localities there are.
+func (s *Server) SetZones(z map[string]string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Zones = z
+}
+
 // Stop ends the answering; calls under way are finished first.
 func (s *Server) Stop() {
 	if s.srv == nil {
@@ -130,7 +139,10 @@
 }
 
 func (s *Server) evacuate(zone string, on bool) result.Result {
-	if _, ok := s.Zones[zone]; !ok {
+	s.mu.Lock()
+	_, ok := s.Zones[zone]
+	s.mu.Unlock()
+	if !ok {
 		return result.Of(code.NoLocality, zone)
 	}
 	return of(s.Keeper.Change(word.Evacuation(word.Locality(zone)), &keep.Order{On: on}, clk.Now().Add(opLimit)))
--- a/internal/keep/beat.go
+++ b/internal/keep/beat.go
@@ -275,7 +275,8 @@
 		return true
 	}
 	to := k.peers()
-	for _, n := range k.Founders {
+	founders, _ := k.seeds()
+	for _, n := range founders {
 		if n != k.Self && !slices.Contains(to, n) {
 			to = append(to, n)
 		}
--- a/internal/keep/join.go
+++ b/internal/keep/join.go
@@ -43,7 +43,8 @@
 			return Msg{OK: true}
 		}
 	}
-	if gone == "" && len(r.Seat) >= max(len(k.Founders), k.Seats) {
+	founders, seats := k.seeds()
+	if gone == "" && len(r.Seat) >= max(len(founders), seats) {
 		return Msg{OK: true}
 	}
 	if !k.seating.TryLock() {
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -61,6 +61,20 @@
 		local0: clk.Now()}
 }
 
+// Seeded takes in where keepers may be found, and how many seats there may be.
+func (k *Keeper) Seeded(ns []word.Node, seats int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.Founders, k.Seats = ns, seats
+}
+
+// seeds reads them.
+func (k *Keeper) seeds() ([]word.Node, int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.Founders, k.Seats
+}
+
 // Life tells the starts of this keeper apart.
 func (k *Keeper) Life() uint64 { return k.life }
 
--- a/internal/pick/budget.go
+++ b/internal/pick/budget.go
@@ -46,6 +46,16 @@
 	return a
 }
 
+// Bounds changes the figures of the bound.
+func (b *Budget) Bounds(ratio, slack float64, window clk.Span) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if window != b.Window {
+		b.of = nil
+	}
+	b.Ratio, b.Slack, b.Window = ratio, slack, window
+}
+
 // Note counts a caller's inquiry for a service.
 func (b *Budget) Note(s word.Service) {
 	b.mu.Lock()
--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -155,6 +155,13 @@
 	f.relays = max(1, n)
 }
 
+// Bounds changes the figures of the cold bound and the idle timeout.
+func (f *Fleet) Bounds(overrun, slack float64, idle clk.Span) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Overrun, f.Slack, f.Idle = overrun, slack, idle
+}
+
 // Share is how many relays the shared bounds are split among.
 func (f *Fleet) Share() int {
 	f.mu.Lock()
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net"
 	"runtime/debug"
+	"sync"
 
 	"github.com/valyala/fasthttp"
 
@@ -25,6 +26,7 @@
 type Daemon struct {
 	Relay *Relay
 	Tail  *feed.Tail
+	mu    sync.Mutex
 	s     *boot.Settings
 	ls    []net.Listener
 }
@@ -86,13 +88,30 @@
 }
 
 func (d *Daemon) seeds() []word.Addr {
+	s := d.settings()
 	var out []word.Addr
-	for _, a := range d.s.Seeds {
-		out = append(out, d.s.Keeper(a))
+	for _, a := range s.Seeds {
+		out = append(out, s.Keeper(a))
 	}
 	return out
 }
 
+func (d *Daemon) settings() *boot.Settings {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.s
+}
+
+// Take takes changed settings in: the seeds and the bounds. Addresses and
+// memory need a start.
+func (d *Daemon) Take(s *boot.Settings) {
+	d.mu.Lock()
+	d.s = s
+	d.mu.Unlock()
+	d.Relay.Fleet.Bounds(s.Bounds.ColdOverrun, s.Bounds.ColdSlack, clk.Ms(s.Session.IdleS*1000))
+	d.Relay.Budget.Bounds(s.Bounds.RetryBudgetRatio, s.Bounds.RetrySlack, clk.Ms(s.Bounds.RetryWindowS*1000))
+}
+
 // readOwn reads the list from the platform while no keeper can be followed.
 func (d *Daemon) readOwn(rd *list.Reader) {
 	if d.Tail.Fresh(cutAfter) || d.Relay.View.Table() == nil {
@@ -145,7 +164,7 @@
 	at, num, places := d.Tail.Place()
 	v := d.Relay.View
 	sessions, tokens := v.Fleet.Gauges()
-	r := &keep.Report{Node: d.s.Node, Role: "relay", Locality: d.s.Zone, Sure: d.Tail.Fresh(cutAfter), Keeper: at, Feed: num,
+	r := &keep.Report{Node: d.Tail.Self, Role: "relay", Locality: d.Tail.Locality, Sure: d.Tail.Fresh(cutAfter), Keeper: at, Feed: num,
 		Owners: places, Applied: v.Applied(), Counts: note.Map(), Gauges: map[string]float64{
 			"sessions": float64(sessions), "held_tokens": float64(tokens), "active": float64(d.Relay.Active()), "relays": float64(v.Fleet.Share())}}
 	if t := v.Table(); t != nil {
@@ -160,7 +179,7 @@
 // Stop ends the relay in order.
 func (d *Daemon) Stop() {
 	note.State("leaving")
-	d.Relay.Leave(d.s.Grace()-500*clk.Millisecond, unready)
+	d.Relay.Leave(d.settings().Grace()-500*clk.Millisecond, unready)
 	for _, l := range d.ls {
 		_ = l.Close()
 	}
