Records of what replicas keep are held against their answers and mended

A relay judges each promise by how soon the answer began; four broken ones in a run trim the record to what was used since, and the keepers bring the news to all relays. Other weights drop the record at once.

--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -152,6 +152,7 @@
 	_ = d.lc.Close()
 	d.in.Close()
 	d.net.Close()
+	d.Keeper.Acceptor().Close()
 }
 
 // label names the edition or the state that a value holds.
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -131,10 +131,17 @@
 	return out
 }
 
+const briefFor = 10 * clk.Second
+
 func (h *Hub) since(n uint64) ([]keep.Item, uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var out []keep.Item
+	for k, v := range h.items {
+		if v.it.Brief() && clk.Since(v.since) > briefFor {
+			delete(h.items, k)
+		}
+	}
 	for _, v := range h.items {
 		if v.it.Num > n && v.it.Key != word.Roster && v.it.Key != word.ListDuty {
 			it := v.it
--- a/internal/feed/tail.go
+++ b/internal/feed/tail.go
@@ -37,6 +37,7 @@
 	life   uint64
 	num    uint64
 	at     word.Addr
+	peer   *wire.Peer[keep.Msg]
 	bad    map[word.Addr]clk.Tick
 }
 
@@ -178,6 +179,9 @@
 				return true
 			}
 			note.State("following", "keeper", a)
+			t.mu.Lock()
+			t.peer = p
+			t.mu.Unlock()
 		}
 		if gone || (l == 0 && clk.Since(begun) > firstWait) || (l != 0 && clk.Since(l) > staleAfter) {
 			t.mu.Lock()
@@ -194,6 +198,17 @@
 	}
 }
 
+// Tell sends a message to the keeper that is followed, without waiting.
+func (t *Tail) Tell(m keep.Msg) {
+	t.mu.Lock()
+	p := t.peer
+	t.mu.Unlock()
+	if p == nil {
+		return
+	}
+	spawn.Go(func() { _, _ = p.Call(m, firstWait) })
+}
+
 func (t *Tail) news(a word.Addr, m keep.Msg) {
 	t.mu.Lock()
 	if m.Life != t.life {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -20,7 +20,9 @@
 	"spoolswitch/internal/code"
 	"spoolswitch/internal/ctl"
 	"spoolswitch/internal/list"
+	"spoolswitch/internal/note"
 	"spoolswitch/internal/oper"
+	"spoolswitch/internal/pick"
 	"spoolswitch/internal/relay"
 	"spoolswitch/internal/spawn"
 	"spoolswitch/internal/standin"
@@ -413,3 +415,18 @@
 	_, err = o.Call("POST", "/-/evacuation/nowhere/initiate", -1, nil)
 	is.Equal(code.Of(err), code.NoLocality)
 }
+
+// News of a drifted record reaches all relays through the keepers, and goes.
+func TestDriftTravels(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3, 2)
+	is.Equal(f.insist(1, replace, 0, doc(3, "/a/")), 200)
+	for i := range 2 {
+		f.until("service", func() bool { return f.ask(i+1, "/a/x") == 200 })
+	}
+	before := note.Counter("drift.told").Get()
+	f.relays[1].Relay.Tell(pick.Drift{Replica: "i-1", Horizon: clk.Second})
+	f.until("both relays", func() bool { return note.Counter("drift.told").Get() >= before+2 })
+	is.Equal(f.ask(1, "/a/x"), 200)
+	is.Equal(f.ask(2, "/a/x"), 200)
+}
--- a/internal/head/inquiry.go
+++ b/internal/head/inquiry.go
@@ -39,6 +39,7 @@
 	ColdMs      = "Cold-Ms"
 	ReplicaID   = "Replica-Id"
 	RetryAfter  = "Retry-After"
+	Weights     = "Weight-Versions"
 )
 
 var once = []string{AttemptID, DeadlineMs, Prefix, Tokens, Model, LastEvent, Expected}
--- a/internal/keep/acceptor.go
+++ b/internal/keep/acceptor.go
@@ -133,7 +133,10 @@
 
 // write puts a record on the disk and then takes it in. The caller has the lane.
 func (a *Acceptor) write(e *entry) error {
-	if err := a.st.Append(e.encode()); err != nil {
+	a.mu.Lock()
+	st := a.st
+	a.mu.Unlock()
+	if err := st.Append(e.encode()); err != nil {
 		return err
 	}
 	a.apply(e)
@@ -290,3 +293,21 @@
 	defer a.mu.Unlock()
 	return a.st != nil
 }
+
+// Close ends all writing; what is asked for later is refused.
+func (a *Acceptor) Close() {
+	got := a.lane.Take(laneWait)
+	a.mu.Lock()
+	a.st, a.voting = shut{}, false
+	a.mu.Unlock()
+	if got {
+		a.lane.Give()
+	}
+}
+
+// shut is a store that refuses everything.
+type shut struct{}
+
+func (shut) Append([]byte) error    { return code.New(code.DiskRefused, "closed") }
+func (shut) Long(int64) bool        { return false }
+func (shut) Rewrite([][]byte) error { return code.New(code.DiskRefused, "closed") }
--- a/internal/keep/join.go
+++ b/internal/keep/join.go
@@ -83,7 +83,7 @@
 	}
 	slices.Sort(keys)
 	for _, key := range slices.Compact(keys) {
-		if key == word.List || key == floorKey {
+		if !key.Kept() || key == floorKey {
 			continue
 		}
 		if !k.rewin(key, limit) {
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -201,6 +201,13 @@
 		return Msg{OK: true, Key: m.Key, At: c.At, Val: c.Val}
 	case Survey:
 		return k.survey(m)
+	case Drift:
+		if _, ok := m.Key.Drifted(); !ok {
+			return Msg{Code: code.NoCall}
+		}
+		at := word.Place{Epoch: word.Epoch{Round: k.Sink.Known()[m.Key].Epoch.Round + 1, Node: k.Self, Life: k.life}, Seq: 1}
+		k.Share(m.Key, at, m.Val)
+		return Msg{OK: true}
 	case Join:
 		return k.join(m.From)
 	case Change:
--- a/internal/keep/msg.go
+++ b/internal/keep/msg.go
@@ -23,6 +23,7 @@
 	Follow
 	Join
 	Trace
+	Drift
 )
 
 // Mark is what one keeper has of one key.
@@ -41,6 +42,12 @@
 	Num uint64
 }
 
+// Brief tells whether the item is news that only matters while it is new.
+func (it *Item) Brief() bool {
+	_, ok := it.Key.Drifted()
+	return ok
+}
+
 // Order is a change or a question that a caller of control brings.
 type Order struct {
 	Body   []byte
--- a/internal/keep/trail.go
+++ b/internal/keep/trail.go
@@ -9,7 +9,7 @@
 
 // stepVal notes a step of a value that is at hand.
 func (k *Keeper) stepVal(key word.Key, at word.Place, val []byte, what string) {
-	if key == word.List {
+	if !key.Kept() {
 		return
 	}
 	label := ""
@@ -31,7 +31,7 @@
 }
 
 func (k *Keeper) stepOf(n word.Node, key word.Key, at word.Place, what string) {
-	if key == word.List {
+	if !key.Kept() {
 		return
 	}
 	k.mu.Lock()
--- /dev/null
+++ b/internal/pick/audit.go
@@ -0,0 +1,166 @@
+package pick
+
+import (
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/note"
+	"spoolswitch/internal/word"
+)
+
+// Promise is what the record said that a replica keeps of a prompt when it
+// was selected.
+type Promise struct {
+	Tokens int64
+	Unread int64
+	Used   clk.Tick
+	At     clk.Tick
+}
+
+// Drift says that a replica no longer keeps what went unused for Horizon.
+type Drift struct {
+	Replica word.Replica
+	Horizon clk.Span
+}
+
+// audit holds a replica's record against how soon its answers begin.
+type audit struct {
+	pace    float64
+	proof   int
+	horizon clk.Span
+	weights string
+	told    clk.Tick
+}
+
+// The figures of the audit. They are shares and counts, not times: what is soon
+// is learned from each replica.
+const (
+	paceWeight = 0.1
+	paceFirst  = 8
+	paceLeast  = 256
+	worthShare = 4
+	proofMost  = 4
+	shrinkMost = 8
+	growShare  = 64
+	tellPause  = 5 * clk.Second
+)
+
+var (
+	promiseKept   = note.Counter("promise.kept")
+	promiseBroken = note.Counter("promise.broken")
+	driftFound    = note.Counter("drift.found")
+	driftTold     = note.Counter("drift.told")
+	weightsMoved  = note.Counter("drift.weights")
+)
+
+// promise reads the record for a chain of which all in all want tokens are to
+// be read.
+func (r *Rep) promise(c Chain, want int64, now clk.Tick) Promise {
+	p := Promise{Used: now, At: now}
+	for _, l := range c {
+		k, ok := r.kept.get(l.Hash)
+		if !ok {
+			break
+		}
+		p.Tokens += l.Tokens
+		p.Used = min(p.Used, k.used)
+	}
+	p.Unread = max(0, max(want, c.Tokens())-p.Tokens)
+	return p
+}
+
+// Judge takes in how long after the sending an answer began. It returns what
+// other relays should be told, if the record turns out to have drifted.
+func (f *Fleet) Judge(r *Rep, p Promise, took clk.Span) (Drift, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ms := float64(took) / float64(clk.Millisecond)
+	// What waits or reads beside others tells of them, not of the record.
+	if r.load.Waiting > 0 || r.pend > 0 || p.Unread < paceLeast {
+		return Drift{}, false
+	}
+	a := &r.audit
+	if p.Tokens*worthShare < p.Unread || a.pace == 0 {
+		a.learn(ms / float64(p.Unread))
+		return Drift{}, false
+	}
+	kept, lost := a.pace*float64(p.Unread), a.pace*float64(p.Unread+p.Tokens)
+	if ms <= (kept+lost)/2 {
+		promiseKept.Add(1)
+		a.proof = max(0, a.proof-1)
+		a.learn(ms / float64(p.Unread))
+		full := f.capacity(r.Service)
+		r.kept.bound(min(full, r.kept.most+full/growShare))
+		return Drift{}, false
+	}
+	promiseBroken.Add(1)
+	if h := p.At.Sub(p.Used); a.proof == 0 || h < a.horizon {
+		a.horizon = h
+	}
+	if a.proof++; a.proof < proofMost {
+		return Drift{}, false
+	}
+	d := Drift{r.ID, a.horizon}
+	a.proof = 0
+	f.mend(r, d.Horizon)
+	driftFound.Add(1)
+	if a.told != 0 && clk.Since(a.told) < tellPause {
+		return d, false
+	}
+	a.told = clk.Now()
+	return d, true
+}
+
+func (a *audit) learn(x float64) {
+	if a.pace == 0 {
+		a.pace = x
+		return
+	}
+	w := paceWeight
+	if x < a.pace {
+		w *= 2
+	}
+	a.pace += (x - a.pace) * w
+}
+
+// mend forgets all that went unused for as long as what was found missing: a
+// replica gives up first what was unused the longest. The record is bounded by
+// what is left until promises hold again.
+func (f *Fleet) mend(r *Rep, h clk.Span) {
+	now := clk.Now()
+	for {
+		k, c, ok := r.kept.oldest()
+		if !ok || now.Sub(c.used) < h {
+			break
+		}
+		r.kept.remove(k)
+	}
+	r.kept.bound(max(f.capacity(r.Service)/shrinkMost, r.kept.weight))
+	note.State("record mended", "replica", r.ID, "unused for", h, "kept", r.kept.weight)
+}
+
+// Mend takes in what another relay found, age ago.
+func (f *Fleet) Mend(d Drift, age clk.Span) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.reps[d.Replica]
+	if r == nil || d.Horizon < 0 || age < 0 {
+		return
+	}
+	driftTold.Add(1)
+	r.audit.told = clk.Now()
+	f.mend(r, d.Horizon+age)
+}
+
+// Weights takes in which weights an answer came from. What was kept for others
+// is of no use.
+func (f *Fleet) Weights(r *Rep, v string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if v == r.audit.weights {
+		return
+	}
+	if r.audit.weights != "" {
+		weightsMoved.Add(1)
+		r.kept = newLRU[part](r.kept.most)
+	}
+	r.audit.weights = v
+}
--- /dev/null
+++ b/internal/pick/audit_test.go
@@ -0,0 +1,147 @@
+package pick
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/word"
+)
+
+// engine is a replica that keeps parts, with a room of its own, and tells of
+// that only by how soon it answers.
+type engine struct {
+	kept *lru[int64]
+	rnd  *rand.Rand
+}
+
+func newEngine(room int64) *engine {
+	return &engine{newLRU[int64](room), rand.New(rand.NewPCG(1, 2))}
+}
+
+// read reads a prompt and tells how long that takes.
+func (e *engine) read(c Chain) clk.Span {
+	var n int64
+	hit := true
+	for _, l := range c {
+		_, ok := e.kept.get(l.Hash)
+		if hit = hit && ok; !hit {
+			n += l.Tokens
+		}
+	}
+	for i := len(c) - 1; i >= 0; i-- {
+		e.kept.put(c[i].Hash, c[i].Tokens, c[i].Tokens)
+	}
+	noise := 0.9 + 0.2*e.rnd.Float64()
+	return clk.Span(float64(n) * noise * float64(clk.Millisecond) / 100)
+}
+
+// stale counts the promises of a record that its engine does not hold.
+func stale(r *Rep, e *engine) (n int) {
+	for h := range r.kept.at {
+		if _, ok := e.kept.get(h); !ok {
+			n++
+		}
+	}
+	return n
+}
+
+type world struct {
+	f    *Fleet
+	sim  *clk.Sim
+	e    map[word.Replica]*engine
+	told []Drift
+	n    int
+}
+
+func newWorld(t *testing.T, room int64) *world {
+	f, sim := fleet(t, 1)
+	w := &world{f: f, sim: sim, e: map[word.Replica]*engine{"i-0": newEngine(room)}}
+	return w
+}
+
+func (w *world) turn(t *testing.T, session int) {
+	w.n++
+	c := chain(t, fmt.Sprintf("%x:500,%x:400", 100+session, 100000+w.n))
+	a := &Ask{Service: "s", Sticky: true, Chain: c, Tokens: 900}
+	r, err := w.f.Select(a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	took := w.e[r.ID].read(c)
+	w.sim.Move(took + 10*clk.Millisecond)
+	w.f.Begun(r, 900)
+	if d, ok := w.f.Judge(r, a.Promise, took); ok {
+		w.told = append(w.told, d)
+	}
+	w.f.Done(r, Fine)
+}
+
+// A record that is right is left alone.
+func TestNoDriftWhereNoneIs(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 10000)
+	for i := range 2000 {
+		w.turn(t, i%8)
+	}
+	is.Equal(len(w.told), 0)
+	is.Equal(w.f.reps["i-0"].kept.most, int64(10000))
+}
+
+// A replica that keeps far less than it says, or loses what it kept, is found
+// out, and the record comes close to what is really kept.
+func TestDriftIsFoundAndMended(t *testing.T) {
+	for name, lose := range map[string]func(w *world){
+		"less room": func(w *world) { w.e["i-0"].kept.bound(2500) },
+		"all lost":  func(w *world) { w.e["i-0"] = newEngine(2500) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, 10000)
+			for i := range 500 {
+				w.turn(t, i%8)
+			}
+			is.Equal(len(w.told), 0)
+			lose(w)
+			r := w.f.reps["i-0"]
+			before := stale(r, w.e["i-0"])
+			is.True(before >= 10)
+			for i := range 500 {
+				w.turn(t, i%8)
+			}
+			is.True(len(w.told) > 0)
+			is.True(stale(r, w.e["i-0"]) <= before/2)
+		})
+	}
+}
+
+// What one relay finds sets the records of the others right.
+func TestDriftIsTaken(t *testing.T) {
+	is := is.New(t)
+	f, sim := fleet(t, 1)
+	turn(t, f, "a:100,b:200", "1")
+	sim.Move(10 * clk.Second)
+	turn(t, f, "c:100,d:200", "2")
+	sim.Move(clk.Second)
+	r := f.reps["i-0"]
+	never := func(uint64) bool { return false }
+	f.Mend(Drift{"i-0", 5 * clk.Second}, 0)
+	is.Equal(r.overlap(chain(t, "a:100,b:200"), never), int64(0))
+	is.Equal(r.overlap(chain(t, "c:100,d:200"), never), int64(300))
+	f.Mend(Drift{"i-9", clk.Second}, 0) // of a replica that is not known
+}
+
+func TestOtherWeights(t *testing.T) {
+	is := is.New(t)
+	f, _ := fleet(t, 1)
+	r := f.reps["i-0"]
+	f.Weights(r, "1")
+	turn(t, f, "a:100,b:200", "1")
+	f.Weights(r, "1")
+	is.True(r.kept.weight > 0)
+	f.Weights(r, "2")
+	is.Equal(r.kept.weight, int64(0))
+}
--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -76,7 +76,7 @@
 			if rep != nil {
 				shut = append(shut, rep)
 			}
-			rep = &Rep{Replica: r, Pool: &link.Pool{Addr: r.Addr}, kept: newLRU[int64](f.capacity(r.Service))}
+			rep = &Rep{Replica: r, Pool: &link.Pool{Addr: r.Addr}, kept: newLRU[part](f.capacity(r.Service))}
 			f.reps[r.ID] = rep
 		}
 		rep.State, rep.Slots, rep.Models, rep.Version = r.State, r.Slots, r.Models, r.Version
@@ -122,7 +122,7 @@
 	defer f.mu.Unlock()
 	f.confs = t.Services
 	for _, r := range f.reps {
-		r.kept.most = f.capacity(r.Service)
+		r.kept.bound(f.capacity(r.Service))
 	}
 }
 
--- a/internal/pick/lru.go
+++ b/internal/pick/lru.go
@@ -36,6 +36,14 @@
 	}
 }
 
+// bound changes the bound and drops what is over it.
+func (l *lru[V]) bound(most int64) {
+	l.most = most
+	for l.weight > l.most && l.order.Len() > 1 {
+		l.drop(l.order.Back())
+	}
+}
+
 func (l *lru[V]) get(k uint64) (V, bool) {
 	if e, ok := l.at[k]; ok {
 		return e.Value.(*cell[V]).val, true
--- a/internal/pick/rep.go
+++ b/internal/pick/rep.go
@@ -28,7 +28,14 @@
 	downAt  clk.Tick
 	gone    bool
 	sent    []clk.Tick
-	kept    *lru[int64]
+	kept    *lru[part]
+	audit   audit
+}
+
+// part is a part of prompts that a replica is believed to keep.
+type part struct {
+	tokens int64
+	used   clk.Tick
 }
 
 const (
@@ -83,9 +90,10 @@
 	return n
 }
 
-func (r *Rep) took(c Chain) {
-	for _, l := range c {
-		r.kept.put(l.Hash, l.Tokens, max(1, l.Tokens))
+func (r *Rep) took(c Chain, now clk.Tick) {
+	for i := len(c) - 1; i >= 0; i-- {
+		l := c[i]
+		r.kept.put(l.Hash, part{l.Tokens, now}, max(1, l.Tokens))
 	}
 }
 
--- a/internal/pick/select.go
+++ b/internal/pick/select.go
@@ -16,6 +16,9 @@
 	Tokens  int64
 	Draw    uint64
 	Not     []word.Replica
+
+	// Promise is filled by Select.
+	Promise Promise
 }
 
 func (a *Ask) not(id word.Replica) bool {
@@ -100,7 +103,8 @@
 	r.since++
 	r.pend += a.Tokens
 	r.sent = append(r.sent, now)
-	r.took(a.Chain)
+	a.Promise = r.promise(a.Chain, a.Tokens, now)
+	r.took(a.Chain, now)
 	return r, nil
 }
 
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"bytes"
+	"encoding/gob"
 	"math/rand/v2"
 	"net"
 	"runtime/debug"
@@ -54,6 +56,12 @@
 	d := &Daemon{Relay: NewRelay(v, b, most, most, most), s: s}
 	d.Tail = &feed.Tail{Self: s.Node, Addr: s.Inner(s.IP, 1), IP: s.IP, Locality: s.Zone, Take: v.Take,
 		Heard: func(n int, _ clk.Span) { f.Relays(n) }, Seeds: d.seeds}
+	d.Relay.Tell = func(x pick.Drift) {
+		var b bytes.Buffer
+		if gob.NewEncoder(&b).Encode(x) == nil {
+			d.Tail.Tell(keep.Msg{Kind: keep.Drift, Key: word.Drift(x.Replica), Val: b.Bytes()})
+		}
+	}
 	lf, err := wire.Listen(word.Addr(s.Bindings.Front))
 	if err != nil {
 		return nil, code.New(code.BadSettings, "%v", err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,6 +18,8 @@
 	Budget *pick.Budget
 	// Current tells whether what the relay knows may be acted upon.
 	Current func() bool
+	// Tell has other relays told that a record has drifted.
+	Tell func(pick.Drift)
 
 	senders *spawn.Pool
 	sizes   pick.Sizes
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"bytes"
+	"encoding/gob"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -509,3 +511,40 @@
 	}
 	is.Equal(g.arrivals(), 0)
 }
+
+// Replicas lose and regain what they keep while inquiries flow: each is
+// answered once, run once, and the news of a drift changes nothing else.
+func TestCacheLostBeneath(t *testing.T) {
+	is := is.New(t)
+	weights := func(v *int) standin.Play {
+		return func(w net.Conn, g standin.Got) bool {
+			*v++
+			b := standin.Event(1) + standin.Event(2)
+			_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n%sWeight-Versions: %d\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", g.ID, standin.Seal, *v/5, len(b), b)
+			return err == nil
+		}
+	}
+	var a, b int
+	g := newRig(t, weights(&a), weights(&b))
+	for i := range 60 {
+		r, err := g.ask("/stream/", fmt.Sprintf("id%d", i), fmt.Sprintf("Prompt-Prefix: a:10,%x:500,%x:40", i%6, 1000+i), "Token-Counts: 550,10")
+		is.NoErr(err)
+		is.True(r.Whole)
+		is.Equal(r.Body, events(1, 2))
+		for j := range 2 {
+			var buf bytes.Buffer
+			is.NoErr(gob.NewEncoder(&buf).Encode(pick.Drift{Replica: word.Replica(fmt.Sprintf("i-%d", j)), Horizon: clk.Span(i) * clk.Millisecond}))
+			g.r.View.Take(keep.Item{Key: word.Drift(word.Replica(fmt.Sprintf("i-%d", j))), At: g.at(), Val: buf.Bytes()})
+		}
+	}
+	seen := map[string]int{}
+	for _, r := range g.reps {
+		for _, got := range r.Got() {
+			seen[got.ID]++
+		}
+	}
+	is.Equal(len(seen), 60)
+	for _, n := range seen {
+		is.Equal(n, 1)
+	}
+}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -148,6 +148,7 @@
 		return notRun, pick.Unreached
 	}
 	n.sends++
+	sent := clk.Now()
 	if err != nil {
 		rep.Pool.Drop(c)
 		return mayHave, pick.Broke
@@ -164,6 +165,9 @@
 	if n.Head.Method == "HEAD" {
 		a.Framing = head.Framing{}
 	}
+	if v := a.Field(head.Weights); len(v) > 0 {
+		n.r.Fleet.Weights(rep, string(v))
+	}
 	if a.None {
 		rep.Pool.Drop(c)
 		if a.Status == 421 {
@@ -179,7 +183,7 @@
 		return mayHave, pick.Broke
 	}
 	if n.route.Class == conf.Streaming && a.Status/100 == 2 {
-		return n.stream(rep, c, a)
+		return n.stream(rep, c, a, sent)
 	}
 	if n.first {
 		rep.Pool.Drop(c)
@@ -241,7 +245,7 @@
 var resumed = note.Counter("stream.resumed")
 
 // stream passes events on as they come, whole ones only.
-func (n *Inquiry) stream(rep *pick.Rep, c *link.Conn, a *head.Answer) (verdict, pick.Outcome) {
+func (n *Inquiry) stream(rep *pick.Rep, c *link.Conn, a *head.Answer, sent clk.Tick) (verdict, pick.Outcome) {
 	body := c.Body(a)
 	skip := int64(-1)
 	if n.first {
@@ -253,10 +257,15 @@
 	n.events.Cut()
 	buf := make([]byte, 4096)
 	var out []byte
+	judged := false
 	for {
 		m, err := body.Read(buf)
 		if m > 0 {
 			ev := n.events.Add(buf[:m], skip)
+			if !judged && len(ev) > 0 {
+				judged = true
+				n.judge(rep, clk.Since(sent))
+			}
 			out = out[:0]
 			if !n.first && len(ev) > 0 {
 				n.finish()
@@ -303,6 +312,17 @@
 	}
 }
 
+// judge holds the record against when the answer began, and has others told
+// if it has drifted.
+func (n *Inquiry) judge(rep *pick.Rep, took clk.Span) {
+	if len(n.ask.Chain) == 0 || n.ask.Tokens == 0 {
+		return
+	}
+	if d, ok := n.r.Fleet.Judge(rep, n.ask.Promise, took); ok && n.r.Tell != nil {
+		n.r.Tell(d)
+	}
+}
+
 func chunk(b, p []byte) []byte {
 	b = strconv.AppendInt(b, int64(len(p)), 16)
 	b = append(b, "\r\n"...)
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -3,6 +3,8 @@
 package relay
 
 import (
+	"bytes"
+	"encoding/gob"
 	"strconv"
 	"sync"
 
@@ -40,6 +42,13 @@
 			v.Fleet.Listed(rs, it.Age)
 		}
 	default:
+		if _, ok := it.Key.Drifted(); ok {
+			var d pick.Drift
+			if gob.NewDecoder(bytes.NewReader(it.Val)).Decode(&d) == nil {
+				v.Fleet.Mend(d, it.Age)
+			}
+			return
+		}
 		if z, ok := it.Key.Evacuated(); ok {
 			v.Fleet.Evacuate(z, string(it.Val) == "on")
 			v.mu.Lock()
--- a/internal/word/word.go
+++ b/internal/word/word.go
@@ -37,12 +37,28 @@
 	// List is the key under which the list travels in the feed.
 	List Key = "list"
 
-	evac = "evacuation/"
+	evac  = "evacuation/"
+	drift = "drift/"
 )
 
 // Evacuation is the key of a locality's evacuation.
 func Evacuation(z Locality) Key { return Key(evac + string(z)) }
 
+// Drift is the key under which news of a replica's drifted record travels.
+func Drift(r Replica) Key { return Key(drift + string(r)) }
+
+// Drifted tells which replica a drift key is about.
+func (k Key) Drifted() (Replica, bool) {
+	s, ok := strings.CutPrefix(string(k), drift)
+	return Replica(s), ok
+}
+
+// Kept tells whether values of the key are kept on disks.
+func (k Key) Kept() bool {
+	_, d := k.Drifted()
+	return k != List && !d
+}
+
 // Evacuated tells which locality an evacuation key is about.
 func (k Key) Evacuated() (Locality, bool) {
 	s, ok := strings.CutPrefix(string(k), evac)
