--- a/internal/pick/audit.go
+++ b/internal/pick/audit.go
@@ -23,7 +23,7 @@
 
 // audit holds a replica's record against how soon its answers begin.
 type audit struct {
-	pace    float64
+	pace    pace
 	proof   int
 	horizon clk.Span
 	weights string
@@ -33,11 +33,10 @@
 // The figures of the audit. They are shares and counts, not times: what is soon
 // is learned from each replica.
 const (
-	paceWeight = 0.1
-	paceFirst  = 8
-	paceLeast  = 256
 	worthShare = 4
-	proofMost  = 4
+	plain      = 3
+	proofMost  = 5
+	proofBack  = 2
 	shrinkMost = 8
 	growShare  = 64
 	tellPause  = 5 * clk.Second
@@ -74,19 +73,23 @@
 	defer f.mu.Unlock()
 	ms := float64(took) / float64(clk.Millisecond)
 	// What waits or reads beside others tells of them, not of the record.
-	if r.load.Waiting > 0 || r.pend > 0 || p.Unread < paceLeast {
+	if r.load.Waiting > 0 || r.pend > 0 {
 		return Drift{}, false
 	}
 	a := &r.audit
-	if p.Tokens*worthShare < p.Unread || a.pace == 0 {
-		a.learn(ms / float64(p.Unread))
+	if p.Tokens*worthShare < p.Unread {
+		a.pace.see(float64(p.Unread), ms)
 		return Drift{}, false
 	}
-	kept, lost := a.pace*float64(p.Unread), a.pace*float64(p.Unread+p.Tokens)
-	if ms <= (kept+lost)/2 {
+	base, per, spread, ok := a.pace.line()
+	lost := per * float64(p.Tokens)
+	// A promise too small beside the spread can't be told from chance.
+	if !ok || lost < plain*spread {
+		return Drift{}, false
+	}
+	if ms <= base+per*float64(p.Unread)+lost/2 {
 		promiseKept.Add(1)
-		a.proof = max(0, a.proof-1)
-		a.learn(ms / float64(p.Unread))
+		a.proof = max(0, a.proof-proofBack)
 		full := f.capacity(r.Service)
 		r.kept.bound(min(full, r.kept.most+full/growShare))
 		return Drift{}, false
@@ -109,18 +112,6 @@
 	return d, true
 }
 
-func (a *audit) learn(x float64) {
-	if a.pace == 0 {
-		a.pace = x
-		return
-	}
-	w := paceWeight
-	if x < a.pace {
-		w *= 2
-	}
-	a.pace += (x - a.pace) * w
-}
-
 // mend forgets all that went unused for as long as what was found missing: a
 // replica gives up first what was unused the longest. The record is bounded by
 // what is left until promises hold again.
--- a/internal/pick/audit_test.go
+++ b/internal/pick/audit_test.go
@@ -60,20 +60,24 @@
 func newWorld(t *testing.T, room int64) *world {
 	f, sim := fleet(t, 1)
 	w := &world{f: f, sim: sim, e: map[word.Replica]*engine{"i-0": newEngine(room)}}
+	for i := range 60 { // as long as nothing is known of a session, the pace is learned
+		w.turn(t, 1000+i)
+	}
 	return w
 }
 
 func (w *world) turn(t *testing.T, session int) {
 	w.n++
-	c := chain(t, fmt.Sprintf("%x:500,%x:400", 100+session, 100000+w.n))
-	a := &Ask{Service: "s", Sticky: true, Chain: c, Tokens: 900}
+	own := int64(100 + w.n*137%900)
+	c := chain(t, fmt.Sprintf("%x:500,%x:%d", 100+session, 100000+w.n, own))
+	a := &Ask{Service: "s", Sticky: true, Chain: c, Tokens: 500 + own}
 	r, err := w.f.Select(a)
 	if err != nil {
 		t.Fatal(err)
 	}
 	took := w.e[r.ID].read(c)
 	w.sim.Move(took + 10*clk.Millisecond)
-	w.f.Begun(r, 900)
+	w.f.Begun(r, a.Tokens)
 	if d, ok := w.f.Judge(r, a.Promise, took); ok {
 		w.told = append(w.told, d)
 	}
@@ -96,7 +100,7 @@
 func TestDriftIsFoundAndMended(t *testing.T) {
 	for name, lose := range map[string]func(w *world){
 		"less room": func(w *world) { w.e["i-0"].kept.bound(2500) },
-		"all lost":  func(w *world) { w.e["i-0"] = newEngine(2500) },
+		"all lost":  func(w *world) { w.e["i-0"] = newEngine(1500) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
