--- /dev/null
+++ b/internal/check/house_test.go
@@ -0,0 +1,91 @@
+package check
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// The layers of the tree: a package may import only those of layers before its
+// own.
+var layers = [][]string{
+	{"clk", "word", "code"},
+	{"spawn", "note", "check"},
+	{"match", "result", "disk", "head", "conf", "boot"},
+	{"wire"},
+	{"keep", "link"},
+	{"feed", "list", "oper"},
+	{"pick", "trace"},
+	{"relay", "ctl"},
+	{"standin", "fleet"},
+}
+
+func layer(pkg string) int {
+	for i, l := range layers {
+		for _, p := range l {
+			if p == pkg {
+				return i
+			}
+		}
+	}
+	return -1
+}
+
+// few names the packages that may import what the others reach through wrappers.
+var few = map[string][]string{
+	"time":    {"clk", "spawn"},
+	"context": {"wire"},
+}
+
+func TestHouse(t *testing.T) {
+	root := "../.."
+	files := 0
+	err := filepath.WalkDir(filepath.Join(root, "internal"), func(p string, d os.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(p, ".go") || strings.HasSuffix(p, "_test.go") {
+			return err
+		}
+		files++
+		pkg := filepath.Base(filepath.Dir(p))
+		if layer(pkg) < 0 {
+			t.Errorf("%s is in no layer", pkg)
+		}
+		set := token.NewFileSet()
+		f, err := parser.ParseFile(set, p, nil, 0)
+		if err != nil {
+			return err
+		}
+		for _, im := range f.Imports {
+			name := strings.Trim(im.Path.Value, `"`)
+			if in, ok := strings.CutPrefix(name, "spoolswitch/internal/"); ok && layer(in) >= layer(pkg) && !(pkg == "spawn" && in == "clk") {
+				t.Errorf("%s imports %s, which is not below it", p, in)
+			}
+			if who, ok := few[name]; ok && !strings.Contains(strings.Join(who, " "), pkg) {
+				t.Errorf("%s imports %s", p, name)
+			}
+		}
+		ast.Inspect(f, func(n ast.Node) bool {
+			switch n.(type) {
+			case *ast.GoStmt:
+				if pkg != "spawn" {
+					t.Errorf("%s starts a goroutine", set.Position(n.Pos()))
+				}
+			case *ast.ChanType, *ast.SelectStmt:
+				if pkg != "spawn" {
+					t.Errorf("%s uses a channel", set.Position(n.Pos()))
+				}
+			}
+			return true
+		})
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if files < 40 {
+		t.Fatalf("only %d files seen", files)
+	}
+}
--- a/internal/keep/net.go
+++ b/internal/keep/net.go
@@ -64,6 +64,9 @@
 // askAll sends m to all in to and returns what had come when done was content.
 func (k *Keeper) askAll(to []word.Node, m Msg, limit clk.Span, done func(map[word.Node]Msg) bool) map[word.Node]Msg {
 	p := &poll{got: map[word.Node]Msg{}, left: len(to), mark: spawn.NewMark()}
+	if len(to) == 0 {
+		return p.got
+	}
 	m.From = k.Self
 	at := clk.Now().Add(limit)
 	for _, n := range to {
--- a/internal/list/duty.go
+++ b/internal/list/duty.go
@@ -24,6 +24,7 @@
 	since  clk.Tick
 	wait   clk.Span
 	done   clk.Tick
+	fails  int
 }
 
 const (
@@ -32,6 +33,8 @@
 	// Pause is the time between two readings.
 	Pause  = 900 * clk.Millisecond
 	vacant = 1500 * clk.Millisecond
+	// patience is how many readings may fail in a row before others try.
+	patience = 3
 )
 
 // Step takes one step: reads the list if the duty is this keeper's, and holds
@@ -56,15 +59,19 @@
 	if d.epoch != at.Epoch {
 		d.epoch, d.seq, d.last = at.Epoch, 0, nil
 	}
-	if d.seq > 0 && clk.Since(d.done) < Pause-Glance/2 {
+	if d.done != 0 && clk.Since(d.done) < Pause-Glance/2 {
 		return
 	}
 	d.done = clk.Now()
 	rs, err := d.Read()
 	if err != nil {
 		note.Counter("list.failed").Add(1)
+		if d.fails++; d.fails <= patience {
+			k.ListSeen()
+		}
 		return
 	}
+	d.fails = 0
 	now := clk.Now()
 	if d.seq > 0 && same(d.last, rs, now.Sub(d.at)) {
 		k.ListSeen()
@@ -105,6 +112,7 @@
 		return []byte(k.Self), keep.Msg{OK: true}
 	})
 	if a.OK {
+		d.fails = 0
 		note.State("list duty won", "node", k.Self)
 	}
 }
--- /dev/null
+++ b/internal/list/duty_test.go
@@ -0,0 +1,100 @@
+package list
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
+	"spoolswitch/internal/keep"
+	"spoolswitch/internal/word"
+)
+
+// alone is the world of a single keeper.
+type alone struct {
+	items map[word.Key]keep.Item
+	recs  [][]byte
+}
+
+func (a *alone) Ask(word.Node, keep.Msg, clk.Span) (keep.Msg, bool) { return keep.Msg{}, false }
+func (a *alone) Publish(it keep.Item) bool {
+	a.items[it.Key] = it
+	return true
+}
+func (a *alone) Known() map[word.Key]word.Place { return nil }
+func (a *alone) Followers() []word.Node         { return nil }
+func (a *alone) Value(k word.Key) ([]byte, word.Place) {
+	return a.items[k].Val, a.items[k].At
+}
+func (a *alone) Append(p []byte) error     { a.recs = append(a.recs, p); return nil }
+func (a *alone) Long(int64) bool           { return false }
+func (a *alone) Rewrite(ps [][]byte) error { return nil }
+
+func newDuty(t *testing.T) (*Duty, *alone, *clk.Sim) {
+	sim := &clk.Sim{}
+	t.Cleanup(sim.Use())
+	w := &alone{items: map[word.Key]keep.Item{}}
+	acc := keep.NewAcceptor()
+	acc.Use(w)
+	if err := acc.Found(keep.Founding([]word.Node{"a"}), nil); err != nil {
+		t.Fatal(err)
+	}
+	k := keep.New("a", acc, w, w)
+	k.Round()
+	return &Duty{Keeper: k, Value: w.Value}, w, sim
+}
+
+// The list is told when it says something new, not each time that it is read.
+func TestToldWhenNew(t *testing.T) {
+	is := is.New(t)
+	d, w, sim := newDuty(t)
+	rs := []Replica{{ID: "i-1", State: "in_service", ColdMs: 3000}}
+	reads := 0
+	d.Read = func() ([]Replica, error) { reads++; return append([]Replica(nil), rs...), nil }
+	step := func(dur clk.Span) uint64 {
+		sim.Move(dur)
+		d.Keeper.Round()
+		d.Step()
+		return w.items[word.List].At.Seq
+	}
+	step(clk.Second) // the duty is vacant: won after a little wait
+	first := step(clk.Second)
+	is.Equal(first, uint64(1))
+	rs[0].ColdMs = 2000
+	is.Equal(step(clk.Second), uint64(1)) // colder by as much as the time that went
+	rs[0].ColdMs = 3000
+	is.Equal(step(clk.Second), uint64(2)) // cold again
+	rs[0].ColdMs = 0
+	is.Equal(step(4*clk.Second), uint64(2))
+	rs[0].State = "draining"
+	is.Equal(step(clk.Second), uint64(3))
+	n := reads
+	step(10 * clk.Millisecond) // never sooner than the pause
+	is.Equal(reads, n)
+}
+
+// A platform that is down does not make the duty go round.
+func TestPlatformDown(t *testing.T) {
+	is := is.New(t)
+	d, w, sim := newDuty(t)
+	d.Read = func() ([]Replica, error) { return nil, code.New(code.ListRefused, "down") }
+	for range 20 {
+		sim.Move(200 * clk.Millisecond)
+		d.Keeper.Round()
+		d.Step()
+	}
+	is.Equal(w.items[word.ListDuty].At.Epoch.Round, uint64(1)) // won once
+	is.True(d.Keeper.ListAge() > clk.Second)                   // and given up for others
+}
+
+func TestReadPages(t *testing.T) {
+	is := is.New(t)
+	is.True(!same([]Replica{{ID: "a"}}, nil, 0))
+	b := Encode([]Replica{{ID: "a", Models: []Model{{"m", 2}}}})
+	rs, ok := Decode(b)
+	is.True(ok)
+	is.Equal(rs[0].Models[0].Version, int64(2))
+	_, ok = Decode([]byte("no list"))
+	is.True(!ok)
+}
