Shared bounds are split among many until told; what forbids is fed first

A relay that starts takes the relays for 32 until a keeper that has run for 4 s tells; evacuations are taken before configurations; keepers without a disk keep all in memory and come back as a lost disk does.

--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -106,12 +106,14 @@
 
 // open opens the disk, as often as it takes.
 func (d *Daemon) open(s *boot.Settings, acc *keep.Acceptor) {
-	if s.DataDir == "" {
-		note.Trouble("no data-dir, not voting")
-		return
-	}
 	for !d.over.Load() {
-		st, err := acc.Open(disk.Dir(s.DataDir))
+		st, err := disk.Empty, error(nil)
+		if s.DataDir == "" {
+			note.Trouble("no data-dir, kept in memory only")
+			acc.Use(keep.Volatile{})
+		} else {
+			st, err = acc.Open(disk.Dir(s.DataDir))
+		}
 		if err != nil {
 			note.Trouble("disk refused", "err", err)
 			clk.Sleep(200 * clk.Millisecond)
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -131,6 +131,18 @@
 	return out
 }
 
+// turn orders the items of one message: what forbids comes before what allows,
+// so that a relay never acts on a configuration without its evacuations.
+func turn(k word.Key) int {
+	switch k {
+	case word.Configuration:
+		return 2
+	case word.List:
+		return 1
+	}
+	return 0
+}
+
 const briefFor = 10 * clk.Second
 
 func (h *Hub) since(n uint64) ([]keep.Item, uint64) {
@@ -149,7 +161,12 @@
 			out = append(out, it)
 		}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Num < out[j].Num })
+	sort.Slice(out, func(i, j int) bool {
+		if a, b := turn(out[i].Key), turn(out[j].Key); a != b {
+			return a < b
+		}
+		return out[i].Num < out[j].Num
+	})
 	return out, h.num
 }
 
--- /dev/null
+++ b/internal/feed/hub_test.go
@@ -0,0 +1,114 @@
+package feed
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"spoolswitch/internal/check"
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/keep"
+	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/word"
+)
+
+type status struct {
+	life uint64
+	sure bool
+}
+
+func (s *status) Life() uint64                        { return s.life }
+func (s *status) Sure(clk.Span) bool                  { return s.sure }
+func (s *status) Relays() int                         { return 3 }
+func (s *status) ListAge() clk.Span                   { return 0 }
+func (s *status) Locals() map[word.Node]word.Locality { return nil }
+
+func item(k word.Key, round, seq uint64, v string) keep.Item {
+	return keep.Item{Key: k, At: word.Place{Epoch: word.Epoch{Round: round, Node: "a"}, Seq: seq}, Val: []byte(v)}
+}
+
+func TestPublishNeverBack(t *testing.T) {
+	is := is.New(t)
+	h := NewHub()
+	is.True(h.Publish(item("k", 2, 1, "new")))
+	is.True(!h.Publish(item("k", 2, 1, "again")))
+	is.True(!h.Publish(item("k", 1, 9, "old")))
+	v, _ := h.Value("k")
+	is.Equal(string(v), "new")
+	is.True(h.Publish(item("k", 2, 2, "newer")))
+}
+
+// Two keepers feed a relay their items in every order: what it has taken never
+// goes back, and ends at the newest.
+func TestTailNeverBack(t *testing.T) {
+	is := is.New(t)
+	n := check.All(t, func() ([]check.Thread, func([]int)) {
+		var took []string
+		tail := &Tail{Take: func(it keep.Item) { took = append(took, string(it.Val)) }}
+		give := func(its ...keep.Item) check.Thread {
+			var fs []func()
+			for _, it := range its {
+				fs = append(fs, func() { tail.Taken(it) })
+			}
+			return check.Steps(fs...)
+		}
+		return []check.Thread{
+				give(item("k", 1, 1, "a"), item("k", 1, 2, "b"), item("k", 2, 1, "c"), item("k", 2, 2, "d")),
+				give(item("k", 1, 2, "b"), item("k", 2, 1, "c"), item("k", 2, 2, "d")),
+				give(item("k", 1, 1, "a"), item("k", 2, 2, "d"))},
+			func(o []int) {
+				for i := 1; i < len(took); i++ {
+					if took[i] <= took[i-1] {
+						t.Errorf("took %v in order %v", took, o)
+					}
+				}
+				if len(took) == 0 || took[len(took)-1] != "d" {
+					t.Errorf("ended at %v in order %v", took, o)
+				}
+			}
+	})
+	is.Equal(n, 1260)
+}
+
+// A relay that follows gets all there is, what forbids before what allows; a
+// keeper that is not sure feeds nothing.
+func TestFollow(t *testing.T) {
+	is := is.New(t)
+	st := &status{life: 7}
+	h := NewHub()
+	h.Status = st
+	h.Publish(item(word.Configuration, 1, 1, "conf"))
+	h.Publish(item(word.List, 1, 1, "list"))
+	h.Publish(item(word.Evacuation("z"), 1, 1, "on"))
+	h.Publish(item(word.Roster, 1, 1, "not for relays"))
+	got := spawn.NewMark()
+	var msgs []keep.Msg
+	spawn.Go(func() {
+		h.Follow(keep.Msg{From: "r"}, func(m keep.Msg) error {
+			msgs = append(msgs, m)
+			if len(msgs) == 2 {
+				got.Set()
+				return errEnd
+			}
+			st.sure = true
+			spawn.Go(h.Check)
+			return nil
+		})
+	})
+	is.True(got.Wait(10 * clk.Second))
+	is.True(!msgs[0].Fresh)
+	is.Equal(len(msgs[0].Items), 0)
+	is.True(msgs[1].Fresh && msgs[1].Snapshot)
+	var keys []word.Key
+	for _, it := range msgs[1].Items {
+		keys = append(keys, it.Key)
+	}
+	is.Equal(keys, []word.Key{word.Evacuation("z"), word.List, word.Configuration})
+	is.Equal(msgs[1].Num, h.Num())
+}
+
+var errEnd = errEnded{}
+
+type errEnded struct{}
+
+func (errEnded) Error() string { return "ended" }
--- a/internal/keep/acceptor.go
+++ b/internal/keep/acceptor.go
@@ -82,7 +82,24 @@
 }
 
 // Use tells the acceptor which store to write to.
-func (a *Acceptor) Use(st Store) { a.st = st }
+func (a *Acceptor) Use(st Store) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.st = st
+}
+
+// Volatile is the store of a keeper without a disk: each start is that of a
+// lost one.
+type Volatile struct{}
+
+// Append keeps nothing.
+func (Volatile) Append([]byte) error { return nil }
+
+// Long is never so.
+func (Volatile) Long(int64) bool { return false }
+
+// Rewrite has nothing to rewrite.
+func (Volatile) Rewrite([][]byte) error { return nil }
 
 // Open opens the disk and takes its records in.
 func (a *Acceptor) Open(fs disk.FS) (disk.State, error) {
--- a/internal/keep/beat.go
+++ b/internal/keep/beat.go
@@ -14,6 +14,11 @@
 // Beat is the pause between two rounds in which a keeper confirms itself.
 const Beat = 400 * clk.Millisecond
 
+const (
+	relayKept  = 10 * clk.Minute
+	countAfter = 4 * clk.Second
+)
+
 const roundLimit = 250 * clk.Millisecond
 
 func (k *Keeper) askAllLater(to []word.Node, m Msg) {
@@ -106,7 +111,7 @@
 		}
 	}
 	for n, at := range k.relays {
-		if clk.Since(at) > 30*clk.Second {
+		if clk.Since(at) > relayKept {
 			delete(k.relays, n)
 		}
 	}
@@ -305,10 +310,14 @@
 	return true
 }
 
-// Relays is how many relays there are, as far as the keepers know.
+// Relays is how many relays there are, as far as the keepers know; 0 while this
+// one has not run long enough to have heard of all.
 func (k *Keeper) Relays() int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if clk.Since(k.local0) < countAfter {
+		return 0
+	}
 	return len(k.relays)
 }
 
--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -43,6 +43,9 @@
 }
 
 const (
+	// relaysMany is how many relays the shared bounds are split among until it
+	// is told.
+	relaysMany   = 32
 	sessionsMost = 20000
 	seenMost     = 50000
 	keptDefault  = 200000
@@ -58,7 +61,7 @@
 
 // NewFleet makes an empty fleet.
 func NewFleet(z word.Locality, idle clk.Span) *Fleet {
-	return &Fleet{Locality: z, Idle: idle, relays: 1, reps: map[word.Replica]*Rep{}, services: map[word.Service][]*Rep{},
+	return &Fleet{Locality: z, Idle: idle, relays: relaysMany, reps: map[word.Replica]*Rep{}, services: map[word.Service][]*Rep{},
 		confs: map[word.Service]*conf.Service{}, evac: map[word.Locality]bool{}, sessions: newLRU[*binding](sessionsMost),
 		seen: newLRU[struct{}](seenMost), trunks: newLRU[*fork](seenMost)}
 }
@@ -148,11 +151,14 @@
 	}
 }
 
-// Relays takes in how many relays there are.
+// Relays takes in how many relays there are; 0 tells nothing.
 func (f *Fleet) Relays(n int) {
+	if n <= 0 {
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.relays = max(1, n)
+	f.relays = n
 }
 
 // Bounds changes the figures of the cold bound and the idle timeout.
--- a/internal/pick/select_test.go
+++ b/internal/pick/select_test.go
@@ -27,6 +27,7 @@
 	t.Cleanup(sim.Use())
 	f := NewFleet("z", 300*clk.Second)
 	f.Overrun, f.Slack = 1.5, 5
+	f.Relays(1)
 	f.Configured(&conf.Table{Services: map[word.Service]*conf.Service{"s": {Name: "s", ColdS: 3, ColdPerS: 20, Engine: &conf.Engine{KVTokens: 10000}}}})
 	f.Listed(replicas(n, "z"), 0)
 	return f, sim
@@ -249,3 +250,14 @@
 	is.True(tokens <= 10000)
 	is.True(f.reps["i-0"].overlap(chain(t, "a:100,b:200"), func(uint64) bool { return false }) == 300) // used last, kept
 }
+
+// Until it is told how many relays there are, a relay takes them for many.
+func TestManyUntilTold(t *testing.T) {
+	is := is.New(t)
+	f := NewFleet("z", clk.Second)
+	is.True(f.Share() >= 30)
+	f.Relays(0)
+	is.True(f.Share() >= 30)
+	f.Relays(11)
+	is.Equal(f.Share(), 11)
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -36,6 +36,7 @@
 func newRig(t *testing.T, plays ...standin.Play) *rig {
 	f := pick.NewFleet("z1", 300*clk.Second)
 	f.Overrun, f.Slack = 1.5, 5
+	f.Relays(1)
 	v := &View{Fleet: f}
 	b := &pick.Budget{Ratio: 0.2, Slack: 10, Window: 10 * clk.Second, Shares: f.Share}
 	g := &rig{t: t, r: NewRelay(v, b, 64, 64, 64)}
