--- a/cmd/spoolctl/main.go
+++ b/cmd/spoolctl/main.go
@@ -11,15 +11,14 @@
 
 	"spoolswitch/internal/code"
 	"spoolswitch/internal/oper"
+	"spoolswitch/internal/proc"
 	"spoolswitch/internal/trace"
 	"spoolswitch/internal/word"
 )
 
-var version = "0.1.0"
-
 func main() {
 	app := kingpin.New("spoolctl", "Checks the settings and configurations of a router fleet, calls it as an operator does, and follows changes through it.")
-	app.Version(version)
+	app.Version(proc.Version)
 	app.HelpFlag.Short('h')
 	limit := app.Flag("limit", "How long to try.").Default("5s").Duration()
 	t := &tool{}
--- a/internal/boot/settings.go
+++ b/internal/boot/settings.go
@@ -11,6 +11,7 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/pelletier/go-toml/v2"
 
+	"spoolswitch/internal/cal"
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
 	"spoolswitch/internal/word"
@@ -130,6 +131,11 @@
 	if len(s.Ports) == 2 && s.Ports[1] < s.Ports[0]+2 {
 		out = append(out, code.New(code.BadSettings, "internal-ports hold fewer than three"))
 	}
+	if s.Calendar.Rewrite != "" {
+		if _, err := cal.Parse(s.Calendar.Rewrite); err != nil {
+			out = append(out, code.New(code.BadSettings, "calendar.rewrite: %v", err))
+		}
+	}
 	if s.Session.IdleS == 0 {
 		s.Session.IdleS = 300
 	}
--- a/internal/boot/watch_test.go
+++ b/internal/boot/watch_test.go
@@ -33,6 +33,10 @@
 	is.Equal(string(s.Keeper("10.0.0.9:80")), "10.0.0.9:7000")
 	_, errs = Parse([]byte("node-name = \"a\"\nip = \"x\"\ninternal-ports = [1]\n"))
 	is.True(len(errs) >= 5) // every fault
+	_, errs = Parse([]byte(settings("a") + "[calendar]\nrewrite = \"often\"\n"))
+	is.Equal(len(errs), 1)
+	_, errs = Parse([]byte(settings("a") + "[calendar]\nrewrite = \"0 3 * * *\"\n"))
+	is.Equal(len(errs), 0)
 	_, errs = Parse([]byte("= no toml"))
 	is.Equal(len(errs), 1)
 }
--- a/internal/check/house_test.go
+++ b/internal/check/house_test.go
@@ -15,13 +15,13 @@
 var layers = [][]string{
 	{"clk", "word", "code"},
 	{"spawn", "note", "check"},
-	{"match", "result", "disk", "head", "conf", "boot"},
-	{"wire"},
+	{"match", "result", "disk", "head", "conf", "cal"},
+	{"wire", "boot"},
 	{"keep", "link"},
 	{"feed", "list", "oper"},
 	{"pick", "trace"},
 	{"relay", "ctl"},
-	{"standin", "fleet"},
+	{"standin", "fleet", "proc"},
 }
 
 func layer(pkg string) int {
--- a/internal/clk/clk.go
+++ b/internal/clk/clk.go
@@ -58,8 +58,16 @@
 // Past is a connection deadline that has passed already.
 func Past() time.Time { return time.Unix(1, 0) }
 
+// Moment is a moment of the time of day.
+type Moment = time.Time
+
+// On makes a moment.
+func On(year, month, day, hour, minute int) Moment {
+	return time.Date(year, time.Month(month), day, hour, minute, 0, 0, time.UTC)
+}
+
 // Day is the time of day. It may jump; nothing but calendars may use it.
-func Day() time.Time { return time.Now() }
+func Day() Moment { return time.Now() }
 
 // Sleep waits for d.
 func Sleep(d Span) { time.Sleep(d) }
--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"spoolswitch/internal/boot"
+	"spoolswitch/internal/cal"
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
 	"spoolswitch/internal/conf"
@@ -100,6 +101,7 @@
 		duty.Step()
 		return !d.over.Load()
 	})
+	d.calendar(s.Calendar.Rewrite, acc)
 	note.State("keeper up", "node", self, "voting", acc.Voting())
 	return d, nil
 }
@@ -157,6 +159,27 @@
 	d.Keeper.Acceptor().Close()
 }
 
+// calendar has the log rewritten when the calendar says so.
+func (d *Daemon) calendar(when string, acc *keep.Acceptor) {
+	if when == "" {
+		return
+	}
+	c, err := cal.Parse(when)
+	if err != nil {
+		return
+	}
+	spawn.Every(20*clk.Second, func() bool {
+		if c.Due(clk.Day()) {
+			if err := acc.Rewrite(); err != nil {
+				note.Trouble("log not rewritten", "err", err)
+			} else {
+				note.State("log rewritten")
+			}
+		}
+		return !d.over.Load()
+	})
+}
+
 // label names the edition or the state that a value holds.
 func label(key word.Key, val []byte) string {
 	if key == word.Configuration {
--- /dev/null
+++ b/internal/proc/proc.go
@@ -0,0 +1,53 @@
+// Package proc is what the daemons' programs have in common: command line,
+// settings, signals, counters.
+package proc
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"spoolswitch/internal/boot"
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/note"
+	"spoolswitch/internal/spawn"
+)
+
+// Version is the version of all programs.
+const Version = "0.1.0"
+
+// Daemon is what a program runs.
+type Daemon interface {
+	Take(*boot.Settings)
+	Stop()
+}
+
+// Main runs a daemon until it is told to stop.
+func Main(name, help string, start func(*boot.Settings) (Daemon, error)) {
+	app := kingpin.New(name, help+" Settings are read from the file that "+boot.Env+" names.")
+	app.Version(Version)
+	app.HelpFlag.Short('h')
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	s, errs := boot.Load()
+	if len(errs) > 0 {
+		for _, err := range errs {
+			fmt.Fprintln(os.Stderr, err)
+		}
+		os.Exit(2)
+	}
+	d, err := start(s)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	done := spawn.NewMark()
+	w := &boot.Watch{Path: os.Getenv(boot.Env), Take: d.Take}
+	w.Run()
+	spawn.Signals(done.Set, w.Look)
+	for !done.Wait(clk.Minute) {
+		note.Sum()
+	}
+	d.Stop()
+	note.Sum()
+}
--- a/internal/relay/caller.go
+++ b/internal/relay/caller.go
@@ -139,10 +139,7 @@
 		return false
 	}
 	n := &Inquiry{Head: q, Body: body, k: k, r: k.r, begun: begun, done: spawn.NewMark()}
-	if !k.r.enter() {
-		k.write(result.Of(code.Leaving, "").For(q.Field(head.AttemptID)).Later(k.r.back()).Last().Append(nil))
-		return false
-	}
+	k.r.enter()
 	defer k.r.exit()
 	if !k.r.senders.Try(func() {
 		n.run()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -87,11 +87,10 @@
 	return true
 }
 
-func (r *Relay) enter() bool {
+func (r *Relay) enter() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.active++
-	return true
 }
 
 func (r *Relay) exit() {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -14,10 +14,11 @@
 )
 
 const (
-	dialLimit = 300 * clk.Millisecond
-	holdStep  = 15 * clk.Millisecond
-	wholeMost = 256 << 10
-	reachMost = 4
+	dialLimit  = 300 * clk.Millisecond
+	holdStep   = 15 * clk.Millisecond
+	plainMost  = 8 << 20
+	turnedMost = 64 << 10
+	reachMost  = 4
 )
 
 // verdict is how one send to a replica ended.
@@ -156,7 +157,7 @@
 	a, err := c.Answer(n.id)
 	if err != nil {
 		rep.Pool.Drop(c)
-		return n.broke(err)
+		return n.broke()
 	}
 	n.r.Fleet.Begun(rep, n.ask.Tokens)
 	if v := a.Field(head.Load); len(v) > 0 {
@@ -192,7 +193,8 @@
 	return n.pass(rep, c, a)
 }
 
-func (n *Inquiry) broke(err error) (verdict, pick.Outcome) {
+// broke tells what an answer that ended early comes to.
+func (n *Inquiry) broke() (verdict, pick.Outcome) {
 	if n.deserted() {
 		n.last = true
 		return over, pick.CutByCaller
@@ -202,7 +204,6 @@
 		n.fail(code.PastLimit)
 		return over, pick.CutByCaller
 	}
-	_ = err
 	return mayHave, pick.Broke
 }
 
@@ -212,7 +213,7 @@
 	if a.Status == 421 {
 		o = pick.Stranger
 	}
-	if _, err := c.Body(a).ReadAll(64 << 10); err != nil {
+	if _, err := c.Body(a).ReadAll(turnedMost); err != nil {
 		rep.Pool.Drop(c)
 		return notRun, o
 	}
@@ -222,10 +223,10 @@
 
 // pass passes a plain answer on, whole.
 func (n *Inquiry) pass(rep *pick.Rep, c *link.Conn, a *head.Answer) (verdict, pick.Outcome) {
-	body, err := c.Body(a).ReadAll(8 << 20)
+	body, err := c.Body(a).ReadAll(plainMost)
 	if err != nil {
 		rep.Pool.Drop(c)
-		return n.broke(err)
+		return n.broke()
 	}
 	rep.Pool.Give(c, a)
 	n.finish()
@@ -299,16 +300,7 @@
 			continue
 		}
 		rep.Pool.Drop(c)
-		if n.deserted() {
-			n.last = true
-			return over, pick.CutByCaller
-		}
-		if clk.Now() >= n.limit {
-			n.ran = true
-			n.fail(code.PastLimit)
-			return over, pick.CutByCaller
-		}
-		return mayHave, pick.Broke
+		return n.broke()
 	}
 }
 
