--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"syscall"
 
@@ -20,7 +21,7 @@
 	readSize    = 4096
 	idleDefault = 4 * clk.Second
 	idleMargin  = 500 * clk.Millisecond
-	alive       = 2 * clk.Second
+	alive       = clk.Second
 	strangers   = 2
 )
 
@@ -112,5 +113,11 @@
 // Body is the reader of the answer's body.
 func (k *Conn) Body(a *head.Answer) *head.Body { return head.NewBody(k.br, a.Framing) }
 
+// Unheard tells whether an error says that the other end's machine has not even
+// taken notice of what was sent.
+func Unheard(err error) bool {
+	return errors.Is(err, unix.ETIMEDOUT) || errors.Is(err, unix.EHOSTUNREACH)
+}
+
 // Cut closes the connection at once.
 func (k *Conn) Cut() { _ = k.c.Close() }
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -104,13 +104,22 @@
 	}
 }
 
-// Shut closes the idle connections; those in use are closed when given back.
-func (p *Pool) Shut() {
+// Flush closes the idle connections: those to a replica that went silent would
+// swallow what is sent on them.
+func (p *Pool) Flush() {
 	p.mu.Lock()
 	idle := p.idle
-	p.idle, p.shut = nil, true
+	p.idle = nil
 	p.mu.Unlock()
 	for _, k := range idle {
 		p.Drop(k)
 	}
 }
+
+// Shut closes the idle connections; those in use are closed when given back.
+func (p *Pool) Shut() {
+	p.mu.Lock()
+	p.shut = true
+	p.mu.Unlock()
+	p.Flush()
+}
--- a/internal/pick/rep.go
+++ b/internal/pick/rep.go
@@ -62,6 +62,12 @@
 	return r.press(now) >= slots
 }
 
+// up tells whether the replica may be tried: one that was down gets one inquiry
+// at a time until it has answered again.
+func (r *Rep) up(now clk.Tick) bool {
+	return r.downAt == 0 || (now >= r.down && r.running == 0)
+}
+
 func (r *Rep) isCold(now clk.Tick) bool { return now < r.cold }
 
 // spare tells whether one more may be sent within this relay's share of the
--- a/internal/pick/select.go
+++ b/internal/pick/select.go
@@ -82,7 +82,7 @@
 	share := f.coldShare(a.Service)
 	var able []*Rep
 	for _, r := range fit {
-		if now >= r.down && r.spare(now, share) && !r.full(now) {
+		if r.up(now) && r.spare(now, share) && !r.full(now) {
 			able = append(able, r)
 		}
 	}
--- a/internal/pick/select_test.go
+++ b/internal/pick/select_test.go
@@ -261,3 +261,25 @@
 	f.Relays(11)
 	is.Equal(f.Share(), 11)
 }
+
+// A replica that was down is tried by one inquiry at a time until it answers.
+func TestOneTrial(t *testing.T) {
+	is := is.New(t)
+	f, sim := fleet(t, 1)
+	ask := func() (*Rep, error) { return f.Select(&Ask{Service: "s"}) }
+	r, err := ask()
+	is.NoErr(err)
+	f.Done(r, Silent)
+	_, err = ask()
+	is.True(err != nil) // down
+	sim.Move(clk.Second)
+	r, err = ask()
+	is.NoErr(err)
+	_, err = ask()
+	is.True(err != nil) // one is on trial
+	f.Done(r, Fine)
+	for range 3 {
+		_, err = ask()
+		is.NoErr(err)
+	}
+}
--- a/internal/pick/vitals.go
+++ b/internal/pick/vitals.go
@@ -54,6 +54,9 @@
 // Done gives the place at a replica back and takes note of its vitals.
 func (f *Fleet) Done(r *Rep, o Outcome) {
 	outcomes[o].Add(1)
+	if o == Unreached || o == Silent {
+		defer r.Pool.Flush()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := clk.Now()
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -157,7 +157,7 @@
 	a, err := c.Answer(n.id)
 	if err != nil {
 		rep.Pool.Drop(c)
-		return n.broke()
+		return n.broke(err)
 	}
 	n.r.Fleet.Begun(rep, n.ask.Tokens)
 	if v := a.Field(head.Load); len(v) > 0 {
@@ -194,7 +194,7 @@
 }
 
 // broke tells what an answer that ended early comes to.
-func (n *Inquiry) broke() (verdict, pick.Outcome) {
+func (n *Inquiry) broke(err error) (verdict, pick.Outcome) {
 	if n.deserted() {
 		n.last = true
 		return over, pick.CutByCaller
@@ -204,6 +204,9 @@
 		n.fail(code.PastLimit)
 		return over, pick.CutByCaller
 	}
+	if link.Unheard(err) {
+		return mayHave, pick.Silent
+	}
 	return mayHave, pick.Broke
 }
 
@@ -226,7 +229,7 @@
 	body, err := c.Body(a).ReadAll(plainMost)
 	if err != nil {
 		rep.Pool.Drop(c)
-		return n.broke()
+		return n.broke(err)
 	}
 	rep.Pool.Give(c, a)
 	n.finish()
@@ -300,7 +303,7 @@
 			continue
 		}
 		rep.Pool.Drop(c)
-		return n.broke()
+		return n.broke(err)
 	}
 }
 
