--- /dev/null
+++ b/internal/link/pool_test.go
@@ -0,0 +1,109 @@
+package link
+
+import (
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/head"
+	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/word"
+)
+
+// host accepts connections and hands them to the test.
+func host(t *testing.T) (word.Addr, func() net.Conn) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return word.Addr(l.Addr().String()), func() net.Conn {
+		c, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+}
+
+func TestIdleIsUsedAgain(t *testing.T) {
+	is := is.New(t)
+	a, accept := host(t)
+	p := &Pool{Addr: a}
+	k, err := p.Get(clk.Second)
+	is.NoErr(err)
+	accept()
+	p.Give(k, &head.Answer{})
+	again, err := p.Get(clk.Second)
+	is.NoErr(err)
+	is.True(again == k)
+	is.Equal(p.Open(), 1)
+	p.Give(again, &head.Answer{Close: true}) // says that it closes
+	is.Equal(p.Open(), 0)
+}
+
+// What has come on an idle connection, or its end, means that it is not used.
+func TestSpoiltIsNotUsed(t *testing.T) {
+	for name, spoil := range map[string]func(net.Conn){
+		"surplus": func(c net.Conn) { _, _ = c.Write([]byte("HTTP/1.1 200 OK\r\n")) },
+		"closed":  func(c net.Conn) { _ = c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a, accept := host(t)
+			p := &Pool{Addr: a}
+			k, err := p.Get(clk.Second)
+			is.NoErr(err)
+			spoil(accept())
+			for k.quiet() {
+			}
+			p.Give(k, &head.Answer{})
+			next, err := p.Get(clk.Second)
+			is.NoErr(err)
+			is.True(next != k)
+		})
+	}
+}
+
+func TestKeepAliveIsHeeded(t *testing.T) {
+	is := is.New(t)
+	sim := &clk.Sim{}
+	a, accept := host(t)
+	p := &Pool{Addr: a}
+	k, err := p.Get(clk.Second)
+	is.NoErr(err)
+	accept()
+	t.Cleanup(sim.Use())
+	p.Give(k, &head.Answer{Alive: 2 * clk.Second})
+	sim.Move(1600 * clk.Millisecond) // short of it by less than the margin
+	p.mu.Lock()
+	idle := p.idle[0]
+	p.mu.Unlock()
+	is.True(clk.Now() >= idle.until)
+	p.Shut()
+	is.Equal(p.Open(), 0)
+}
+
+// An answer to another try is passed over, and ends the connection's use.
+func TestStranger(t *testing.T) {
+	is := is.New(t)
+	a, accept := host(t)
+	p := &Pool{Addr: a}
+	k, err := p.Get(clk.Second)
+	is.NoErr(err)
+	c := accept()
+	spawn.Go(func() {
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 2\r\n\r\nno" +
+			"HTTP/1.1 200 OK\r\nAttempt-Id: mine\r\nContent-Length: 3\r\n\r\nyes"))
+	})
+	k.Limit(clk.Now().Add(10 * clk.Second))
+	ans, err := k.Answer([]byte("mine"))
+	is.NoErr(err)
+	b, err := k.Body(ans).ReadAll(10)
+	is.NoErr(err)
+	is.Equal(string(b), "yes")
+	p.Give(k, ans)
+	is.Equal(p.Open(), 0)
+}
--- a/internal/spawn/turn.go
+++ b/internal/spawn/turn.go
@@ -63,3 +63,10 @@
 	p.got = true
 	p.m.Set()
 }
+
+// waiting is how many wait.
+func (t *Turn) waiting() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.line)
+}
