--- /dev/null
+++ b/internal/keep/keeper_test.go
@@ -0,0 +1,264 @@
+package keep
+
+import (
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
+	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/word"
+)
+
+// net joins keepers in one process; pairs of them can be cut apart.
+type net struct {
+	mu  sync.Mutex
+	ks  map[word.Node]*Keeper
+	cut map[[2]word.Node]bool
+}
+
+type end struct {
+	n    *net
+	self word.Node
+}
+
+func (e end) Ask(to word.Node, m Msg, limit clk.Span) (Msg, bool) {
+	e.n.mu.Lock()
+	k := e.n.ks[to]
+	off := e.n.cut[[2]word.Node{e.self, to}] || e.n.cut[[2]word.Node{to, e.self}]
+	e.n.mu.Unlock()
+	if k == nil || off {
+		return Msg{}, false
+	}
+	var a Msg
+	done := spawn.NewMark()
+	spawn.Go(func() {
+		a = k.Handle(m)
+		done.Set()
+	})
+	if !done.Wait(limit) {
+		return Msg{}, false
+	}
+	return a, true
+}
+
+func (n *net) part(a word.Node, from ...word.Node) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, b := range from {
+		n.cut[[2]word.Node{a, b}] = true
+	}
+}
+
+func (n *net) join() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = map[[2]word.Node]bool{}
+}
+
+// shelf is a disk that can stall or refuse.
+type shelf struct {
+	page
+	mu     sync.Mutex
+	stall  *spawn.Mark
+	refuse bool
+}
+
+func (s *shelf) Append(b []byte) error {
+	s.mu.Lock()
+	m, no := s.stall, s.refuse
+	s.mu.Unlock()
+	if m != nil {
+		m.Wait(5 * clk.Second)
+		m.Set()
+	}
+	if no {
+		return code.New(code.DiskRefused, "full")
+	}
+	return s.page.Append(b)
+}
+
+func (s *shelf) set(stall *spawn.Mark, refuse bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stall, s.refuse = stall, refuse
+}
+
+// sink is a feed without relays.
+type sink struct {
+	mu    sync.Mutex
+	items map[word.Key]Item
+	back  bool
+}
+
+func (s *sink) Publish(it Item) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if have, ok := s.items[it.Key]; ok && !have.At.Less(it.At) {
+		return false
+	}
+	s.items[it.Key] = it
+	return true
+}
+
+func (s *sink) Known() map[word.Key]word.Place {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[word.Key]word.Place{}
+	for k, it := range s.items {
+		out[k] = it.At
+	}
+	return out
+}
+
+func (s *sink) Followers() []word.Node { return nil }
+
+func (s *sink) Value(k word.Key) ([]byte, word.Place) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[k].Val, s.items[k].At
+}
+
+type core struct {
+	n  *net
+	ks map[word.Node]*Keeper
+	st map[word.Node]*shelf
+	si map[word.Node]*sink
+}
+
+func newCore(t *testing.T) *core {
+	c := &core{n: &net{ks: map[word.Node]*Keeper{}, cut: map[[2]word.Node]bool{}}, ks: map[word.Node]*Keeper{}, st: map[word.Node]*shelf{}, si: map[word.Node]*sink{}}
+	for _, n := range three.Seat {
+		acc := NewAcceptor()
+		c.st[n], c.si[n] = &shelf{}, &sink{items: map[word.Key]Item{}}
+		acc.Use(c.st[n])
+		if err := acc.Found(three, nil); err != nil {
+			t.Fatal(err)
+		}
+		k := New(n, acc, end{c.n, n}, c.si[n])
+		k.Founders = three.Seat
+		k.Decider = func(_ word.Key, o *Order) Decide {
+			return func(cur []byte) ([]byte, Msg) {
+				if o.Query {
+					return nil, Msg{OK: true, Val: cur}
+				}
+				if string(cur) == string(o.Body) {
+					return nil, Msg{OK: true}
+				}
+				if len(cur) != int(o.Base) {
+					return nil, Msg{Code: code.OtherEdition}
+				}
+				return o.Body, Msg{OK: true}
+			}
+		}
+		c.ks[n] = k
+		c.n.ks[n] = k
+	}
+	return c
+}
+
+const kk word.Key = "k"
+
+func (c *core) put(n word.Node, base int, v string) Msg {
+	return c.ks[n].Change(kk, &Order{Base: word.Edition(base), Body: []byte(v)}, clk.Now().Add(900*clk.Millisecond))
+}
+
+func (c *core) get(n word.Node) (string, bool) {
+	a := c.ks[n].Change(kk, &Order{Query: true}, clk.Now().Add(900*clk.Millisecond))
+	return string(a.Val), a.OK
+}
+
+// An owner that was cut off or frozen finds itself fenced: it neither changes
+// nor answers from what it had, and learns what came meanwhile.
+func TestFencedOwner(t *testing.T) {
+	is := is.New(t)
+	c := newCore(t)
+	is.True(c.put("a", 0, "1").OK)
+	c.n.part("a", "b", "c")
+	is.True(!c.put("a", 1, "xx").OK)
+	_, ok := c.get("a")
+	is.True(!ok)
+	is.True(c.put("b", 1, "22").OK)
+	c.n.join()
+	is.Equal(c.put("a", 1, "yy").Code, code.OtherEdition)
+	v, ok := c.get("a")
+	is.True(ok)
+	is.Equal(v, "22")
+	v, _ = c.get("c")
+	is.Equal(v, "22")
+}
+
+// What the cut-off owner had on its own disk only is never in force beside what
+// came meanwhile.
+func TestHalfDoneChange(t *testing.T) {
+	is := is.New(t)
+	c := newCore(t)
+	is.True(c.put("a", 0, "1").OK)
+	c.n.part("a", "b", "c")
+	is.True(!c.put("a", 1, "xx").OK) // on the disk of a, no more
+	c.n.join()
+	c.ks["b"].Round() // finds it, takes it up or not, but for all alike
+	first, ok := c.get("c")
+	is.True(ok)
+	for _, n := range three.Seat {
+		v, ok := c.get(n)
+		is.True(ok)
+		is.Equal(v, first)
+	}
+	is.True(first == "1" || first == "xx")
+}
+
+// A disk that stalls holds up neither the others nor what is asked of its keeper.
+func TestStalledDisk(t *testing.T) {
+	for _, slow := range three.Seat {
+		is := is.New(t)
+		c := newCore(t)
+		is.True(c.put("a", 0, "1").OK)
+		m := spawn.NewMark()
+		c.st[slow].set(m, false)
+		got := c.put("a", 1, "22")
+		if !got.OK { // a caller tries another
+			got = c.put("b", 1, "22")
+		}
+		is.True(got.OK)
+		v, ok := c.get("b")
+		is.True(ok)
+		is.Equal(v, "22")
+		c.st[slow].set(nil, false)
+		m.Set()
+	}
+}
+
+// A full disk is never part of the majority that acknowledges.
+func TestFullDisks(t *testing.T) {
+	is := is.New(t)
+	c := newCore(t)
+	is.True(c.put("a", 0, "1").OK)
+	c.st["b"].set(nil, true)
+	is.True(c.put("a", 1, "22").OK)
+	c.st["c"].set(nil, true)
+	is.True(!c.put("a", 2, "333").OK)
+	c.st["b"].set(nil, false)
+	got := c.put("b", 2, "333")
+	is.True(got.OK)
+	v, _ := c.get("a")
+	is.Equal(v, "333")
+}
+
+// A keeper that missed a change finds it in its next round.
+func TestMissedChange(t *testing.T) {
+	is := is.New(t)
+	c := newCore(t)
+	is.True(c.put("a", 0, "1").OK)
+	c.n.part("c", "a", "b")
+	is.True(c.put("a", 1, "22").OK)
+	c.ks["c"].Round()
+	is.True(!c.ks["c"].Sure(clk.Second)) // alone it is not sure
+	c.n.join()
+	c.ks["c"].Round()
+	is.True(c.ks["c"].Sure(clk.Second))
+	v, _ := c.si["c"].Value(kk)
+	is.Equal(string(v), "22")
+}
