--- a/internal/head/event.go
+++ b/internal/head/event.go
@@ -66,6 +66,9 @@
 // Left tells whether part of an event is held.
 func (e *Events) Left() bool { return len(e.buf) > 0 }
 
+// Held is how many bytes of a part are held.
+func (e *Events) Held() int { return len(e.buf) }
+
 // Cut forgets a part of an event that will not be whole any more.
 func (e *Events) Cut() { e.buf = nil }
 
--- a/internal/relay/caller.go
+++ b/internal/relay/caller.go
@@ -32,6 +32,7 @@
 const (
 	writeLimit  = 10 * clk.Second
 	longestHead = 64 << 10
+	chunkedRoom = 256 << 10
 )
 
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 16<<10) }}
@@ -128,6 +129,18 @@
 // connection ends.
 func (k *Caller) inquiry(q *head.Inquiry, lim conf.Limits) bool {
 	begun := clk.Now()
+	room := q.Length
+	if q.Chunked {
+		room = int64(min(lim.BodyBytes, chunkedRoom))
+	}
+	if room <= int64(lim.BodyBytes) {
+		if !k.r.reserve(room) {
+			k.write(result.Of(code.HoldingFull, "").For(q.Field(head.AttemptID)).Later(k.r.back()).Last().Append(nil))
+			k.linger()
+			return false
+		}
+		defer k.r.release(room)
+	}
 	if q.Expect && !q.None {
 		k.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -54,6 +54,7 @@
 		Window: clk.Ms(s.Bounds.RetryWindowS * 1000), Shares: f.Share}
 	most := max(32, (s.Limits.Descriptors-200)/3)
 	d := &Daemon{Relay: NewRelay(v, b, most, most, most), s: s}
+	d.Relay.BodiesMost = s.Limits.MemoryMB << 20 / 4
 	d.Tail = &feed.Tail{Self: s.Node, Addr: s.Inner(s.IP, 1), IP: s.IP, Locality: s.Zone, Take: v.Take,
 		Heard: func(n int, _ clk.Span) { f.Relays(n) }, Seeds: d.seeds}
 	d.Relay.Tell = func(x pick.Drift) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -21,7 +21,11 @@
 	// Tell has other relays told that a record has drifted.
 	Tell func(pick.Drift)
 
+	// BodiesMost bounds the bytes of callers' bodies that are held at once.
+	BodiesMost int64
+
 	senders *spawn.Pool
+	bodies  int64
 	sizes   pick.Sizes
 	mu      sync.Mutex
 	leaving bool
@@ -87,6 +91,23 @@
 	return true
 }
 
+// reserve takes room for a body; false if there is none. Most 0 is no bound.
+func (r *Relay) reserve(n int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.BodiesMost > 0 && r.bodies+n > r.BodiesMost {
+		return false
+	}
+	r.bodies += n
+	return true
+}
+
+func (r *Relay) release(n int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.bodies -= n
+}
+
 func (r *Relay) enter() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -549,3 +549,38 @@
 		is.Equal(n, 1)
 	}
 }
+
+// Bodies over the room for them are rejected before they are read, and room
+// comes back.
+func TestRoomForBodies(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, standin.Well)
+	g.r.BodiesMost = 10
+	r, err := g.ask("/safe/", "id1")
+	is.NoErr(err)
+	is.Equal(r.Status, 200)
+	k := standin.Call(g.addr)
+	defer k.Close()
+	r, err = k.Ask(host, "/safe/", "id2", "a body of more than ten")
+	is.NoErr(err)
+	is.Equal(r.Status, 503)
+	is.True(r.Close && r.Back != "")
+	is.Equal(g.arrivals(), 1)
+	until(t, "room", func() bool { return g.r.reserve(10) })
+}
+
+// A replica that sends one event without an end is left.
+func TestEndlessEvent(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, func(w net.Conn, g standin.Got) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n%sTransfer-Encoding: chunked\r\n\r\n", g.ID, standin.Seal)
+		for {
+			if _, err := fmt.Fprintf(w, "10000\r\n%s\r\n", strings.Repeat("x", 0x10000)); err != nil {
+				return false
+			}
+		}
+	})
+	r, err := g.ask("/stream/", "id1")
+	is.NoErr(err)
+	is.Equal(r.Status, 502)
+}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -18,6 +18,7 @@
 	holdStep   = 15 * clk.Millisecond
 	plainMost  = 8 << 20
 	turnedMost = 64 << 10
+	eventMost  = 1 << 20
 	reachMost  = 4
 )
 
@@ -271,6 +272,10 @@
 				n.judge(rep, clk.Since(sent))
 			}
 			out = out[:0]
+			if n.events.Held() > eventMost {
+				rep.Pool.Drop(c)
+				return mayHave, pick.Broke
+			}
 			if !n.first && len(ev) > 0 {
 				n.finish()
 				out = a.Append(out, -1, n.last)
