--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
 	"runtime"
 	"strings"
 	"sync"
@@ -430,3 +431,27 @@
 	is.Equal(f.ask(1, "/a/x"), 200)
 	is.Equal(f.ask(2, "/a/x"), 200)
 }
+
+// A record that went bad under others takes its keeper out of the voting until
+// it has read the others.
+func TestCorruptDisk(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3, 0)
+	for e := range 3 {
+		is.Equal(f.insist(1, replace, e, doc(e+1, fmt.Sprintf("/p%d/", e))), 200)
+	}
+	f.stopKeepers(1, 2, 3)
+	p := f.dirs[2] + "/keep.log"
+	b, err := os.ReadFile(p)
+	is.NoErr(err)
+	b[len(b)/2] ^= 0x40
+	is.NoErr(os.WriteFile(p, b, 0o600))
+	f.startKeeper(2, false)
+	f.startKeeper(1, false)
+	is.True(!f.keepers[2].Keeper.Acceptor().Voting())
+	st, _ := f.call(1, "GET", retrieve, -1, "")
+	is.Equal(st, 503) // one voting keeper of three is no majority
+	f.startKeeper(3, false)
+	f.until("the way back", func() bool { return f.keepers[2].Keeper.Acceptor().Voting() })
+	is.Equal(f.read(2), doc(3, "/p2/"))
+}
