--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -190,6 +190,15 @@
 	return int((c.ColdPerS*f.Overrun + f.Slack) * 0.9 / float64(f.relays))
 }
 
+// connShare is this relay's share of the connections that a replica bears.
+func (f *Fleet) connShare(s word.Service) int {
+	c := f.confs[s]
+	if c == nil || c.MaxConns <= 0 {
+		return 1 << 30
+	}
+	return max(1, c.MaxConns*9/10/f.relays)
+}
+
 // Gauges are the counts that the design's source exports, from our tables.
 func (f *Fleet) Gauges() (sessions int, tokens int64) {
 	f.mu.Lock()
--- a/internal/pick/select.go
+++ b/internal/pick/select.go
@@ -79,10 +79,10 @@
 	if len(fit) == 0 {
 		return nil, code.New(code.NoReplica, "%s", a.Service)
 	}
-	share := f.coldShare(a.Service)
+	share, conns := f.coldShare(a.Service), f.connShare(a.Service)
 	var able []*Rep
 	for _, r := range fit {
-		if r.up(now) && r.spare(now, share) && !r.full(now) {
+		if r.up(now) && r.spare(now, share) && r.running < conns && !r.full(now) {
 			able = append(able, r)
 		}
 	}
--- a/internal/pick/select_test.go
+++ b/internal/pick/select_test.go
@@ -283,3 +283,21 @@
 		is.NoErr(err)
 	}
 }
+
+// The connections that a replica bears are shared out as well.
+func TestConnectionsAreShared(t *testing.T) {
+	is := is.New(t)
+	f, _ := fleet(t, 1)
+	f.Configured(&conf.Table{Services: map[word.Service]*conf.Service{"s": {Name: "s", MaxConns: 40}}})
+	f.Relays(11)
+	n := 0
+	for range 50 {
+		if _, err := f.Select(&Ask{Service: "s"}); err == nil {
+			n++
+		}
+	}
+	is.Equal(n, 3)
+	f.Relays(100)
+	_, err := f.Select(&Ask{Service: "s"})
+	is.Equal(code.Of(err), code.HoldingFull)
+}
