--- a/cmd/spoolctl/main.go
+++ b/cmd/spoolctl/main.go
@@ -18,7 +18,7 @@
 
 func main() {
 	app := kingpin.New("spoolctl", "Checks the settings and configurations of a router fleet, calls it as an operator does, and follows changes through it.")
-	app.Version(proc.Version)
+	app.Version(proc.Release)
 	app.HelpFlag.Short('h')
 	limit := app.Flag("limit", "How long to try.").Default("5s").Duration()
 	t := &tool{}
--- a/cmd/spoolctl/tool.go
+++ b/cmd/spoolctl/tool.go
@@ -19,13 +19,11 @@
 	"spoolswitch/internal/word"
 )
 
-// tool is what the command line has been read into.
 type tool struct {
 	file, old, fresh *string
 	exit             int
 }
 
-// do turns a command into an action; its error is printed with its code.
 func (t *tool) do(fn func() error) kingpin.Action {
 	return func(*kingpin.ParseContext) error {
 		if err := fn(); err != nil {
--- a/internal/boot/settings.go
+++ b/internal/boot/settings.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
@@ -38,8 +39,8 @@
 
 // Tolerance is what may be lost at once.
 type Tolerance struct {
-	Machines int `toml:"machine-losses" validate:"gte=0"`
-	Zones    int `toml:"zones" validate:"gte=0"`
+	Machines   int `toml:"machine-losses" validate:"gte=0"`
+	Localities int `toml:"zones" validate:"gte=0"`
 }
 
 // Bounds are the figures of the rules.
@@ -74,23 +75,23 @@
 
 // Settings are all that a daemon is told.
 type Settings struct {
-	Node      word.Node         `toml:"node-name" validate:"required"`
-	Role      string            `toml:"node-role"`
-	IP        string            `toml:"ip" validate:"required,ipv4"`
-	Zone      word.Locality     `toml:"zone" validate:"required"`
-	Ports     []int             `toml:"internal-ports" validate:"len=2,dive,gte=1,lte=65535"`
-	Seeds     []word.Addr       `toml:"seed-nodes" validate:"min=1,dive,hostport4"`
-	Initial   bool              `toml:"initial-start"`
-	DataDir   string            `toml:"data-dir"`
-	BeatMs    float64           `toml:"beat-interval-ms" validate:"gte=0"`
-	Zones     map[string]string `toml:"zones"`
-	Bindings  Bindings          `toml:"bindings"`
-	Limits    Limits            `toml:"limits"`
-	Tolerance Tolerance         `toml:"fault-tolerance"`
-	Bounds    Bounds            `toml:"timing-bounds"`
-	Platform  Platform          `toml:"platform-api"`
-	Calendar  Calendar          `toml:"calendar"`
-	Session   Session           `toml:"session"`
+	Node       word.Node         `toml:"node-name" validate:"required"`
+	Role       string            `toml:"node-role"`
+	IP         string            `toml:"ip" validate:"required,ipv4"`
+	Locality   word.Locality     `toml:"zone" validate:"required"`
+	Ports      []int             `toml:"internal-ports" validate:"len=2,dive,gte=1,lte=65535"`
+	Seeds      []word.Addr       `toml:"seed-nodes" validate:"min=1,dive,hostport4"`
+	Initial    bool              `toml:"initial-start"`
+	DataDir    string            `toml:"data-dir"`
+	BeatMs     float64           `toml:"beat-interval-ms" validate:"gte=0"`
+	Localities map[string]string `toml:"zones"`
+	Bindings   Bindings          `toml:"bindings"`
+	Limits     Limits            `toml:"limits"`
+	Tolerance  Tolerance         `toml:"fault-tolerance"`
+	Bounds     Bounds            `toml:"timing-bounds"`
+	Platform   Platform          `toml:"platform-api"`
+	Calendar   Calendar          `toml:"calendar"`
+	Session    Session           `toml:"session"`
 }
 
 // Calendar says when keepers rewrite their log, cron-like; empty is never.
@@ -105,6 +106,7 @@
 
 var check = func() *validator.Validate {
 	v := validator.New()
+	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("toml") })
 	_ = v.RegisterValidation("hostport4", func(f validator.FieldLevel) bool {
 		a, err := netip.ParseAddrPort(f.Field().String())
 		return err == nil && a.Port() != 0
--- a/internal/boot/watch_test.go
+++ b/internal/boot/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -32,7 +33,8 @@
 	is.Equal(s.Session.IdleS, 300.0)
 	is.Equal(string(s.Keeper("10.0.0.9:80")), "10.0.0.9:7000")
 	_, errs = Parse([]byte("node-name = \"a\"\nip = \"x\"\ninternal-ports = [1]\n"))
-	is.True(len(errs) >= 5) // every fault
+	is.True(len(errs) >= 5) // every fault, by the names of the file
+	is.True(strings.Contains(fmt.Sprint(errs), "internal-ports"))
 	_, errs = Parse([]byte(settings("a") + "[calendar]\nrewrite = \"often\"\n"))
 	is.Equal(len(errs), 1)
 	_, errs = Parse([]byte(settings("a") + "[calendar]\nrewrite = \"0 3 * * *\"\n"))
--- a/internal/cal/calendar.go
+++ b/internal/cal/calendar.go
@@ -16,8 +16,6 @@
 	at   clk.Tick
 }
 
-// stepped is how far the time of day and the steady clock may part between two
-// looks before the time of day counts as stepped.
 const stepped = clk.Minute
 
 // Parse reads a calendar of five fields, or one like @daily.
--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -42,11 +42,11 @@
 	NoMajority    Code = 311
 	Nothing       Code = 312
 	BadItem       Code = 313
-	DiskRefused   Code = 401
+	DiskRejected  Code = 401
 	DiskCorrupt   Code = 402
 	PeerLost      Code = 403
 	NotVoting     Code = 404
-	ListRefused   Code = 405
+	ListRejected  Code = 405
 	UnknownChange Code = 406
 )
 
@@ -60,8 +60,8 @@
 	SamePlace: "two routes share a place", NoWeight: "weights add up to 0", NoTimeout: "timeout-ms is 0",
 	OldEdition: "edition not above the current", OtherEdition: "another edition is current",
 	NoLocality: "unknown locality", NoMajority: "no majority", Nothing: "nothing there yet", BadItem: "item at fault",
-	DiskRefused: "the disk refused", DiskCorrupt: "a record is corrupt", PeerLost: "a daemon did not answer",
-	NotVoting: "not voting", ListRefused: "the platform refused", UnknownChange: "unknown change",
+	DiskRejected: "the disk rejected it", DiskCorrupt: "a record is corrupt", PeerLost: "a daemon did not answer",
+	NotVoting: "not voting", ListRejected: "the platform rejected the call", UnknownChange: "unknown change",
 }
 
 func (c Code) String() string { return names[c] }
--- a/internal/conf/doc.go
+++ b/internal/conf/doc.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"reflect"
 	"sort"
 	"strings"
 
@@ -29,7 +30,14 @@
 	raw      map[string]json.RawMessage
 }
 
-var check = validator.New()
+var check = func() *validator.Validate {
+	v := validator.New()
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		n, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		return n
+	})
+	return v
+}()
 
 // Read reads and checks a whole configuration; every fault is returned.
 func Read(b []byte) (*Doc, []error) {
@@ -133,7 +141,6 @@
 	return out
 }
 
-// whole makes sure that b is one JSON value with no key twice in an object.
 func whole(b []byte) error {
 	d := json.NewDecoder(bytes.NewReader(b))
 	if err := value(d, 0); err != nil {
@@ -229,8 +236,6 @@
 	Name string `json:"name"`
 }
 
-// merge puts the items of up into the list old, or in place of those of the
-// same name, and leaves out those named by drop.
 func merge(old, up json.RawMessage, drop []string) (json.RawMessage, error) {
 	var have, put []json.RawMessage
 	if len(old) > 0 {
--- a/internal/conf/service.go
+++ b/internal/conf/service.go
@@ -12,7 +12,7 @@
 // Service is one service of a configuration.
 type Service struct {
 	Name     word.Service `json:"name" validate:"required"`
-	Health   string       `json:"health-path"`
+	Vitals   string       `json:"health-path"`
 	MaxConns int          `json:"max-connections" validate:"gte=0"`
 	Protocol string       `json:"protocol"`
 	TLS      bool         `json:"tls"`
--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -43,9 +43,9 @@
 	self := word.Node(s.Inner(s.IP, 0))
 	wires := &keep.Wires{}
 	k := keep.New(self, acc, wires, hub)
-	k.Locality = s.Zone
+	k.Locality = s.Locality
 	k.Decider = Decide
-	k.Seats = len(s.Zones)
+	k.Seats = len(s.Localities)
 	k.Label = label
 	for _, a := range s.Seeds {
 		k.Founders = append(k.Founders, word.Node(s.Keeper(a)))
@@ -79,7 +79,7 @@
 		}
 		return k.Handle(m), true
 	})
-	d.srv = &Server{Keeper: k, Zones: s.Zones}
+	d.srv = &Server{Keeper: k, Localities: s.Localities}
 	d.srv.Serve(lc)
 	spawn.Go(func() {
 		for !d.over.Load() {
@@ -106,7 +106,6 @@
 	return d, nil
 }
 
-// open opens the disk, as often as it takes.
 func (d *Daemon) open(s *boot.Settings, acc *keep.Acceptor) {
 	for !d.over.Load() {
 		st, err := disk.Empty, error(nil)
@@ -141,12 +140,12 @@
 
 // Take takes changed settings in: the localities and the seeds.
 func (d *Daemon) Take(s *boot.Settings) {
-	d.srv.SetZones(s.Zones)
+	d.srv.SetLocalities(s.Localities)
 	var ns []word.Node
 	for _, a := range s.Seeds {
 		ns = append(ns, word.Node(s.Keeper(a)))
 	}
-	d.Keeper.Seeded(ns, len(s.Zones))
+	d.Keeper.Seeded(ns, len(s.Localities))
 }
 
 // Stop ends the daemon.
@@ -159,7 +158,6 @@
 	d.Keeper.Acceptor().Close()
 }
 
-// calendar has the log rewritten when the calendar says so.
 func (d *Daemon) calendar(when string, acc *keep.Acceptor) {
 	if when == "" {
 		return
@@ -180,7 +178,6 @@
 	})
 }
 
-// label names the edition or the state that a value holds.
 func label(key word.Key, val []byte) string {
 	if key == word.Configuration {
 		if s, err := conf.Decode(val); err == nil {
--- a/internal/ctl/server.go
+++ b/internal/ctl/server.go
@@ -29,10 +29,10 @@
 
 // Server answers operators.
 type Server struct {
-	Keeper *keep.Keeper
-	Zones  map[string]string
-	mu     sync.Mutex
-	srv    *fasthttp.Server
+	Keeper     *keep.Keeper
+	Localities map[string]string
+	mu         sync.Mutex
+	srv        *fasthttp.Server
 }
 
 var calls = new(match.Tree[call]).
@@ -68,11 +68,11 @@
 	spawn.Go(func() { _ = s.srv.Serve(l) })
 }
 
-// SetZones changes which localities there are.
-func (s *Server) SetZones(z map[string]string) {
+// SetLocalities changes which localities there are.
+func (s *Server) SetLocalities(z map[string]string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.Zones = z
+	s.Localities = z
 }
 
 // Stop ends the answering; calls under way are finished first.
@@ -140,7 +140,7 @@
 
 func (s *Server) evacuate(zone string, on bool) result.Result {
 	s.mu.Lock()
-	_, ok := s.Zones[zone]
+	_, ok := s.Localities[zone]
 	s.mu.Unlock()
 	if !ok {
 		return result.Of(code.NoLocality, zone)
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -131,8 +131,6 @@
 	return out
 }
 
-// turn orders the items of one message: what forbids comes before what allows,
-// so that a relay never acts on a configuration without its evacuations.
 func turn(k word.Key) int {
 	switch k {
 	case word.Configuration:
--- a/internal/feed/tail.go
+++ b/internal/feed/tail.go
@@ -136,7 +136,6 @@
 	})
 }
 
-// follow follows one keeper until it turns stale; false if it never was fresh.
 func (t *Tail) follow(a word.Addr) bool {
 	p := wire.NewPeer[keep.Msg](a)
 	defer p.Close()
--- a/internal/head/event.go
+++ b/internal/head/event.go
@@ -72,7 +72,6 @@
 // Cut forgets a part of an event that will not be whole any more.
 func (e *Events) Cut() { e.buf = nil }
 
-// end finds the length of the first whole event, 0 if there is none.
 func end(b []byte) int {
 	for i := 0; i < len(b); i++ {
 		if b[i] != '\n' {
--- a/internal/head/head_test.go
+++ b/internal/head/head_test.go
@@ -49,7 +49,7 @@
 	is := is.New(t)
 	q, err := ReadInquiry(reader("GET / HTTP/1.1\r\nHost: h\r\ndeadline-ms: 5000\r\nExpect-Replica: forged\r\n\r\n", false))
 	is.NoErr(err)
-	out := string(q.Append(nil, 0, Set{K: DeadlineMs, V: "40"}, Set{K: Expected, V: "i-1"}))
+	out := string(q.Append(nil, 0, Set{K: LimitMs, V: "40"}, Set{K: Expected, V: "i-1"}))
 	is.Equal(out, "GET / HTTP/1.1\r\nHost: h\r\nDeadline-Ms: 40\r\nExpect-Replica: i-1\r\n\r\n")
 }
 
--- a/internal/head/inquiry.go
+++ b/internal/head/inquiry.go
@@ -26,7 +26,7 @@
 // The fields that the relay itself reads.
 const (
 	AttemptID   = "Attempt-Id"
-	DeadlineMs  = "Deadline-Ms"
+	LimitMs     = "Deadline-Ms"
 	Prefix      = "Prompt-Prefix"
 	Tokens      = "Token-Counts"
 	Model       = "Model"
@@ -42,7 +42,7 @@
 	Weights     = "Weight-Versions"
 )
 
-var once = []string{AttemptID, DeadlineMs, Prefix, Tokens, Model, LastEvent, Expected}
+var once = []string{AttemptID, LimitMs, Prefix, Tokens, Model, LastEvent, Expected}
 
 // ReadInquiry reads the head of a request.
 func ReadInquiry(br *bufio.Reader) (*Inquiry, error) {
--- a/internal/head/answer.go
+++ b/internal/head/result.go
@@ -12,8 +12,8 @@
 	"spoolswitch/internal/code"
 )
 
-// Answer is the head of a replica's answer.
-type Answer struct {
+// Result is the head of a replica's answer.
+type Result struct {
 	Framing
 	Status int
 	Close  bool
@@ -22,9 +22,9 @@
 	oneHop [][]byte
 }
 
-// ReadAnswer reads the head of an answer.
-func ReadAnswer(br *bufio.Reader) (*Answer, error) {
-	a := &Answer{}
+// ReadResult reads the head of an answer.
+func ReadResult(br *bufio.Reader) (*Result, error) {
+	a := &Result{}
 	for {
 		raw, err := peek(br)
 		if err != nil {
@@ -60,7 +60,7 @@
 	}
 }
 
-func (a *Answer) field(k, v []byte) error {
+func (a *Result) field(k, v []byte) error {
 	switch {
 	case bytes.EqualFold(k, []byte("connection")):
 		for _, p := range bytes.Split(v, []byte(",")) {
@@ -81,7 +81,7 @@
 }
 
 // Field reads a field.
-func (a *Answer) Field(k string) []byte {
+func (a *Result) Field(k string) []byte {
 	for f, v := range a.codec.All() {
 		if len(f) == len(k) && strings.EqualFold(string(f), k) {
 			return v
@@ -92,7 +92,7 @@
 
 // Append writes the head as the caller gets it; n is the length of the body,
 // or -1 for chunks.
-func (a *Answer) Append(b []byte, n int, last bool) []byte {
+func (a *Result) Append(b []byte, n int, last bool) []byte {
 	b = append(b, "HTTP/1.1 "...)
 	b = appendInt(b, a.Status)
 	b = append(b, ' ')
--- a/internal/head/scan.go
+++ b/internal/head/scan.go
@@ -24,7 +24,6 @@
 	None    bool
 }
 
-// peek returns the whole raw head at the start of br without taking it.
 func peek(br *bufio.Reader) ([]byte, error) {
 	from := 0
 	for {
@@ -65,7 +64,6 @@
 	return len(b) > 0
 }
 
-// lines checks the raw head line by line and finds how its body is framed.
 func lines(raw []byte, fn func(k, v []byte) error) (first []byte, f Framing, err error) {
 	bad := func(s string) ([]byte, Framing, error) { return nil, f, code.New(code.BadHead, "%s", s) }
 	raw = raw[:len(raw)-len(crlf)]
--- a/internal/keep/acceptor.go
+++ b/internal/keep/acceptor.go
@@ -148,7 +148,6 @@
 	return out
 }
 
-// write puts a record on the disk and then takes it in. The caller has the lane.
 func (a *Acceptor) write(e *entry) error {
 	a.mu.Lock()
 	st := a.st
@@ -164,7 +163,7 @@
 // one that has read enough others.
 func (a *Acceptor) Found(r Roster, cells map[word.Key]Cell) error {
 	if !a.lane.Take(laneWait) {
-		return code.New(code.DiskRefused, "busy")
+		return code.New(code.DiskRejected, "busy")
 	}
 	defer a.lane.Give()
 	for k, c := range cells {
@@ -184,7 +183,7 @@
 		return nil
 	}
 	if !a.lane.Take(laneWait) {
-		return code.New(code.DiskRefused, "busy")
+		return code.New(code.DiskRejected, "busy")
 	}
 	defer a.lane.Give()
 	if r.Num <= a.Roster().Num {
@@ -193,7 +192,7 @@
 	return a.write(&entry{Roster: &r})
 }
 
-func (a *Acceptor) answer(k word.Key, ok bool, c code.Code) Msg {
+func (a *Acceptor) result(k word.Key, ok bool, c code.Code) Msg {
 	cell := a.Cell(k)
 	if f := a.floor(); cell.Promised.Less(f) {
 		cell.Promised = f
@@ -201,7 +200,6 @@
 	return Msg{OK: ok, Code: c, Key: k, Epoch: cell.Promised, At: cell.At, Val: cell.Val, Roster: a.Roster()}
 }
 
-// floorKey holds the epoch before which nothing of any key is taken.
 const floorKey word.Key = "floor"
 
 func (a *Acceptor) floor() word.Epoch { return a.Cell(floorKey).Promised }
@@ -209,7 +207,7 @@
 // Raise makes the acceptor take nothing of an epoch before e, of any key.
 func (a *Acceptor) Raise(e word.Epoch) error {
 	if !a.lane.Take(laneWait) {
-		return code.New(code.DiskRefused, "busy")
+		return code.New(code.DiskRejected, "busy")
 	}
 	defer a.lane.Give()
 	if !a.floor().Less(e) {
@@ -221,7 +219,7 @@
 // Vote asks for a promise to take nothing of an epoch before e.
 func (a *Acceptor) Vote(k word.Key, e word.Epoch, r Roster) Msg {
 	if !a.lane.Take(laneWait) {
-		return Msg{Code: code.DiskRefused}
+		return Msg{Code: code.DiskRejected}
 	}
 	defer a.lane.Give()
 	if !a.Voting() {
@@ -229,22 +227,22 @@
 	}
 	c := a.Cell(k)
 	if r.Num < a.Roster().Num || e.Less(c.Promised) || e.Less(a.floor()) {
-		return a.answer(k, false, code.NoMajority)
+		return a.result(k, false, code.NoMajority)
 	}
 	if c.Promised == e {
-		return a.answer(k, true, code.OK)
+		return a.result(k, true, code.OK)
 	}
 	c.Promised = e
 	if err := a.write(&entry{Key: k, Cell: c}); err != nil {
 		return Msg{Code: code.Of(err)}
 	}
-	return a.answer(k, true, code.OK)
+	return a.result(k, true, code.OK)
 }
 
 // Accept asks to have a value on the disk.
 func (a *Acceptor) Accept(k word.Key, at word.Place, val []byte, r Roster) Msg {
 	if !a.lane.Take(laneWait) {
-		return Msg{Code: code.DiskRefused}
+		return Msg{Code: code.DiskRejected}
 	}
 	defer a.lane.Give()
 	if !a.Voting() {
@@ -252,7 +250,7 @@
 	}
 	c := a.Cell(k)
 	if r.Num < a.Roster().Num || at.Epoch.Less(c.Promised) || at.Epoch.Less(a.floor()) || at.Less(c.At) {
-		return a.answer(k, false, code.NoMajority)
+		return a.result(k, false, code.NoMajority)
 	}
 	if c.At == at {
 		return Msg{OK: true, Key: k, At: at}
@@ -270,7 +268,7 @@
 		return Msg{Code: code.NotVoting, Roster: a.Roster()}
 	}
 	if r.Num < a.Roster().Num || a.Cell(k).Promised != e || e.Less(a.floor()) {
-		return a.answer(k, false, code.NoMajority)
+		return a.result(k, false, code.NoMajority)
 	}
 	return Msg{OK: true, Key: k}
 }
@@ -298,7 +296,7 @@
 // Rewrite rewrites the log with what counts.
 func (a *Acceptor) Rewrite() error {
 	if !a.lane.Take(laneWait) {
-		return code.New(code.DiskRefused, "busy")
+		return code.New(code.DiskRejected, "busy")
 	}
 	defer a.lane.Give()
 	return a.st.Rewrite(a.records(a.Cells()))
@@ -322,9 +320,8 @@
 	}
 }
 
-// shut is a store that refuses everything.
 type shut struct{}
 
-func (shut) Append([]byte) error    { return code.New(code.DiskRefused, "closed") }
+func (shut) Append([]byte) error    { return code.New(code.DiskRejected, "closed") }
 func (shut) Long(int64) bool        { return false }
-func (shut) Rewrite([][]byte) error { return code.New(code.DiskRefused, "closed") }
+func (shut) Rewrite([][]byte) error { return code.New(code.DiskRejected, "closed") }
--- a/internal/keep/beat.go
+++ b/internal/keep/beat.go
@@ -130,13 +130,11 @@
 	k.mu.Unlock()
 }
 
-// doubt is a value that some disk has and no majority is known to have.
 type doubt struct {
 	at    word.Place
 	since clk.Tick
 }
 
-// settle finds for each key what stands with a majority.
 func (k *Keeper) settle(r Roster, got map[word.Node]Msg, voting func(word.Node) bool) {
 	keys := map[word.Key]bool{}
 	for _, a := range got {
--- a/internal/keep/join.go
+++ b/internal/keep/join.go
@@ -14,7 +14,6 @@
 	hereFor   = 1200 * clk.Millisecond
 )
 
-// wantSeat asks the others for a seat.
 func (k *Keeper) wantSeat(r Roster) {
 	for _, n := range r.All() {
 		if a, ok := k.Net.Ask(n, Msg{Kind: Join, From: k.Self, Locality: k.Locality}, askLimit); ok && a.OK {
@@ -23,8 +22,6 @@
 	}
 }
 
-// join starts a change of the roster that gives j a seat: that of one gone, or
-// one more while there are fewer than localities. It answers before the change is through.
 func (k *Keeper) join(j word.Node) Msg {
 	r := k.acc.Roster()
 	if !k.acc.Voting() || !r.Has(k.Self) || !k.Sure(hereFor) {
@@ -66,8 +63,6 @@
 	return Msg{OK: true}
 }
 
-// seat ends a change of the roster: every key is brought under majorities of
-// both sets, then the new set stands alone. The caller has the seating lock.
 func (k *Keeper) seat() {
 	r := k.acc.Roster()
 	if len(r.Next) == 0 {
@@ -96,7 +91,6 @@
 	}
 }
 
-// rewin wins the key anew under the roster in force.
 func (k *Keeper) rewin(key word.Key, limit clk.Tick) bool {
 	t := k.term(key)
 	if !t.turn.Take(clk.Until(limit)) {
@@ -107,7 +101,6 @@
 	return k.Own(key, limit, func([]byte) ([]byte, Msg) { return nil, Msg{OK: true} }).OK
 }
 
-// reseat ends a change of the roster that whoever began it left behind.
 func (k *Keeper) reseat() {
 	r := k.acc.Roster()
 	k.mu.Lock()
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -68,7 +68,6 @@
 	k.Founders, k.Seats = ns, seats
 }
 
-// seeds reads them.
 func (k *Keeper) seeds() ([]word.Node, int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -81,7 +80,6 @@
 // Acceptor is the keeper's own disk.
 func (k *Keeper) Acceptor() *Acceptor { return k.acc }
 
-// learn takes in a value that a majority is known to have.
 func (k *Keeper) learn(key word.Key, at word.Place, val []byte) {
 	if key == word.Roster {
 		if r, ok := DecodeRoster(val); ok && r.Num > k.acc.Roster().Num {
@@ -94,13 +92,11 @@
 	}
 }
 
-// tell sends m to all other keepers without waiting for answers.
 func (k *Keeper) tell(m Msg) {
 	m.From = k.Self
 	k.askAllLater(k.peers(), m)
 }
 
-// peers are all other keepers that are known of.
 func (k *Keeper) peers() []word.Node {
 	var out []word.Node
 	add := func(n word.Node) {
@@ -143,7 +139,6 @@
 	return k.sure != 0 && clk.Since(k.sure) < d
 }
 
-// owner is the keeper that last won the key, as far as is known here.
 func (k *Keeper) owner(key word.Key) word.Node {
 	n := k.acc.Cell(key).Promised.Node
 	if at := k.Sink.Known()[key]; at.Epoch.Node != "" && !at.Epoch.Less(k.acc.Cell(key).Promised) {
@@ -163,7 +158,6 @@
 	return k.Own(key, limit, k.Decider(key, o))
 }
 
-// local answers what this keeper's own disk is asked.
 func (k *Keeper) local(m Msg) Msg {
 	if m.Roster.Num > k.acc.Roster().Num {
 		_ = k.acc.Adopt(m.Roster)
--- a/internal/keep/keeper_test.go
+++ b/internal/keep/keeper_test.go
@@ -75,7 +75,7 @@
 		m.Set()
 	}
 	if no {
-		return code.New(code.DiskRefused, "full")
+		return code.New(code.DiskRejected, "full")
 	}
 	return s.page.Append(b)
 }
--- a/internal/keep/net.go
+++ b/internal/keep/net.go
@@ -51,8 +51,6 @@
 	w.shut = true
 }
 
-// poll gathers answers until done says so, all have answered or the limit is
-// reached.
 type poll struct {
 	mu   sync.Mutex
 	got  map[word.Node]Msg
@@ -61,7 +59,6 @@
 	mark *spawn.Mark
 }
 
-// askAll sends m to all in to and returns what had come when done was content.
 func (k *Keeper) askAll(to []word.Node, m Msg, limit clk.Span, done func(map[word.Node]Msg) bool) map[word.Node]Msg {
 	p := &poll{got: map[word.Node]Msg{}, left: len(to), mark: spawn.NewMark()}
 	if len(to) == 0 {
--- a/internal/keep/term.go
+++ b/internal/keep/term.go
@@ -16,7 +16,6 @@
 	sendOn   = 350 * clk.Millisecond
 )
 
-// term is one key's ownership as this keeper has it. The turn guards all.
 type term struct {
 	turn spawn.Turn
 	held bool
@@ -102,7 +101,6 @@
 	return false
 }
 
-// heed takes in newer rosters and epochs out of answers.
 func (k *Keeper) heed(got map[word.Node]Msg) {
 	for _, a := range got {
 		if a.Roster.Num > k.acc.Roster().Num {
@@ -133,7 +131,6 @@
 	return best, true
 }
 
-// win holds a round of ballots for the key and rewrites the value found.
 func (k *Keeper) win(key word.Key, t *term, limit clk.Tick) bool {
 	if !k.acc.Voting() {
 		return false
--- a/internal/keep/trail.go
+++ b/internal/keep/trail.go
@@ -7,7 +7,6 @@
 
 const trailKept = 512
 
-// stepVal notes a step of a value that is at hand.
 func (k *Keeper) stepVal(key word.Key, at word.Place, val []byte, what string) {
 	if !key.Kept() {
 		return
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -56,7 +56,6 @@
 	return k, nil
 }
 
-// quiet tells whether nothing has come and the other end is there.
 func (k *Conn) quiet() bool {
 	if k.br.Buffered() > 0 {
 		return false
@@ -84,11 +83,11 @@
 // Limit sets the moment past which reading ends.
 func (k *Conn) Limit(t clk.Tick) { _ = k.c.SetReadDeadline(t.Limit()) }
 
-// Answer reads the head of the answer to the try id. Answers to other tries
+// Result reads the head of the answer to the try id. Answers to other tries
 // are passed over, and the connection is not used again.
-func (k *Conn) Answer(id []byte) (*head.Answer, error) {
+func (k *Conn) Result(id []byte) (*head.Result, error) {
 	for i := 0; ; i++ {
-		a, err := head.ReadAnswer(k.br)
+		a, err := head.ReadResult(k.br)
 		if err != nil {
 			k.spent = true
 			return nil, err
@@ -111,7 +110,7 @@
 }
 
 // Body is the reader of the answer's body.
-func (k *Conn) Body(a *head.Answer) *head.Body { return head.NewBody(k.br, a.Framing) }
+func (k *Conn) Body(a *head.Result) *head.Body { return head.NewBody(k.br, a.Framing) }
 
 // Unheard tells whether an error says that the other end's machine has not even
 // taken notice of what was sent.
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -66,7 +66,7 @@
 
 // Give takes a connection back after a whole answer, or closes it if it may
 // not be used again.
-func (p *Pool) Give(k *Conn, a *head.Answer) {
+func (p *Pool) Give(k *Conn, a *head.Result) {
 	if k.spent || a.Close {
 		p.Drop(k)
 		return
--- a/internal/link/pool_test.go
+++ b/internal/link/pool_test.go
@@ -35,12 +35,12 @@
 	k, err := p.Get(clk.Second)
 	is.NoErr(err)
 	accept()
-	p.Give(k, &head.Answer{})
+	p.Give(k, &head.Result{})
 	again, err := p.Get(clk.Second)
 	is.NoErr(err)
 	is.True(again == k)
 	is.Equal(p.Open(), 1)
-	p.Give(again, &head.Answer{Close: true}) // says that it closes
+	p.Give(again, &head.Result{Close: true}) // says that it closes
 	is.Equal(p.Open(), 0)
 }
 
@@ -59,7 +59,7 @@
 			spoil(accept())
 			for k.quiet() {
 			}
-			p.Give(k, &head.Answer{})
+			p.Give(k, &head.Result{})
 			next, err := p.Get(clk.Second)
 			is.NoErr(err)
 			is.True(next != k)
@@ -76,7 +76,7 @@
 	is.NoErr(err)
 	accept()
 	t.Cleanup(sim.Use())
-	p.Give(k, &head.Answer{Alive: 2 * clk.Second})
+	p.Give(k, &head.Result{Alive: 2 * clk.Second})
 	sim.Move(1600 * clk.Millisecond) // short of it by less than the margin
 	p.mu.Lock()
 	idle := p.idle[0]
@@ -99,7 +99,7 @@
 			"HTTP/1.1 200 OK\r\nAttempt-Id: mine\r\nContent-Length: 3\r\n\r\nyes"))
 	})
 	k.Limit(clk.Now().Add(10 * clk.Second))
-	ans, err := k.Answer([]byte("mine"))
+	ans, err := k.Result([]byte("mine"))
 	is.NoErr(err)
 	b, err := k.Body(ans).ReadAll(10)
 	is.NoErr(err)
--- a/internal/list/duty.go
+++ b/internal/list/duty.go
@@ -31,9 +31,8 @@
 	// Glance is the time between two steps.
 	Glance = 100 * clk.Millisecond
 	// Pause is the time between two readings.
-	Pause  = 900 * clk.Millisecond
-	vacant = 1500 * clk.Millisecond
-	// patience is how many readings may fail in a row before others try.
+	Pause    = 900 * clk.Millisecond
+	vacant   = 1500 * clk.Millisecond
 	patience = 3
 )
 
@@ -83,9 +82,6 @@
 	k.Share(word.List, word.Place{Epoch: d.epoch, Seq: d.seq}, Encode(rs))
 }
 
-// vacant tells whether nobody does the duty: the list is old, and whoever won
-// it last has had time. Where no list was read in this life, each keeper waits
-// for a little time of its own.
 func (d *Duty) vacant(at word.Place) bool {
 	if at != d.held || d.since == 0 {
 		d.held, d.since = at, clk.Now()
@@ -117,7 +113,6 @@
 	}
 }
 
-// same tells whether b says no more than a does d later.
 func same(a, b []Replica, d clk.Span) bool {
 	if len(a) != len(b) {
 		return false
@@ -125,7 +120,7 @@
 	for i := range a {
 		x, y := a[i], b[i]
 		if x.ID != y.ID || x.Addr != y.Addr || x.State != y.State || x.Service != y.Service ||
-			x.Locality != y.Locality || x.Slots != y.Slots || x.Version != y.Version || len(x.Models) != len(y.Models) {
+			x.Locality != y.Locality || x.Slots != y.Slots || x.Edition != y.Edition || len(x.Models) != len(y.Models) {
 			return false
 		}
 		for j := range x.Models {
--- a/internal/list/duty_test.go
+++ b/internal/list/duty_test.go
@@ -78,7 +78,7 @@
 func TestPlatformDown(t *testing.T) {
 	is := is.New(t)
 	d, w, sim := newDuty(t)
-	d.Read = func() ([]Replica, error) { return nil, code.New(code.ListRefused, "down") }
+	d.Read = func() ([]Replica, error) { return nil, code.New(code.ListRejected, "down") }
 	for range 20 {
 		sim.Move(200 * clk.Millisecond)
 		d.Keeper.Round()
@@ -94,7 +94,7 @@
 	b := Encode([]Replica{{ID: "a", Models: []Model{{"m", 2}}}})
 	rs, ok := Decode(b)
 	is.True(ok)
-	is.Equal(rs[0].Models[0].Version, int64(2))
+	is.Equal(rs[0].Models[0].Edition, int64(2))
 	_, ok = Decode([]byte("no list"))
 	is.True(!ok)
 }
--- a/internal/list/reader.go
+++ b/internal/list/reader.go
@@ -56,7 +56,7 @@
 		}
 		token = *p.Next
 	}
-	return nil, code.New(code.ListRefused, "more than %d pages", pagesMost)
+	return nil, code.New(code.ListRejected, "more than %d pages", pagesMost)
 }
 
 func (r *Reader) drop() {
@@ -70,7 +70,7 @@
 	if r.c == nil {
 		c, err := wire.Dial(r.Addr, callLimit)
 		if err != nil {
-			return nil, code.New(code.ListRefused, "%v", err)
+			return nil, code.New(code.ListRejected, "%v", err)
 		}
 		r.c, r.br = c, bufio.NewReaderSize(c, 4096)
 	}
@@ -81,21 +81,21 @@
 		path += "?page-token=" + url.QueryEscape(token)
 	}
 	if _, err := r.c.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: " + string(r.Addr) + "\r\n\r\n")); err != nil {
-		return nil, code.New(code.ListRefused, "%v", err)
+		return nil, code.New(code.ListRejected, "%v", err)
 	}
 	var a fasthttp.Response
 	if err := a.ReadLimitBody(r.br, 8<<20); err != nil {
-		return nil, code.New(code.ListRefused, "%v", err)
+		return nil, code.New(code.ListRejected, "%v", err)
 	}
 	if a.ConnectionClose() {
 		defer r.drop()
 	}
 	if a.StatusCode() != 200 {
-		return nil, code.New(code.ListRefused, "status %d", a.StatusCode())
+		return nil, code.New(code.ListRejected, "status %d", a.StatusCode())
 	}
 	p := &page{}
 	if err := json.Unmarshal(a.Body(), p); err != nil {
-		return nil, code.New(code.ListRefused, "%v", err)
+		return nil, code.New(code.ListRejected, "%v", err)
 	}
 	return p, nil
 }
--- a/internal/list/replica.go
+++ b/internal/list/replica.go
@@ -11,7 +11,7 @@
 // Model is a model that a replica holds.
 type Model struct {
 	Name    string `json:"name"`
-	Version int64  `json:"version"`
+	Edition int64  `json:"version"`
 }
 
 // Replica is one entry of the list.
@@ -20,7 +20,7 @@
 	Service  word.Service  `json:"service"`
 	Addr     word.Addr     `json:"address"`
 	Locality word.Locality `json:"zone"`
-	Version  string        `json:"version"`
+	Edition  string        `json:"version"`
 	Slots    int           `json:"capacity-slots"`
 	State    string        `json:"state"`
 	ColdMs   float64       `json:"cold-remaining-ms"`
--- a/internal/oper/caller.go
+++ b/internal/oper/caller.go
@@ -23,7 +23,7 @@
 	pause     = 100 * clk.Millisecond
 )
 
-type answer struct {
+type result struct {
 	Code  code.Code `json:"code"`
 	Cause string    `json:"cause"`
 }
@@ -68,7 +68,7 @@
 	if st == 200 {
 		return append([]byte(nil), r.Body()...), true, nil
 	}
-	var n answer
+	var n result
 	if json.Unmarshal(r.Body(), &n) != nil || n.Code == 0 {
 		n.Code, n.Cause = code.PeerLost, "status "+strconv.Itoa(st)
 	}
--- a/internal/pick/audit.go
+++ b/internal/pick/audit.go
@@ -21,7 +21,6 @@
 	Horizon clk.Span
 }
 
-// audit holds a replica's record against how soon its answers begin.
 type audit struct {
 	pace    pace
 	proof   int
@@ -30,8 +29,6 @@
 	told    clk.Tick
 }
 
-// The figures of the audit. They are shares and counts, not times: what is soon
-// is learned from each replica.
 const (
 	worthShare = 4
 	plain      = 3
@@ -50,8 +47,6 @@
 	weightsMoved  = note.Counter("drift.weights")
 )
 
-// promise reads the record for a chain of which all in all want tokens are to
-// be read.
 func (r *Rep) promise(c Chain, want int64, now clk.Tick) Promise {
 	p := Promise{Used: now, At: now}
 	for _, l := range c {
@@ -72,7 +67,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	ms := float64(took) / float64(clk.Millisecond)
-	// What waits or reads beside others tells of them, not of the record.
 	if r.load.Waiting > 0 || r.pend > 0 {
 		return Drift{}, false
 	}
@@ -83,7 +77,6 @@
 	}
 	base, per, spread, ok := a.pace.line()
 	lost := per * float64(p.Tokens)
-	// A promise too small beside the spread can't be told from chance.
 	if !ok || lost < plain*spread {
 		return Drift{}, false
 	}
@@ -112,9 +105,6 @@
 	return d, true
 }
 
-// mend forgets all that went unused for as long as what was found missing: a
-// replica gives up first what was unused the longest. The record is bounded by
-// what is left until promises hold again.
 func (f *Fleet) mend(r *Rep, h clk.Span) {
 	now := clk.Now()
 	for {
--- a/internal/pick/budget.go
+++ b/internal/pick/budget.go
@@ -21,8 +21,6 @@
 
 const cells = 20
 
-// The parts of the bound that relays use: the rest is for relays that come
-// and go, and for those that forgot what they spent.
 const (
 	slackPart = 0.6
 	ratioPart = 0.7
--- a/internal/pick/chain.go
+++ b/internal/pick/chain.go
@@ -75,7 +75,6 @@
 	return x ^ x>>33
 }
 
-// rank is the rendezvous rank of a replica for a chain.
 func rank(chain uint64, id word.Replica) uint64 {
 	h := fnv.New64a()
 	h.Write([]byte(id))
--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -43,8 +43,6 @@
 }
 
 const (
-	// relaysMany is how many relays the shared bounds are split among until it
-	// is told.
 	relaysMany   = 32
 	sessionsMost = 20000
 	seenMost     = 50000
@@ -82,7 +80,7 @@
 			rep = &Rep{Replica: r, Pool: &link.Pool{Addr: r.Addr}, kept: newLRU[part](f.capacity(r.Service))}
 			f.reps[r.ID] = rep
 		}
-		rep.State, rep.Slots, rep.Models, rep.Version = r.State, r.Slots, r.Models, r.Version
+		rep.State, rep.Slots, rep.Models, rep.Edition = r.State, r.Slots, r.Models, r.Edition
 		if d := clk.Ms(r.ColdMs) - age; r.ColdMs > 0 && d > 0 {
 			rep.cold = max(rep.cold, now.Add(d))
 		}
@@ -144,7 +142,6 @@
 	f.evac[z] = on
 }
 
-// chill treats r as cold for as long as a start takes.
 func (f *Fleet) chill(r *Rep, now clk.Tick) {
 	if c := f.confs[r.Service]; c != nil && c.ColdS > 0 {
 		r.cold = max(r.cold, now.Add(clk.Ms(c.ColdS*1000)))
@@ -190,7 +187,6 @@
 	return int((c.ColdPerS*f.Overrun + f.Slack) * 0.9 / float64(f.relays))
 }
 
-// connShare is this relay's share of the connections that a replica bears.
 func (f *Fleet) connShare(s word.Service) int {
 	c := f.confs[s]
 	if c == nil || c.MaxConns <= 0 {
--- a/internal/pick/lru.go
+++ b/internal/pick/lru.go
@@ -2,7 +2,6 @@
 
 import "container/list"
 
-// lru keeps values by key, the most recently used in front, bounded by weight.
 type lru[V any] struct {
 	most   int64
 	weight int64
@@ -20,7 +19,6 @@
 	return &lru[V]{most: most, order: list.New(), at: map[uint64]*list.Element{}}
 }
 
-// put keeps v under k with weight w and drops what is over the bound.
 func (l *lru[V]) put(k uint64, v V, w int64) {
 	if e, ok := l.at[k]; ok {
 		c := e.Value.(*cell[V])
@@ -36,7 +34,6 @@
 	}
 }
 
-// bound changes the bound and drops what is over it.
 func (l *lru[V]) bound(most int64) {
 	l.most = most
 	for l.weight > l.most && l.order.Len() > 1 {
--- a/internal/pick/pace.go
+++ b/internal/pick/pace.go
@@ -2,8 +2,6 @@
 
 import "math"
 
-// pace is how soon a replica begins to answer: a line through what was seen,
-// and how far from it things lie. Older sightings count less and less.
 type pace struct {
 	n, x, y, xx, xy, yy float64
 }
@@ -13,7 +11,6 @@
 	paceFirst = 12
 )
 
-// see takes a sighting in: tokens to be read and the time to the first answer.
 func (p *pace) see(tokens, ms float64) {
 	p.n = p.n*paceKeep + 1
 	p.x = p.x*paceKeep + tokens
@@ -23,8 +20,6 @@
 	p.yy = p.yy*paceKeep + ms*ms
 }
 
-// line is the base, the time a token takes, and the spread round the line; ok
-// is false while too little was seen.
 func (p *pace) line() (base, per, spread float64, ok bool) {
 	if p.n < paceFirst {
 		return 0, 0, 0, false
--- a/internal/pick/rep.go
+++ b/internal/pick/rep.go
@@ -32,7 +32,6 @@
 	audit   audit
 }
 
-// part is a part of prompts that a replica is believed to keep.
 type part struct {
 	tokens int64
 	used   clk.Tick
@@ -45,7 +44,6 @@
 	coldSpan  = clk.Second + 60*clk.Millisecond
 )
 
-// press is how many inquiries the replica is believed to have.
 func (r *Rep) press(now clk.Tick) int {
 	if r.loadAt == 0 || now.Sub(r.loadAt) > loadFresh {
 		return r.running
@@ -53,7 +51,6 @@
 	return max(r.running, r.load.Running+r.load.Waiting+r.since)
 }
 
-// full tells whether one more inquiry would have to wait.
 func (r *Rep) full(now clk.Tick) bool {
 	slots := r.Slots
 	if slots <= 0 {
@@ -62,16 +59,12 @@
 	return r.press(now) >= slots
 }
 
-// up tells whether the replica may be tried: one that was down gets one inquiry
-// at a time until it has answered again.
 func (r *Rep) up(now clk.Tick) bool {
 	return r.downAt == 0 || (now >= r.down && r.running == 0)
 }
 
 func (r *Rep) isCold(now clk.Tick) bool { return now < r.cold }
 
-// spare tells whether one more may be sent within this relay's share of the
-// cold bound.
 func (r *Rep) spare(now clk.Tick, share int) bool {
 	i := 0
 	for i < len(r.sent) && now.Sub(r.sent[i]) > coldSpan {
@@ -81,8 +74,6 @@
 	return !r.isCold(now) || len(r.sent) < share
 }
 
-// overlap is how many tokens of the links the replica is believed to keep;
-// trunks, which every replica comes to keep, don't count.
 func (r *Rep) overlap(c Chain, trunk func(uint64) bool) int64 {
 	var n int64
 	for _, l := range c {
--- a/internal/pick/select.go
+++ b/internal/pick/select.go
@@ -30,8 +30,6 @@
 	return false
 }
 
-// Session is the part of a chain that names a session: the whole of it, less
-// a last part that was never sighted twice.
 func (f *Fleet) session(c Chain) Chain {
 	if len(c) == 0 {
 		return nil
@@ -59,7 +57,6 @@
 	return ok && k.many
 }
 
-// open tells whether a replica may be sent to at all.
 func (f *Fleet) open(r *Rep, a *Ask) bool {
 	return !r.gone && r.InService() && !f.evac[r.Locality] && !a.not(r.ID)
 }
@@ -108,8 +105,6 @@
 	return r, nil
 }
 
-// bound finds the replica of a session: the one it is bound to or, at the
-// first sighting, the one with the best overlap.
 func (f *Fleet) bound(a *Ask, s Chain, able []*Rep, now clk.Tick) *Rep {
 	key := s.Last()
 	order := make([]*Rep, len(able))
@@ -163,7 +158,6 @@
 	return r
 }
 
-// cool is the first in the order that is not hot.
 func (f *Fleet) cool(order []*Rep, now clk.Tick) *Rep {
 	sum := 0
 	for _, r := range order {
@@ -178,8 +172,6 @@
 	return order[0]
 }
 
-// least is the least loaded, those of the own locality first while they have
-// places enough.
 func (f *Fleet) least(a *Ask, able []*Rep, now clk.Tick) *Rep {
 	cost := func(r *Rep) float64 {
 		c := float64(r.press(now)) / float64(max(1, r.Slots))
--- a/internal/pick/vitals.go
+++ b/internal/pick/vitals.go
@@ -14,7 +14,7 @@
 // The outcomes.
 const (
 	Fine Outcome = iota
-	Refused
+	Rejected
 	Unreached
 	Broke
 	Silent
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -14,8 +14,8 @@
 	"spoolswitch/internal/spawn"
 )
 
-// Version is the version of all programs.
-const Version = "0.1.0"
+// Release is the release of all programs.
+const Release = "0.1.0"
 
 // Daemon is what a program runs.
 type Daemon interface {
@@ -26,7 +26,7 @@
 // Main runs a daemon until it is told to stop.
 func Main(name, help string, start func(*boot.Settings) (Daemon, error)) {
 	app := kingpin.New(name, help+" Settings are read from the file that "+boot.Env+" names.")
-	app.Version(Version)
+	app.Version(Release)
 	app.HelpFlag.Short('h')
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	s, errs := boot.Load()
--- a/internal/relay/caller.go
+++ b/internal/relay/caller.go
@@ -53,7 +53,6 @@
 	}
 }
 
-// serve serves one connection until it ends.
 func (k *Caller) serve() {
 	lim := conf.Limits{}.Whole()
 	if t := k.r.View.Table(); t != nil {
@@ -80,7 +79,7 @@
 		k.limit(clk.Now().Add(clk.Ms(lim.HeadMs)))
 		q, err := head.ReadInquiry(k.br)
 		if err != nil {
-			k.refuse(err)
+			k.reject(err)
 			return
 		}
 		if !k.inquiry(q, lim) {
@@ -91,8 +90,7 @@
 
 func (k *Caller) limit(t clk.Tick) { _ = k.c.SetReadDeadline(t.Limit()) }
 
-// refuse answers what could not be read, and the connection ends.
-func (k *Caller) refuse(err error) {
+func (k *Caller) reject(err error) {
 	var f *code.Fault
 	switch {
 	case errors.As(err, &f):
@@ -109,8 +107,6 @@
 	}
 }
 
-// linger reads what is still coming, so that closing does not reset the
-// connection before the caller has read the answer.
 func (k *Caller) linger() {
 	if t, ok := k.c.(*net.TCPConn); ok {
 		_ = t.CloseWrite()
@@ -125,8 +121,6 @@
 	return err == nil
 }
 
-// inquiry reads the body and hands the inquiry to the senders; false if the
-// connection ends.
 func (k *Caller) inquiry(q *head.Inquiry, lim conf.Limits) bool {
 	begun := clk.Now()
 	room := q.Length
@@ -148,7 +142,7 @@
 	b := head.NewBody(k.br, q.Framing)
 	body, err := b.ReadAll(lim.BodyBytes)
 	if err != nil {
-		k.refuse(err)
+		k.reject(err)
 		return false
 	}
 	n := &Inquiry{Head: q, Body: body, k: k, r: k.r, begun: begun, done: spawn.NewMark()}
@@ -169,7 +163,6 @@
 	return !n.last && !k.gone.Load()
 }
 
-// watch waits for the end of the inquiry and notices a caller that has gone.
 func (k *Caller) watch(n *Inquiry) {
 	if k.br.Buffered() == 0 {
 		_ = k.c.SetReadDeadline(clk.NoLimit())
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -47,7 +47,7 @@
 	if s.Bindings.Front == "" || s.Bindings.Readiness == "" {
 		return nil, code.New(code.BadSettings, "bindings lack front-addr or readiness")
 	}
-	f := pick.NewFleet(s.Zone, clk.Ms(s.Session.IdleS*1000))
+	f := pick.NewFleet(s.Locality, clk.Ms(s.Session.IdleS*1000))
 	f.Overrun, f.Slack = s.Bounds.ColdOverrun, s.Bounds.ColdSlack
 	v := &View{Fleet: f}
 	b := &pick.Budget{Ratio: s.Bounds.RetryBudgetRatio, Slack: s.Bounds.RetrySlack,
@@ -55,7 +55,7 @@
 	most := max(32, (s.Limits.Descriptors-200)/3)
 	d := &Daemon{Relay: NewRelay(v, b, most, most, most), s: s}
 	d.Relay.BodiesMost = s.Limits.MemoryMB << 20 / 4
-	d.Tail = &feed.Tail{Self: s.Node, Addr: s.Inner(s.IP, 1), IP: s.IP, Locality: s.Zone, Take: v.Take,
+	d.Tail = &feed.Tail{Self: s.Node, Addr: s.Inner(s.IP, 1), IP: s.IP, Locality: s.Locality, Take: v.Take,
 		Heard: func(n int, _ clk.Span) { f.Relays(n) }, Seeds: d.seeds}
 	d.Relay.Tell = func(x pick.Drift) {
 		var b bytes.Buffer
@@ -92,7 +92,7 @@
 		return true
 	})
 	spawn.Every(glance, func() bool { return !d.readFirst(rd) })
-	note.State("relay up", "node", s.Node, "locality", s.Zone)
+	note.State("relay up", "node", s.Node, "locality", s.Locality)
 	return d, nil
 }
 
@@ -121,7 +121,6 @@
 	d.Relay.Budget.Bounds(s.Bounds.RetryBudgetRatio, s.Bounds.RetrySlack, clk.Ms(s.Bounds.RetryWindowS*1000))
 }
 
-// readOwn reads the list from the platform while no keeper can be followed.
 func (d *Daemon) readOwn(rd *list.Reader) {
 	if d.Tail.Fresh(cutAfter) || d.Relay.View.Table() == nil {
 		return
@@ -135,8 +134,6 @@
 	d.Relay.Fleet.Listed(rs, 0)
 }
 
-// readFirst reads the list from the platform once, if the feed brought a
-// configuration and no list soon after. It tells whether there is a list.
 func (d *Daemon) readFirst(rd *list.Reader) bool {
 	if d.Relay.Fleet.HasList() {
 		return true
--- a/internal/relay/inquiry.go
+++ b/internal/relay/inquiry.go
@@ -46,7 +46,6 @@
 	skip   int64
 }
 
-// run takes the inquiry through match, select and send.
 func (n *Inquiry) run() {
 	n.last = n.Head.Close
 	n.id = bytes.Clone(n.Head.Field(head.AttemptID))
@@ -73,11 +72,9 @@
 	wakeStep = 20 * clk.Millisecond
 )
 
-// awake holds an inquiry that came before the first news, for a small part of
-// the time that its caller has.
 func (n *Inquiry) awake() bool {
 	d := wakeMost
-	if ms, err := strconv.ParseFloat(string(n.Head.Field(head.DeadlineMs)), 64); err == nil && ms >= 0 {
+	if ms, err := strconv.ParseFloat(string(n.Head.Field(head.LimitMs)), 64); err == nil && ms >= 0 {
 		d = min(d, clk.Ms(ms/4))
 	}
 	for !n.r.known() {
@@ -89,11 +86,10 @@
 	return true
 }
 
-// read reads the fields that the relay goes by.
 func (n *Inquiry) read() error {
 	rt := n.route
 	n.limit = n.begun.Add(clk.Ms(rt.TimeoutMs))
-	if v := n.Head.Field(head.DeadlineMs); len(v) > 0 {
+	if v := n.Head.Field(head.LimitMs); len(v) > 0 {
 		ms, err := strconv.ParseFloat(string(v), 64)
 		if err != nil || ms < 0 || ms > 1e9 {
 			return code.New(code.BadFields, "Deadline-Ms")
@@ -130,8 +126,6 @@
 	return nil
 }
 
-// reject answers with a result of the system's own. It is used only while no
-// part of an answer has gone out.
 func (n *Inquiry) reject(c code.Code) {
 	r := result.Of(c, "").For(n.id)
 	if r.Status == 503 {
@@ -151,14 +145,12 @@
 	}
 }
 
-// abort ends the connection so that the answer cannot seem whole.
 func (n *Inquiry) abort() {
 	note.Counter("stream.cut").Add(1)
 	n.last = true
 	_ = n.k.c.Close()
 }
 
-// abandon cuts what runs for a caller that has gone.
 func (n *Inquiry) abandon() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -75,8 +75,6 @@
 	}
 }
 
-// idle notes that a connection waits for its next inquiry, or has it; false
-// if it is to end instead.
 func (r *Relay) idle(k *Caller, on bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -91,7 +89,6 @@
 	return true
 }
 
-// reserve takes room for a body; false if there is none. Most 0 is no bound.
 func (r *Relay) reserve(n int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -22,16 +22,14 @@
 	reachMost  = 4
 )
 
-// verdict is how one send to a replica ended.
 type verdict int
 
 const (
-	over    verdict = iota // the caller has a final answer, whole or cut
-	notRun                 // the replica surely did not run it
-	mayHave                // it may have run
+	over verdict = iota
+	notRun
+	mayHave
 )
 
-// send selects replicas and sends on until there is an answer.
 func (n *Inquiry) send() {
 	reach := 0
 	refused := false
@@ -83,7 +81,6 @@
 	}
 }
 
-// pick selects a replica, waiting a little for a place if all are taken.
 func (n *Inquiry) pick() (*pick.Rep, error) {
 	hold := n.begun.Add(min(clk.Ms(n.route.TargetMs/5), clk.Until(n.limit)/3))
 	for {
@@ -98,7 +95,6 @@
 	}
 }
 
-// fail ends an inquiry that no replica answered.
 func (n *Inquiry) fail(c code.Code) {
 	if n.first {
 		n.abort()
@@ -117,7 +113,6 @@
 	n.reject(c)
 }
 
-// try sends the inquiry to one replica and passes the answer on.
 func (n *Inquiry) try(rep *pick.Rep) (verdict, pick.Outcome) {
 	left := clk.Until(n.limit)
 	if left <= 0 {
@@ -134,8 +129,8 @@
 	}
 	defer n.hold(nil)
 	set := []head.Set{{K: head.Expected, V: string(rep.ID)}}
-	if len(n.Head.Field(head.DeadlineMs)) > 0 {
-		set = append(set, head.Set{K: head.DeadlineMs, V: strconv.FormatInt(max(1, int64(left/clk.Millisecond)), 10)})
+	if len(n.Head.Field(head.LimitMs)) > 0 {
+		set = append(set, head.Set{K: head.LimitMs, V: strconv.FormatInt(max(1, int64(left/clk.Millisecond)), 10)})
 	}
 	if n.urgency != 0 && len(n.Head.Field(head.Urgency)) == 0 {
 		set = append(set, head.Set{K: head.Urgency, V: strconv.Itoa(n.urgency)})
@@ -155,7 +150,7 @@
 		rep.Pool.Drop(c)
 		return mayHave, pick.Broke
 	}
-	a, err := c.Answer(n.id)
+	a, err := c.Result(n.id)
 	if err != nil {
 		rep.Pool.Drop(c)
 		return n.broke(err)
@@ -194,7 +189,6 @@
 	return n.pass(rep, c, a)
 }
 
-// broke tells what an answer that ended early comes to.
 func (n *Inquiry) broke(err error) (verdict, pick.Outcome) {
 	if n.deserted() {
 		n.last = true
@@ -211,9 +205,8 @@
 	return mayHave, pick.Broke
 }
 
-// turned takes an answer that says that the replica did not run the inquiry.
-func (n *Inquiry) turned(rep *pick.Rep, c *link.Conn, a *head.Answer) (verdict, pick.Outcome) {
-	o := pick.Refused
+func (n *Inquiry) turned(rep *pick.Rep, c *link.Conn, a *head.Result) (verdict, pick.Outcome) {
+	o := pick.Rejected
 	if a.Status == 421 {
 		o = pick.Stranger
 	}
@@ -225,8 +218,7 @@
 	return notRun, o
 }
 
-// pass passes a plain answer on, whole.
-func (n *Inquiry) pass(rep *pick.Rep, c *link.Conn, a *head.Answer) (verdict, pick.Outcome) {
+func (n *Inquiry) pass(rep *pick.Rep, c *link.Conn, a *head.Result) (verdict, pick.Outcome) {
 	body, err := c.Body(a).ReadAll(plainMost)
 	if err != nil {
 		rep.Pool.Drop(c)
@@ -249,8 +241,7 @@
 
 var resumed = note.Counter("stream.resumed")
 
-// stream passes events on as they come, whole ones only.
-func (n *Inquiry) stream(rep *pick.Rep, c *link.Conn, a *head.Answer, sent clk.Tick) (verdict, pick.Outcome) {
+func (n *Inquiry) stream(rep *pick.Rep, c *link.Conn, a *head.Result, sent clk.Tick) (verdict, pick.Outcome) {
 	body := c.Body(a)
 	skip := int64(-1)
 	if n.first {
@@ -312,8 +303,6 @@
 	}
 }
 
-// judge holds the record against when the answer began, and has others told
-// if it has drifted.
 func (n *Inquiry) judge(rep *pick.Rep, took clk.Span) {
 	if len(n.ask.Chain) == 0 || n.ask.Tokens == 0 {
 		return
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -96,7 +96,6 @@
 
 const whenKept = 256
 
-// stamp notes that a change is in force; the caller has the lock.
 func (v *View) stamp(key word.Key, label string) {
 	if v.when == nil || len(v.when) >= whenKept {
 		v.when = map[string]clk.Tick{}
--- a/internal/spawn/turn.go
+++ b/internal/spawn/turn.go
@@ -64,7 +64,6 @@
 	p.m.Set()
 }
 
-// waiting is how many wait.
 func (t *Turn) waiting() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -50,7 +50,7 @@
 
 // Get reads one answer.
 func (k *Caller) Get() (Reply, error) {
-	a, err := head.ReadAnswer(k.br)
+	a, err := head.ReadResult(k.br)
 	if err != nil {
 		return Reply{}, err
 	}
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -94,7 +94,7 @@
 		}
 		f := func(k string) string { return string(q.Field(k)) }
 		g := Got{ID: f(head.AttemptID), Method: q.Method, URI: q.URI, Host: q.Host, Expect: f(head.Expected),
-			LastEvent: f(head.LastEvent), Deadline: f(head.DeadlineMs), Body: string(b)}
+			LastEvent: f(head.LastEvent), Deadline: f(head.LimitMs), Body: string(b)}
 		r.mu.Lock()
 		r.got = append(r.got, g)
 		p := r.play
