--- a/internal/boot/settings.go
+++ b/internal/boot/settings.go
@@ -30,64 +30,40 @@
 
 // Limits bound what a process may use.
 type Limits struct {
-	CPUShare    float64 `toml:"cpu-share" validate:"gte=0"`
-	Cores       float64 `toml:"cores" validate:"gte=0"`
-	MemoryMB    int64   `toml:"memory-mb" validate:"gte=16"`
-	Descriptors int     `toml:"file-descriptors" validate:"gte=64"`
-	DiskMB      int64   `toml:"disk-mb" validate:"gte=0"`
+	MemoryMB    int64 `toml:"memory-mb" validate:"gte=16"`
+	Descriptors int   `toml:"file-descriptors" validate:"gte=64"`
 }
 
-// Tolerance is what may be lost at once.
-type Tolerance struct {
-	Machines   int `toml:"machine-losses" validate:"gte=0"`
-	Localities int `toml:"zones" validate:"gte=0"`
-}
-
-// Bounds are the figures of the rules.
+// Bounds are the figures of the rules that daemons go by.
 type Bounds struct {
-	SeedLagS         float64 `toml:"seed-lag-s" validate:"gte=0"`
-	AddressReuseS    float64 `toml:"address-reuse-s" validate:"gte=0"`
-	ContactMs        float64 `toml:"contact-ms" validate:"gte=0"`
-	AckMs            float64 `toml:"ack-ms" validate:"gte=0"`
-	CatchUpS         float64 `toml:"catch-up-s" validate:"gte=0"`
 	DrainMs          float64 `toml:"drain-ms" validate:"gte=0"`
 	GraceS           float64 `toml:"grace-s" validate:"gte=0"`
-	LossSlackMs      float64 `toml:"loss-slack-ms" validate:"gte=0"`
 	ConfigApplyMs    float64 `toml:"config-apply-ms" validate:"gte=0"`
-	RevertSlackMs    float64 `toml:"revert-slack-ms" validate:"gte=0"`
-	OuterStretchMs   float64 `toml:"outer-stretch-ms" validate:"gte=0"`
 	RetryBudgetRatio float64 `toml:"retry-budget-ratio" validate:"gte=0"`
 	RetryWindowS     float64 `toml:"retry-window-s" validate:"gte=0"`
 	RetrySlack       float64 `toml:"retry-slack" validate:"gte=0"`
 	ColdOverrun      float64 `toml:"cold-overrun" validate:"gte=0"`
 	ColdSlack        float64 `toml:"cold-slack" validate:"gte=0"`
-	EvacuationMs     float64 `toml:"evacuation-ms" validate:"gte=0"`
-	RecoveryS        float64 `toml:"recovery-s" validate:"gte=0"`
-	PassMs           float64 `toml:"pass-ms" validate:"gte=0"`
 }
 
 // Platform is where the list of replicas is kept.
 type Platform struct {
-	Address  string  `toml:"address" validate:"required,hostport4"`
-	PerS     float64 `toml:"rate-per-s" validate:"gt=0"`
-	MaxLagMs float64 `toml:"max-lag-ms" validate:"gte=0"`
+	Address string  `toml:"address" validate:"required,hostport4"`
+	PerS    float64 `toml:"rate-per-s" validate:"gt=0"`
 }
 
 // Settings are all that a daemon is told.
 type Settings struct {
 	Node       word.Node         `toml:"node-name" validate:"required"`
-	Role       string            `toml:"node-role"`
 	IP         string            `toml:"ip" validate:"required,ipv4"`
 	Locality   word.Locality     `toml:"zone" validate:"required"`
 	Ports      []int             `toml:"internal-ports" validate:"len=2,dive,gte=1,lte=65535"`
 	Seeds      []word.Addr       `toml:"seed-nodes" validate:"min=1,dive,hostport4"`
 	Initial    bool              `toml:"initial-start"`
 	DataDir    string            `toml:"data-dir"`
-	BeatMs     float64           `toml:"beat-interval-ms" validate:"gte=0"`
 	Localities map[string]string `toml:"zones"`
 	Bindings   Bindings          `toml:"bindings"`
 	Limits     Limits            `toml:"limits"`
-	Tolerance  Tolerance         `toml:"fault-tolerance"`
 	Bounds     Bounds            `toml:"timing-bounds"`
 	Platform   Platform          `toml:"platform-api"`
 	Calendar   Calendar          `toml:"calendar"`
@@ -138,6 +114,12 @@
 			out = append(out, code.New(code.BadSettings, "calendar.rewrite: %v", err))
 		}
 	}
+	if s.Bounds.DrainMs == 0 {
+		s.Bounds.DrainMs = 3000
+	}
+	if s.Bounds.ConfigApplyMs == 0 {
+		s.Bounds.ConfigApplyMs = 2000
+	}
 	if s.Session.IdleS == 0 {
 		s.Session.IdleS = 300
 	}
--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -51,6 +51,7 @@
 		k.Founders = append(k.Founders, word.Node(s.Keeper(a)))
 	}
 	hub.Status = k
+	hub.Apply = clk.Ms(s.Bounds.ConfigApplyMs)
 	d := &Daemon{Keeper: k, Hub: hub, net: wires}
 	li, err := wire.Listen(word.Addr(self))
 	if err != nil {
@@ -95,8 +96,8 @@
 			clk.Sleep(keep.Beat)
 		}
 	})
-	rd := &list.Reader{Addr: word.Addr(s.Platform.Address)}
-	duty := &list.Duty{Keeper: k, Read: rd.Read, Value: hub.Value}
+	rd := &list.Reader{Addr: word.Addr(s.Platform.Address), Rate: list.Share(s.Platform.PerS, 0.5)}
+	duty := &list.Duty{Keeper: k, Read: rd.Read, Value: hub.Value, Drain: clk.Ms(s.Bounds.DrainMs)}
 	spawn.Every(list.Glance, func() bool {
 		duty.Step()
 		return !d.over.Load()
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	beat     = 500 * clk.Millisecond
-	freshFor = clk.Second
+	beat         = 500 * clk.Millisecond
+	applyDefault = 2 * clk.Second
 )
 
 type kept struct {
@@ -42,16 +42,25 @@
 // Hub is the keeper's end of the feed.
 type Hub struct {
 	Status Status
-	mu     sync.Mutex
-	num    uint64
-	sure   bool
-	items  map[word.Key]kept
-	who    map[*follower]bool
+	// Apply is the time within which a change has to be in force everywhere.
+	Apply clk.Span
+	mu    sync.Mutex
+	num   uint64
+	sure  bool
+	items map[word.Key]kept
+	who   map[*follower]bool
 }
 
 // NewHub makes an empty hub.
 func NewHub() *Hub { return &Hub{items: map[word.Key]kept{}, who: map[*follower]bool{}} }
 
+func (h *Hub) freshFor() clk.Span {
+	if h.Apply > 0 {
+		return h.Apply / 2
+	}
+	return applyDefault / 2
+}
+
 // Publish takes a value in; false if it is not newer than what is there.
 func (h *Hub) Publish(it keep.Item) bool {
 	h.mu.Lock()
@@ -71,7 +80,7 @@
 // Check has followers told at once when their keeper has become sure or is so
 // no longer.
 func (h *Hub) Check() {
-	now := h.Status.Sure(freshFor)
+	now := h.Status.Sure(h.freshFor())
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if now == h.sure {
@@ -185,7 +194,7 @@
 	first := true
 	locals := -1
 	for {
-		out := keep.Msg{Kind: keep.Follow, Life: h.Status.Life(), Fresh: h.Status.Sure(freshFor),
+		out := keep.Msg{Kind: keep.Follow, Life: h.Status.Life(), Fresh: h.Status.Sure(h.freshFor()),
 			Count: h.Status.Relays(), ListAge: h.Status.ListAge()}
 		if out.Fresh {
 			out.Snapshot = first && f.num == 0
--- a/internal/feed/tail.go
+++ b/internal/feed/tail.go
@@ -14,9 +14,8 @@
 )
 
 const (
-	staleAfter = 1300 * clk.Millisecond
-	avoid      = 2 * clk.Second
-	firstWait  = 500 * clk.Millisecond
+	avoid     = 2 * clk.Second
+	firstWait = 500 * clk.Millisecond
 )
 
 // Tail is the relay's end of the feed. It follows one keeper at a time and
@@ -28,7 +27,9 @@
 	Locality word.Locality
 	Seeds    func() []word.Addr
 	Take     func(it keep.Item)
-	Heard    func(count int, listAge clk.Span)
+	// Apply is the time within which a change has to be in force everywhere.
+	Apply clk.Span
+	Heard func(count int, listAge clk.Span)
 
 	mu     sync.Mutex
 	places map[word.Key]word.Place
@@ -41,6 +42,14 @@
 	bad    map[word.Addr]clk.Tick
 }
 
+func (t *Tail) stale() clk.Span {
+	d := t.Apply
+	if d <= 0 {
+		d = applyDefault
+	}
+	return max(d*65/100, 2*beat)
+}
+
 // Fresh tells whether news came within d.
 func (t *Tail) Fresh(d clk.Span) bool {
 	t.mu.Lock()
@@ -168,7 +177,7 @@
 	begun := clk.Now()
 	was := false
 	for {
-		k.Wait(min(staleAfter/2, firstWait))
+		k.Wait(min(t.stale()/2, firstWait))
 		mu.Lock()
 		gone, l := lost, last
 		mu.Unlock()
@@ -182,7 +191,7 @@
 			t.peer = p
 			t.mu.Unlock()
 		}
-		if gone || (l == 0 && clk.Since(begun) > firstWait) || (l != 0 && clk.Since(l) > staleAfter) {
+		if gone || (l == 0 && clk.Since(begun) > firstWait) || (l != 0 && clk.Since(l) > t.stale()) {
 			t.mu.Lock()
 			if t.bad == nil {
 				t.bad = map[word.Addr]clk.Tick{}
--- a/internal/list/duty.go
+++ b/internal/list/duty.go
@@ -15,34 +15,47 @@
 	Keeper *keep.Keeper
 	Read   func() ([]Replica, error)
 	Value  func(word.Key) ([]byte, word.Place)
-	mu     sync.Mutex
-	epoch  word.Epoch
-	seq    uint64
-	last   []Replica
-	at     clk.Tick
-	held   word.Place
-	since  clk.Tick
-	wait   clk.Span
-	done   clk.Tick
-	fails  int
+	// Drain is the time after which nothing may be sent to a replica that the
+	// list shows as draining.
+	Drain clk.Span
+	mu    sync.Mutex
+	epoch word.Epoch
+	seq   uint64
+	last  []Replica
+	at    clk.Tick
+	held  word.Place
+	since clk.Tick
+	wait  clk.Span
+	done  clk.Tick
+	fails int
 }
 
 const (
 	// Glance is the time between two steps.
 	Glance = 100 * clk.Millisecond
-	// Pause is the time between two readings.
-	Pause    = 900 * clk.Millisecond
-	vacant   = 1500 * clk.Millisecond
-	patience = 3
+
+	drainDefault = 3 * clk.Second
+	patience     = 3
 )
 
+func (d *Duty) drain() clk.Span {
+	if d.Drain > 0 {
+		return d.Drain
+	}
+	return drainDefault
+}
+
+func (d *Duty) pause() clk.Span { return d.drain() * 3 / 10 }
+
+func (d *Duty) gone() clk.Span { return d.drain() / 2 }
+
 // Step takes one step: reads the list if the duty is this keeper's, and holds
 // a ballot if the duty is vacant.
 func (d *Duty) Step() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	k := d.Keeper
-	if !k.Sure(vacant) {
+	if !k.Sure(d.gone()) {
 		return
 	}
 	mine, at := d.mine()
@@ -58,7 +71,7 @@
 	if d.epoch != at.Epoch {
 		d.epoch, d.seq, d.last = at.Epoch, 0, nil
 	}
-	if d.done != 0 && clk.Since(d.done) < Pause-Glance/2 {
+	if d.done != 0 && clk.Since(d.done) < d.pause()-Glance/2 {
 		return
 	}
 	d.done = clk.Now()
@@ -88,7 +101,7 @@
 		d.wait = clk.Span(rand.Int64N(int64(350 * clk.Millisecond)))
 	}
 	if age := d.Keeper.ListAge(); age < clk.Second*3600 {
-		return age >= vacant+Pause && clk.Since(d.since) >= vacant+Pause
+		return age >= d.gone()+d.pause() && clk.Since(d.since) >= d.gone()+d.pause()
 	}
 	return clk.Since(d.since) >= d.wait
 }
--- a/internal/list/duty_test.go
+++ b/internal/list/duty_test.go
@@ -1,6 +1,7 @@
 package list
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -98,3 +99,17 @@
 	_, ok = Decode([]byte("no list"))
 	is.True(!ok)
 }
+
+// A daemon keeps to its share of the platform's rate, and ends a reading of
+// many pages that it has begun.
+func TestShareOfRate(t *testing.T) {
+	is := is.New(t)
+	r := &Reader{Addr: "127.0.0.1:1", Rate: Share(2, 0.5)}
+	_, err := r.Read()
+	is.True(code.Of(err) == code.ListRejected)
+	r.Rate.Reserve()
+	r.Rate.Reserve()
+	is.True(r.Rate.Tokens() < 1)
+	_, err = r.Read()
+	is.True(err != nil && strings.Contains(err.Error(), "share of the rate"))
+}
--- a/internal/list/reader.go
+++ b/internal/list/reader.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
 
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
@@ -27,11 +28,18 @@
 // Reader reads the whole list, page by page, on one connection.
 type Reader struct {
 	Addr word.Addr
+	// Rate bounds the calls, if it is set. A reading that has begun is ended.
+	Rate *rate.Limiter
 	mu   sync.Mutex
 	c    net.Conn
 	br   *bufio.Reader
 }
 
+// Share makes the bound of a daemon that may have part of a rate.
+func Share(perS, part float64) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(perS*part), max(1, int(perS*part)))
+}
+
 type page struct {
 	Replicas []Replica `json:"replicas"`
 	Next     *string   `json:"next-token"`
@@ -41,6 +49,9 @@
 func (r *Reader) Read() ([]Replica, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.Rate != nil && r.Rate.Tokens() < 1 {
+		return nil, code.New(code.ListRejected, "over this daemon's share of the rate")
+	}
 	var out []Replica
 	token := ""
 	for range pagesMost {
@@ -74,6 +85,9 @@
 		}
 		r.c, r.br = c, bufio.NewReaderSize(c, 4096)
 	}
+	if r.Rate != nil {
+		r.Rate.Reserve()
+	}
 	calls.Add(1)
 	_ = r.c.SetDeadline(clk.Now().Add(callLimit).Limit())
 	path := "/replicas"
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -55,7 +55,7 @@
 	most := max(32, (s.Limits.Descriptors-200)/3)
 	d := &Daemon{Relay: NewRelay(v, b, most, most, most), s: s}
 	d.Relay.BodiesMost = s.Limits.MemoryMB << 20 / 4
-	d.Tail = &feed.Tail{Self: s.Node, Addr: s.Inner(s.IP, 1), IP: s.IP, Locality: s.Locality, Take: v.Take,
+	d.Tail = &feed.Tail{Self: s.Node, Addr: s.Inner(s.IP, 1), IP: s.IP, Locality: s.Locality, Take: v.Take, Apply: clk.Ms(s.Bounds.ConfigApplyMs),
 		Heard: func(n int, _ clk.Span) { f.Relays(n) }, Seeds: d.seeds}
 	d.Relay.Tell = func(x pick.Drift) {
 		var b bytes.Buffer
@@ -85,7 +85,7 @@
 	d.Tail.Run()
 	spawn.Go(func() { d.Relay.Serve(lf) })
 	spawn.Go(func() { _ = d.readiness(lr) })
-	rd := &list.Reader{Addr: word.Addr(s.Platform.Address)}
+	rd := &list.Reader{Addr: word.Addr(s.Platform.Address), Rate: list.Share(s.Platform.PerS, 1.0/32)}
 	spawn.Every(ownPause, func() bool {
 		d.readOwn(rd)
 		f.Reap()
