A connection given back is no longer cut by its last caller; holding by priority and limit

Cause: a caller that closed right after its answer cut the replica's connection a moment after it was given back to the pool, under another inquiry (found by a test that failed once in many). The connection is let go before it is given.

--- /dev/null
+++ b/internal/relay/holding.go
@@ -0,0 +1,94 @@
+package relay
+
+import (
+	"sort"
+	"sync"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/word"
+)
+
+// Holding keeps inquiries that wait for a place at a replica, by service: the
+// higher priority first, then the sooner limit. Only the first of a line asks
+// for a place; the others wait until they are first.
+type Holding struct {
+	Most  int
+	mu    sync.Mutex
+	lines map[word.Service][]*held
+}
+
+type held struct {
+	svc   word.Service
+	prio  int
+	limit clk.Tick
+	first *spawn.Mark
+}
+
+// Empty tells whether nothing waits for the service.
+func (h *Holding) Empty(s word.Service) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.lines[s]) == 0
+}
+
+// Enter takes a place in the line; nil if holding is full.
+func (h *Holding) Enter(s word.Service, prio int, limit clk.Tick) *held {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.lines == nil {
+		h.lines = map[word.Service][]*held{}
+	}
+	l := h.lines[s]
+	if len(l) >= h.Most {
+		return nil
+	}
+	w := &held{svc: s, prio: prio, limit: limit, first: spawn.NewMark()}
+	i := sort.Search(len(l), func(i int) bool { return w.before(l[i]) })
+	l = append(l, nil)
+	copy(l[i+1:], l[i:])
+	l[i] = w
+	h.lines[s] = l
+	if i == 0 {
+		w.first.Set()
+	}
+	return w
+}
+
+func (w *held) before(o *held) bool {
+	if w.prio != o.prio {
+		return w.prio < o.prio
+	}
+	return w.limit < o.limit
+}
+
+// First tells whether w is first now; if not it waits for at most d to be.
+func (h *Holding) First(w *held, d clk.Span) bool {
+	h.mu.Lock()
+	first := h.lines[w.svc][0] == w
+	h.mu.Unlock()
+	if first {
+		return true
+	}
+	w.first.Wait(d)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lines[w.svc][0] == w
+}
+
+// Leave gives the place in the line up and lets the next be first.
+func (h *Holding) Leave(w *held) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l := h.lines[w.svc]
+	for i, o := range l {
+		if o == w {
+			l = append(l[:i], l[i+1:]...)
+			break
+		}
+	}
+	h.lines[w.svc] = l
+	if len(l) > 0 {
+		l[0].first.Set()
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -25,6 +25,7 @@
 	BodiesMost int64
 
 	senders *spawn.Pool
+	holding *Holding
 	bodies  int64
 	sizes   pick.Sizes
 	mu      sync.Mutex
@@ -38,7 +39,7 @@
 
 // NewRelay makes a relay that holds at most most connections of callers.
 func NewRelay(v *View, b *pick.Budget, senders, holding, most int) *Relay {
-	return &Relay{View: v, Fleet: v.Fleet, Budget: b, senders: spawn.NewPool(senders, holding), idles: map[*Caller]bool{}, most: most,
+	return &Relay{View: v, Fleet: v.Fleet, Budget: b, senders: spawn.NewPool(senders, holding), holding: &Holding{Most: holding}, idles: map[*Caller]bool{}, most: most,
 		Current: func() bool { return true }}
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -14,7 +14,9 @@
 
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/conf"
+	"spoolswitch/internal/head"
 	"spoolswitch/internal/keep"
+	"spoolswitch/internal/link"
 	"spoolswitch/internal/list"
 	"spoolswitch/internal/pick"
 	"spoolswitch/internal/spawn"
@@ -584,3 +586,25 @@
 	is.NoErr(err)
 	is.Equal(r.Status, 502)
 }
+
+// A caller that goes once it has its answer does not cut the connection that
+// was given back: another inquiry may be on it.
+func TestGivenBackIsNotCut(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, standin.Well)
+	pool := &link.Pool{Addr: g.reps[0].Addr}
+	c, err := pool.Get(clk.Second)
+	is.NoErr(err)
+	n := &Inquiry{}
+	is.True(n.hold(c))
+	n.give(&pick.Rep{Pool: pool}, c, &head.Result{})
+	n.abandon()
+	again, err := pool.Get(clk.Second)
+	is.NoErr(err)
+	is.True(again == c)
+	_, err = again.Put([]byte("POST / HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n"), clk.Now().Add(clk.Second))
+	is.NoErr(err)
+	a, err := again.Result([]byte("a"))
+	is.NoErr(err)
+	is.Equal(a.Status, 200)
+}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -16,6 +16,7 @@
 const (
 	dialLimit  = 300 * clk.Millisecond
 	holdStep   = 15 * clk.Millisecond
+	holdLook   = 50 * clk.Millisecond
 	plainMost  = 8 << 20
 	turnedMost = 64 << 10
 	eventMost  = 1 << 20
@@ -82,17 +83,31 @@
 }
 
 func (n *Inquiry) pick() (*pick.Rep, error) {
-	hold := n.begun.Add(min(clk.Ms(n.route.TargetMs/5), clk.Until(n.limit)/3))
-	for {
-		rep, err := n.r.Fleet.Select(&n.ask)
-		if err == nil {
+	h := n.r.holding
+	var err error = code.New(code.HoldingFull, "%s", n.ask.Service)
+	if h.Empty(n.ask.Service) {
+		var rep *pick.Rep
+		if rep, err = n.r.Fleet.Select(&n.ask); err == nil {
 			return rep, nil
 		}
-		if clk.Now() >= hold || n.deserted() {
-			return nil, err
+	}
+	until := n.begun.Add(min(clk.Ms(n.route.TargetMs/5), clk.Until(n.limit)/3))
+	w := h.Enter(n.ask.Service, n.route.Priority, n.limit)
+	if w == nil {
+		return nil, err
+	}
+	defer h.Leave(w)
+	for clk.Now() < until && !n.deserted() {
+		if !h.First(w, min(holdLook, clk.Until(until))) {
+			continue
+		}
+		var rep *pick.Rep
+		if rep, err = n.r.Fleet.Select(&n.ask); err == nil {
+			return rep, nil
 		}
 		clk.Sleep(holdStep)
 	}
+	return nil, err
 }
 
 func (n *Inquiry) fail(c code.Code) {
@@ -214,7 +229,7 @@
 		rep.Pool.Drop(c)
 		return notRun, o
 	}
-	rep.Pool.Give(c, a)
+	n.give(rep, c, a)
 	return notRun, o
 }
 
@@ -224,7 +239,7 @@
 		rep.Pool.Drop(c)
 		return n.broke(err)
 	}
-	rep.Pool.Give(c, a)
+	n.give(rep, c, a)
 	n.finish()
 	b := a.Append(make([]byte, 0, len(body)+512), len(body), n.last)
 	if !n.k.write(append(b, body...)) {
@@ -283,7 +298,7 @@
 			continue
 		}
 		if err == io.EOF && body.Whole() && !n.events.Left() {
-			rep.Pool.Give(c, a)
+			n.give(rep, c, a)
 			out = out[:0]
 			if !n.first {
 				n.finish()
@@ -312,6 +327,11 @@
 	}
 }
 
+func (n *Inquiry) give(rep *pick.Rep, c *link.Conn, a *head.Result) {
+	n.hold(nil)
+	rep.Pool.Give(c, a)
+}
+
 func chunk(b, p []byte) []byte {
 	b = strconv.AppendInt(b, int64(len(p)), 16)
 	b = append(b, "\r\n"...)
