--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -11,6 +11,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -41,8 +42,11 @@
 	relays  map[int]*relay.Daemon
 }
 
+// fleets gives each fleet ports of its own.
+var fleets atomic.Int64
+
 func newFleet(t *testing.T, keepers, relays int) *fleet {
-	f := &fleet{t: t, base: 20000 + rand.IntN(400)*20, plat: standin.NewPlatform(1), dirs: map[int]string{},
+	f := &fleet{t: t, base: 20000 + int(fleets.Add(1))*20, plat: standin.NewPlatform(1), dirs: map[int]string{},
 		keepers: map[int]*ctl.Daemon{}, relays: map[int]*relay.Daemon{}}
 	f.rep = standin.NewReplica("i-1", standin.Well)
 	other := standin.NewReplica("i-2", standin.Well)
@@ -59,6 +63,9 @@
 		for _, k := range f.keepers {
 			k.Stop()
 		}
+		for _, r := range f.relays {
+			r.Close()
+		}
 		f.rep.Close()
 		other.Close()
 	})
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -186,6 +186,11 @@
 func (d *Daemon) Stop() {
 	note.State("leaving")
 	d.Relay.Leave(d.settings().Grace()-500*clk.Millisecond, unready)
+	d.Close()
+}
+
+// Close ends the listening at once.
+func (d *Daemon) Close() {
 	for _, l := range d.ls {
 		_ = l.Close()
 	}
