--- a/internal/spawn/spawn.go
+++ b/internal/spawn/spawn.go
@@ -75,12 +75,6 @@
 	})
 }
 
-// After calls fn once d has passed and returns a way to call it off.
-func After(d clk.Span, fn func()) func() {
-	t := time.AfterFunc(d, fn)
-	return func() { t.Stop() }
-}
-
 // Signals calls stop at the first SIGTERM or SIGINT and hup at each SIGHUP.
 func Signals(stop, hup func()) {
 	c := make(chan os.Signal, 4)
--- a/internal/spawn/turn.go
+++ b/internal/spawn/turn.go
@@ -63,9 +63,3 @@
 	p.got = true
 	p.m.Set()
 }
-
-func (t *Turn) waiting() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.line)
-}
--- a/internal/spawn/turn_test.go
+++ b/internal/spawn/turn_test.go
@@ -33,6 +33,12 @@
 	is.True(tn.Take(0))
 }
 
+func (t *Turn) waiting() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.line)
+}
+
 func TestTurnHoldsNoMore(t *testing.T) {
 	is := is.New(t)
 	tn := &Turn{}
