--- a/cmd/relayd/main.go
+++ b/cmd/relayd/main.go
@@ -1,4 +1,4 @@
-// Command relayd carries the traffic of callers to replicas.
+// Command relayd carries the traffic of clients to replicas.
 package main
 
 import (
--- a/cmd/spoolctl/main.go
+++ b/cmd/spoolctl/main.go
@@ -38,25 +38,25 @@
 		x.Flag("control", "A control address, IP:PORT; may be given again.").Short('c').Required().StringsVar(&control)
 		return x
 	}
-	caller := func() *oper.Caller {
-		o := &oper.Caller{Limit: *limit}
+	client := func() *oper.Client {
+		o := &oper.Client{Limit: *limit}
 		for _, a := range control {
 			o.Addrs = append(o.Addrs, word.Addr(a))
 		}
 		return o
 	}
 	g := calls("get", "Print the configuration in force.")
-	g.Action(t.do(func() error { return t.get(caller()) }))
+	g.Action(t.do(func() error { return t.get(client()) }))
 	for _, n := range []string{"replace", "modify"} {
 		x := calls(n, "Send a configuration to "+n+" the one in force.")
 		f := x.Arg("file", "The configuration or the change.").Required().ExistingFile()
-		base := x.Flag("base", "The edition that it builds on.").Required().Int64()
-		x.Action(t.do(func() error { return t.send(caller(), n, *f, *base) }))
+		base := x.Flag("base", "The version that it builds on.").Required().Int64()
+		x.Action(t.do(func() error { return t.send(client(), n, *f, *base) }))
 	}
-	for n, help := range map[string]string{"evacuate": "Send nothing more to a locality's replicas.", "return": "Take a locality back."} {
+	for n, help := range map[string]string{"evacuate": "Send nothing more to a zone's replicas.", "return": "Take a zone back."} {
 		x := calls(n, help)
-		z := x.Arg("locality", "The locality.").Required().String()
-		x.Action(t.do(func() error { return t.evacuate(caller(), n, *z) }))
+		z := x.Arg("zone", "The zone.").Required().String()
+		x.Action(t.do(func() error { return t.evacuate(client(), n, *z) }))
 	}
 
 	var keeper string
@@ -70,16 +70,16 @@
 	s := asks("status", "Tell how all daemons are.")
 	s.Action(t.do(func() error { return t.status(trace.Wire, word.Addr(keeper), asJSON, *limit) }))
 	tr := asks("trace", "Follow one change through all daemons.")
-	edition := tr.Flag("edition", "An edition of the configuration.").Int64()
-	zone := tr.Flag("evacuation", "A locality, for its evacuation.").String()
+	version := tr.Flag("config-version", "A version of the configuration.").Int64()
+	zone := tr.Flag("evacuation", "A zone, for its evacuation.").String()
 	state := tr.Flag("state", "Which change of the evacuation: on or off.").Default("on").Enum("on", "off")
 	tr.Action(t.do(func() error {
-		key, label := word.Configuration, fmt.Sprint(*edition)
+		key, label := word.Configuration, fmt.Sprint(*version)
 		switch {
 		case *zone != "":
-			key, label = word.Evacuation(word.Locality(*zone)), *state
-		case *edition <= 0:
-			return code.New(code.UnknownChange, "give --edition or --evacuation")
+			key, label = word.Evacuation(word.Zone(*zone)), *state
+		case *version <= 0:
+			return code.New(code.UnknownChange, "give --config-version or --evacuation")
 		}
 		return t.trace(trace.Wire, word.Addr(keeper), key, label, asJSON, min(*limit, 2*time.Second))
 	}))
--- a/cmd/spoolctl/tool.go
+++ b/cmd/spoolctl/tool.go
@@ -77,14 +77,14 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("%d -> %d\n", a.Edition, b.Edition)
+	fmt.Printf("%d -> %d\n", a.Version, b.Version)
 	for _, l := range a.Diff(b) {
 		fmt.Println(l)
 	}
 	return nil
 }
 
-func (t *tool) get(o *oper.Caller) error {
+func (t *tool) get(o *oper.Client) error {
 	b, err := o.Call("GET", "/-/configuration/retrieve", -1, nil)
 	if err == nil {
 		fmt.Println(string(b))
@@ -92,7 +92,7 @@
 	return err
 }
 
-func (t *tool) send(o *oper.Caller, how, file string, base int64) error {
+func (t *tool) send(o *oper.Client, how, file string, base int64) error {
 	b, err := os.ReadFile(file)
 	if err != nil {
 		return code.New(code.NoSettings, "%v", err)
@@ -104,7 +104,7 @@
 	return nil
 }
 
-func (t *tool) evacuate(o *oper.Caller, how, zone string) error {
+func (t *tool) evacuate(o *oper.Client, how, zone string) error {
 	end := map[string]string{"evacuate": "/initiate", "return": "/terminate"}[how]
 	if _, err := o.Call("POST", "/-/evacuation/"+zone+end, -1, nil); err != nil {
 		return err
@@ -121,8 +121,8 @@
 	return err
 }
 
-func (t *tool) trace(ask trace.Ask, keeper word.Addr, key word.Key, label string, asJSON bool, limit clk.Span) error {
-	r, err := trace.Change(ask, keeper, key, label, limit)
+func (t *tool) trace(ask trace.Ask, keeper word.Addr, key word.Key, label string, asJSON bool, timeout clk.Span) error {
+	r, err := trace.Change(ask, keeper, key, label, timeout)
 	if err != nil {
 		return err
 	}
@@ -133,8 +133,8 @@
 	return nil
 }
 
-func (t *tool) status(ask trace.Ask, keeper word.Addr, asJSON bool, limit clk.Span) error {
-	rs, silent, err := trace.Fleet(ask, keeper, word.Configuration, limit)
+func (t *tool) status(ask trace.Ask, keeper word.Addr, asJSON bool, timeout clk.Span) error {
+	rs, silent, err := trace.Fleet(ask, keeper, word.Configuration, timeout)
 	if err != nil {
 		return err
 	}
@@ -143,12 +143,12 @@
 	}
 	for _, r := range rs {
 		if r.Role == "keeper" {
-			fmt.Printf("keeper %s in %s: voting %v, sure %v, roster %d %v %v, feed at %d, relays %d\n", r.Node, r.Locality, r.Voting, r.Sure, r.Roster.Num, r.Roster.Seat, r.Roster.Next, r.Feed, len(r.Relays))
+			fmt.Printf("keeper %s in %s: voting %v, sure %v, roster %d %v %v, feed at %d, relays %d\n", r.Node, r.Zone, r.Voting, r.Sure, r.Roster.Num, r.Roster.Seat, r.Roster.Next, r.Feed, len(r.Relays))
 			for _, k := range sorted(r.Owners) {
-				fmt.Printf("  %s: term %s\n", k, r.Owners[word.Key(k)])
+				fmt.Printf("  %s: lease %s\n", k, r.Owners[word.Key(k)])
 			}
 		} else {
-			fmt.Printf("relay %s in %s: current %v, edition %d, from %s, feed at %d\n", r.Node, r.Locality, r.Sure, r.Edition, r.Keeper, r.Feed)
+			fmt.Printf("relay %s in %s: current %v, version %d, from %s, feed at %d\n", r.Node, r.Zone, r.Sure, r.Version, r.Keeper, r.Feed)
 		}
 		var gs []string
 		for k, v := range r.Gauges {
--- a/internal/boot/settings.go
+++ b/internal/boot/settings.go
@@ -54,20 +54,20 @@
 
 // Settings are all that a daemon is told.
 type Settings struct {
-	Node       word.Node         `toml:"node-name" validate:"required"`
-	IP         string            `toml:"ip" validate:"required,ipv4"`
-	Locality   word.Locality     `toml:"zone" validate:"required"`
-	Ports      []int             `toml:"internal-ports" validate:"len=2,dive,gte=1,lte=65535"`
-	Seeds      []word.Addr       `toml:"seed-nodes" validate:"min=1,dive,hostport4"`
-	Initial    bool              `toml:"initial-start"`
-	DataDir    string            `toml:"data-dir"`
-	Localities map[string]string `toml:"zones"`
-	Bindings   Bindings          `toml:"bindings"`
-	Limits     Limits            `toml:"limits"`
-	Bounds     Bounds            `toml:"timing-bounds"`
-	Platform   Platform          `toml:"platform-api"`
-	Calendar   Calendar          `toml:"calendar"`
-	Session    Session           `toml:"session"`
+	Node     word.Node         `toml:"node-name" validate:"required"`
+	IP       string            `toml:"ip" validate:"required,ipv4"`
+	Zone     word.Zone         `toml:"zone" validate:"required"`
+	Ports    []int             `toml:"internal-ports" validate:"len=2,dive,gte=1,lte=65535"`
+	Seeds    []word.Addr       `toml:"seed-nodes" validate:"min=1,dive,hostport4"`
+	Initial  bool              `toml:"initial-start"`
+	DataDir  string            `toml:"data-dir"`
+	Zones    map[string]string `toml:"zones"`
+	Bindings Bindings          `toml:"bindings"`
+	Limits   Limits            `toml:"limits"`
+	Bounds   Bounds            `toml:"timing-bounds"`
+	Platform Platform          `toml:"platform-api"`
+	Calendar Calendar          `toml:"calendar"`
+	Session  Session           `toml:"session"`
 }
 
 // Calendar says when keepers rewrite their log, cron-like; empty is never.
--- a/internal/check/house_test.go
+++ b/internal/check/house_test.go
@@ -15,7 +15,7 @@
 var layers = [][]string{
 	{"clk", "word", "code"},
 	{"spawn", "note", "check"},
-	{"match", "result", "disk", "head", "conf", "cal"},
+	{"match", "response", "disk", "head", "conf", "cal"},
 	{"wire", "boot"},
 	{"keep", "link"},
 	{"feed", "list", "oper"},
--- a/internal/clk/clk.go
+++ b/internal/clk/clk.go
@@ -50,10 +50,10 @@
 func Ms(n float64) Span { return Span(n * float64(time.Millisecond)) }
 
 // Limit is t as the connection deadline the standard library wants.
-func (t Tick) Limit() time.Time { return time.Now().Add(Until(t)) }
+func (t Tick) Deadline() time.Time { return time.Now().Add(Until(t)) }
 
-// NoLimit clears a connection deadline.
-func NoLimit() time.Time { return time.Time{} }
+// NoDeadline clears a connection deadline.
+func NoDeadline() time.Time { return time.Time{} }
 
 // Past is a connection deadline that has passed already.
 func Past() time.Time { return time.Unix(1, 0) }
--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -24,8 +24,8 @@
 	NoRoute       Code = 206
 	NotReady      Code = 207
 	NoReplica     Code = 208
-	HoldingFull   Code = 209
-	PastLimit     Code = 210
+	QueueFull     Code = 209
+	PastDeadline  Code = 210
 	ReplicaBroke  Code = 211
 	Leaving       Code = 212
 	BadFields     Code = 213
@@ -36,17 +36,17 @@
 	SamePlace     Code = 305
 	NoWeight      Code = 306
 	NoTimeout     Code = 307
-	OldEdition    Code = 308
-	OtherEdition  Code = 309
-	NoLocality    Code = 310
+	OldVersion    Code = 308
+	OtherVersion  Code = 309
+	NoZone        Code = 310
 	NoMajority    Code = 311
 	Nothing       Code = 312
 	BadItem       Code = 313
-	DiskRejected  Code = 401
+	DiskRefused   Code = 401
 	DiskCorrupt   Code = 402
 	PeerLost      Code = 403
 	NotVoting     Code = 404
-	ListRejected  Code = 405
+	ListRefused   Code = 405
 	UnknownChange Code = 406
 )
 
@@ -54,14 +54,14 @@
 	OK: "ok", BadSettings: "settings at fault", NoSettings: "no settings file",
 	BadHead: "malformed head", HeadTooLarge: "head too large", BodyTooLarge: "body too large",
 	HeadTooSlow: "head too slow", BadBody: "malformed body", NoRoute: "no route", NotReady: "not ready",
-	NoReplica: "no replica may be sent to", HoldingFull: "holding is full", PastLimit: "past its limit",
+	NoReplica: "no replica may be sent to", QueueFull: "queue is full", PastDeadline: "past its deadline",
 	ReplicaBroke: "the replica broke off", Leaving: "leaving", BadFields: "malformed fields",
 	BadMethod: "method not allowed", NoCall: "no such call", Unreadable: "unreadable", NoService: "unknown service",
 	SamePlace: "two routes share a place", NoWeight: "weights add up to 0", NoTimeout: "timeout-ms is 0",
-	OldEdition: "edition not above the current", OtherEdition: "another edition is current",
-	NoLocality: "unknown locality", NoMajority: "no majority", Nothing: "nothing there yet", BadItem: "item at fault",
-	DiskRejected: "the disk rejected it", DiskCorrupt: "a record is corrupt", PeerLost: "a daemon did not answer",
-	NotVoting: "not voting", ListRejected: "the platform rejected the call", UnknownChange: "unknown change",
+	OldVersion: "version not above the current", OtherVersion: "another version is current",
+	NoZone: "unknown zone", NoMajority: "no majority", Nothing: "nothing there yet", BadItem: "item at fault",
+	DiskRefused: "the disk refused it", DiskCorrupt: "a record is corrupt", PeerLost: "a daemon did not answer",
+	NotVoting: "not voting", ListRefused: "the platform refused the call", UnknownChange: "unknown change",
 }
 
 func (c Code) String() string { return names[c] }
--- a/internal/conf/doc.go
+++ b/internal/conf/doc.go
@@ -18,12 +18,12 @@
 const (
 	routesField   = "route-table"
 	servicesField = "service-table"
-	editionField  = "version"
+	versionField  = "version"
 )
 
 // Doc is a configuration, both as it was sent and as it was read.
 type Doc struct {
-	Edition  word.Edition
+	Version  word.Version
 	Routes   []*Route
 	Services []*Service
 	Limits   Limits
@@ -62,7 +62,7 @@
 
 func build(raw map[string]json.RawMessage) (*Doc, []error) {
 	d := &Doc{raw: raw}
-	for k, v := range map[string]any{editionField: &d.Edition, routesField: &d.Routes, servicesField: &d.Services, "limits": &d.Limits} {
+	for k, v := range map[string]any{versionField: &d.Version, routesField: &d.Routes, servicesField: &d.Services, "limits": &d.Limits} {
 		b, ok := raw[k]
 		if !ok {
 			continue
@@ -77,8 +77,8 @@
 func (d *Doc) faults() []error {
 	var out []error
 	add := func(c code.Code, f string, a ...any) { out = append(out, code.New(c, f, a...)) }
-	if d.Edition <= 0 {
-		add(code.OldEdition, "version %d", d.Edition)
+	if d.Version <= 0 {
+		add(code.OldVersion, "version %d", d.Version)
 	}
 	tags := func(what string, v any) {
 		err := check.Struct(v)
@@ -189,7 +189,7 @@
 }
 
 type change struct {
-	Edition *word.Edition              `json:"version"`
+	Version *word.Version              `json:"version"`
 	Upsert  map[string]json.RawMessage `json:"upsert"`
 	Remove  map[string][]string        `json:"remove"`
 }
@@ -203,18 +203,18 @@
 	if err := json.Unmarshal(b, &c); err != nil {
 		return nil, []error{code.New(code.Unreadable, "%v", err)}
 	}
-	if c.Edition == nil {
+	if c.Version == nil {
 		return nil, []error{code.New(code.Unreadable, "no version")}
 	}
 	raw := map[string]json.RawMessage{}
 	for k, v := range d.raw {
 		raw[k] = v
 	}
-	e, err := json.Marshal(*c.Edition)
+	e, err := json.Marshal(*c.Version)
 	if err != nil {
 		return nil, []error{code.New(code.Unreadable, "%v", err)}
 	}
-	raw[editionField] = e
+	raw[versionField] = e
 	for k, v := range c.Upsert {
 		if n := bytes.TrimSpace(v); len(n) == 0 || n[0] != '[' {
 			raw[k] = v
--- a/internal/conf/doc_test.go
+++ b/internal/conf/doc_test.go
@@ -13,8 +13,8 @@
 
 const route = `{"name":"%s","authority":"%s","path-prefix":"%s","route-class":"safe","timeout-ms":%d,"service":"s"}`
 
-func doc(edition int, routes ...string) string {
-	return fmt.Sprintf(`{"version":%d,"odd":"kept","route-table":[%s],"service-table":[{"name":"s","extra":1}],"limits":{}}`, edition, strings.Join(routes, ","))
+func doc(version int, routes ...string) string {
+	return fmt.Sprintf(`{"version":%d,"odd":"kept","route-table":[%s],"service-table":[{"name":"s","extra":1}],"limits":{}}`, version, strings.Join(routes, ","))
 }
 
 func r(name, host, prefix string) string { return fmt.Sprintf(route, name, host, prefix, 100) }
@@ -46,7 +46,7 @@
 		"absent timeout":   {strings.Replace(good, `"timeout-ms":100,`, ``, 1), code.NoTimeout},
 		"odd class":        {strings.Replace(good, `"safe"`, `"odd"`, 1), code.BadItem},
 		"prefix unslashed": {strings.Replace(good, `"/a/"`, `"/a"`, 1), code.BadItem},
-		"no edition":       {strings.Replace(good, `"version":1,`, ``, 1), code.OldEdition},
+		"no version":       {strings.Replace(good, `"version":1,`, ``, 1), code.OldVersion},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -74,7 +74,7 @@
 	is.Equal(len(errs), 0)
 	n, errs := d.Modify([]byte(`{"version":3,"upsert":{"route-table":[` + r("b", "h", "/bb/") + `,` + r("c", "h", "/c/") + `]},"remove":{"route-table":["a","none"]}}`))
 	is.Equal(len(errs), 0)
-	is.Equal(n.Edition, word.Edition(3))
+	is.Equal(n.Version, word.Version(3))
 	is.Equal(len(n.Routes), 2)
 	is.Equal(n.Routes[0].Prefix, "/bb/")
 	is.Equal(n.Routes[1].Name, "c")
@@ -108,7 +108,7 @@
 		if len(errs) > 0 {
 			return
 		}
-		if again, errs := Read(d.JSON()); len(errs) > 0 || again.Edition != d.Edition {
+		if again, errs := Read(d.JSON()); len(errs) > 0 || again.Version != d.Version {
 			t.Fatalf("%q reads back otherwise: %v", b, errs)
 		}
 		NewTable(d).Match("h", "/a/b")
--- a/internal/conf/route.go
+++ b/internal/conf/route.go
@@ -36,7 +36,7 @@
 	GapTargetMs float64      `json:"gap-target-ms" validate:"gte=0"`
 }
 
-// Repeatable tells whether an inquiry on r may run more than once.
+// Repeatable tells whether a request on r may run more than once.
 func (r *Route) Repeatable() bool {
 	return r.Class == Safe || (r.Class == Streaming && r.Resumption)
 }
@@ -44,8 +44,8 @@
 // Attempts is the largest number of replicas for one try.
 func (r *Route) Attempts() int { return max(1, r.MaxAttempts) }
 
-// Select names the service for a draw in [0, 1).
-func (r *Route) Select(draw float64) word.Service {
+// Choose names the service for a draw in [0, 1).
+func (r *Route) Choose(draw float64) word.Service {
 	var sum float64
 	for _, s := range r.Shares {
 		sum += s.Weight
--- a/internal/conf/service.go
+++ b/internal/conf/service.go
@@ -12,7 +12,7 @@
 // Service is one service of a configuration.
 type Service struct {
 	Name     word.Service `json:"name" validate:"required"`
-	Vitals   string       `json:"health-path"`
+	Health   string       `json:"health-path"`
 	MaxConns int          `json:"max-connections" validate:"gte=0"`
 	Protocol string       `json:"protocol"`
 	TLS      bool         `json:"tls"`
@@ -21,7 +21,7 @@
 	Engine   *Engine      `json:"inference-engine"`
 }
 
-// Limits bound what a caller may send and how long it may take.
+// Limits bound what a client may send and how long it may take.
 type Limits struct {
 	HeadBytes int     `json:"max-header-bytes" validate:"gte=0"`
 	BodyBytes int     `json:"max-body-bytes" validate:"gte=0"`
--- a/internal/conf/state.go
+++ b/internal/conf/state.go
@@ -9,32 +9,48 @@
 	"spoolswitch/internal/word"
 )
 
-// Taken remembers one change that was taken, so that a caller who sends it
+// Taken remembers one change that was taken, so that a client who sends it
 // again is told so.
 type Taken struct {
-	Edition word.Edition
-	Base    word.Edition
+	Version word.Version
+	Base    word.Version
 	Sum     uint64
 }
 
 // State is the value of the configuration's register.
 type State struct {
-	Edition word.Edition
+	Version word.Version
 	JSON    []byte
 	Taken   []Taken
 }
 
 const takenKept = 256
 
+// stored is a state as any release has written it: the first called a version
+// an edition.
+type stored struct {
+	Version, Edition word.Version
+	JSON             []byte
+	Taken            []struct {
+		Version, Edition, Base word.Version
+		Sum                    uint64
+	}
+}
+
 // Decode reads a state; no bytes are the state before the first change.
 func Decode(b []byte) (*State, error) {
 	s := &State{}
 	if len(b) == 0 {
 		return s, nil
 	}
-	if err := gob.NewDecoder(bytes.NewReader(b)).Decode(s); err != nil {
+	var d stored
+	if err := gob.NewDecoder(bytes.NewReader(b)).Decode(&d); err != nil {
 		return nil, code.New(code.DiskCorrupt, "%v", err)
 	}
+	s.Version, s.JSON = max(d.Version, d.Edition), d.JSON
+	for _, t := range d.Taken {
+		s.Taken = append(s.Taken, Taken{max(t.Version, t.Edition), t.Base, t.Sum})
+	}
 	return s, nil
 }
 
@@ -50,7 +66,7 @@
 // Order is a change of the configuration that an operator asks for.
 type Order struct {
 	Modify bool
-	Base   word.Edition
+	Base   word.Version
 	Body   []byte
 }
 
@@ -63,13 +79,13 @@
 	return h.Sum64()
 }
 
-// Edition reads the edition that the order would bring, 0 if it has none.
-func (o *Order) Edition() word.Edition {
+// Version reads the version that the order would bring, 0 if it has none.
+func (o *Order) Version() word.Version {
 	d, _ := Read(o.Body)
 	if d == nil {
 		return 0
 	}
-	return d.Edition
+	return d.Version
 }
 
 // Apply makes the next state out of s, or tells why there is none. A nil state
@@ -84,10 +100,10 @@
 	var d *Doc
 	var errs []error
 	if o.Modify {
-		if o.Base != s.Edition {
-			return nil, code.New(code.OtherEdition, "%d is current, not %d", s.Edition, o.Base)
+		if o.Base != s.Version {
+			return nil, code.New(code.OtherVersion, "%d is current, not %d", s.Version, o.Base)
 		}
-		if s.Edition == 0 {
+		if s.Version == 0 {
 			return nil, code.New(code.Nothing, "no configuration to modify")
 		}
 		var cur *Doc
@@ -101,18 +117,18 @@
 	if len(errs) > 0 {
 		return nil, errs[0]
 	}
-	if o.Base != s.Edition {
-		return nil, code.New(code.OtherEdition, "%d is current, not %d", s.Edition, o.Base)
+	if o.Base != s.Version {
+		return nil, code.New(code.OtherVersion, "%d is current, not %d", s.Version, o.Base)
 	}
-	if d.Edition <= s.Edition {
-		return nil, code.New(code.OldEdition, "%d is current, %d was sent", s.Edition, d.Edition)
+	if d.Version <= s.Version {
+		return nil, code.New(code.OldVersion, "%d is current, %d was sent", s.Version, d.Version)
 	}
 	b := o.Body
 	if o.Modify {
 		b = d.JSON()
 	}
-	n := &State{Edition: d.Edition, JSON: append([]byte(nil), b...)}
-	n.Taken = append(append(n.Taken, s.Taken...), Taken{d.Edition, o.Base, sum})
+	n := &State{Version: d.Version, JSON: append([]byte(nil), b...)}
+	n.Taken = append(append(n.Taken, s.Taken...), Taken{d.Version, o.Base, sum})
 	if len(n.Taken) > takenKept {
 		n.Taken = n.Taken[len(n.Taken)-takenKept:]
 	}
--- a/internal/conf/table.go
+++ b/internal/conf/table.go
@@ -8,7 +8,7 @@
 
 // Table is a configuration as relays use it.
 type Table struct {
-	Edition  word.Edition
+	Version  word.Version
 	Limits   Limits
 	Routes   []*Route
 	Services map[word.Service]*Service
@@ -18,7 +18,7 @@
 
 // NewTable makes the table of a document that has been checked.
 func NewTable(d *Doc) *Table {
-	t := &Table{Edition: d.Edition, Limits: d.Limits.Whole(), Routes: d.Routes,
+	t := &Table{Version: d.Version, Limits: d.Limits.Whole(), Routes: d.Routes,
 		Services: map[word.Service]*Service{}, places: map[string]*Route{}, hosts: map[string]bool{}}
 	for _, s := range d.Services {
 		t.Services[s.Name] = s
--- a/internal/conf/table_test.go
+++ b/internal/conf/table_test.go
@@ -31,7 +31,7 @@
 	rt := &Route{Shares: []Share{{"a", 90}, {"z", 0}, {"b", 10}}}
 	n := map[word.Service]int{}
 	for i := range 1000 {
-		n[rt.Select(float64(i)/1000)]++
+		n[rt.Choose(float64(i)/1000)]++
 	}
 	is.Equal(n["a"], 900)
 	is.Equal(n["b"], 100)
--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -43,9 +43,9 @@
 	self := word.Node(s.Inner(s.IP, 0))
 	wires := &keep.Wires{}
 	k := keep.New(self, acc, wires, hub)
-	k.Locality = s.Locality
+	k.Zone = s.Zone
 	k.Decider = Decide
-	k.Seats = len(s.Localities)
+	k.Seats = len(s.Zones)
 	k.Label = label
 	for _, a := range s.Seeds {
 		k.Founders = append(k.Founders, word.Node(s.Keeper(a)))
@@ -80,7 +80,7 @@
 		}
 		return k.Handle(m), true
 	})
-	d.srv = &Server{Keeper: k, Localities: s.Localities}
+	d.srv = &Server{Keeper: k, Zones: s.Zones}
 	d.srv.Serve(lc)
 	spawn.Go(func() {
 		for !d.over.Load() {
@@ -139,14 +139,14 @@
 	}
 }
 
-// Take takes changed settings in: the localities and the seeds.
+// Take takes changed settings in: the zones and the seeds.
 func (d *Daemon) Take(s *boot.Settings) {
-	d.srv.SetLocalities(s.Localities)
+	d.srv.SetZones(s.Zones)
 	var ns []word.Node
 	for _, a := range s.Seeds {
 		ns = append(ns, word.Node(s.Keeper(a)))
 	}
-	d.Keeper.Seeded(ns, len(s.Localities))
+	d.Keeper.Seeded(ns, len(s.Zones))
 }
 
 // Stop ends the daemon.
@@ -182,7 +182,7 @@
 func label(key word.Key, val []byte) string {
 	if key == word.Configuration {
 		if s, err := conf.Decode(val); err == nil {
-			return strconv.FormatInt(int64(s.Edition), 10)
+			return strconv.FormatInt(int64(s.Version), 10)
 		}
 		return ""
 	}
--- a/internal/ctl/server.go
+++ b/internal/ctl/server.go
@@ -14,48 +14,48 @@
 	"spoolswitch/internal/keep"
 	"spoolswitch/internal/match"
 	"spoolswitch/internal/note"
-	"spoolswitch/internal/result"
+	"spoolswitch/internal/response"
 	"spoolswitch/internal/spawn"
 	"spoolswitch/internal/word"
 )
 
 const (
 	bodyMost  = 16 << 20
-	opLimit   = 900 * clk.Millisecond
+	opTimeout = 900 * clk.Millisecond
 	comeAgain = 100 * clk.Millisecond
 )
 
-type call func(s *Server, x *fasthttp.RequestCtx, parts []string) result.Result
+type call func(s *Server, x *fasthttp.RequestCtx, parts []string) response.Response
 
 // Server answers operators.
 type Server struct {
-	Keeper     *keep.Keeper
-	Localities map[string]string
-	mu         sync.Mutex
-	srv        *fasthttp.Server
+	Keeper *keep.Keeper
+	Zones  map[string]string
+	mu     sync.Mutex
+	srv    *fasthttp.Server
 }
 
 var calls = new(match.Tree[call]).
-	Add("POST", "/-/configuration/replace", func(s *Server, x *fasthttp.RequestCtx, _ []string) result.Result {
+	Add("POST", "/-/configuration/replace", func(s *Server, x *fasthttp.RequestCtx, _ []string) response.Response {
 		return s.change(x, false)
 	}).
-	Add("POST", "/-/configuration/modify", func(s *Server, x *fasthttp.RequestCtx, _ []string) result.Result {
+	Add("POST", "/-/configuration/modify", func(s *Server, x *fasthttp.RequestCtx, _ []string) response.Response {
 		return s.change(x, true)
 	}).
-	Add("GET", "/-/configuration/retrieve", func(s *Server, _ *fasthttp.RequestCtx, _ []string) result.Result {
+	Add("GET", "/-/configuration/retrieve", func(s *Server, _ *fasthttp.RequestCtx, _ []string) response.Response {
 		return s.retrieve()
 	}).
-	Add("POST", "/-/evacuation/*/initiate", func(s *Server, _ *fasthttp.RequestCtx, p []string) result.Result {
+	Add("POST", "/-/evacuation/*/initiate", func(s *Server, _ *fasthttp.RequestCtx, p []string) response.Response {
 		return s.evacuate(p[0], true)
 	}).
-	Add("POST", "/-/evacuation/*/terminate", func(s *Server, _ *fasthttp.RequestCtx, p []string) result.Result {
+	Add("POST", "/-/evacuation/*/terminate", func(s *Server, _ *fasthttp.RequestCtx, p []string) response.Response {
 		return s.evacuate(p[0], false)
 	}).
-	Add("GET", "/-/ready", func(s *Server, _ *fasthttp.RequestCtx, _ []string) result.Result {
+	Add("GET", "/-/ready", func(s *Server, _ *fasthttp.RequestCtx, _ []string) response.Response {
 		if !s.Keeper.Sure(2 * clk.Second) {
-			return result.Of(code.NotReady, "")
+			return response.Of(code.NotReady, "")
 		}
-		return result.OK(nil)
+		return response.OK(nil)
 	})
 
 // Serve answers calls that come in at l.
@@ -68,11 +68,11 @@
 	spawn.Go(func() { _ = s.srv.Serve(l) })
 }
 
-// SetLocalities changes which localities there are.
-func (s *Server) SetLocalities(z map[string]string) {
+// SetZones changes which zones there are.
+func (s *Server) SetZones(z map[string]string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.Localities = z
+	s.Zones = z
 }
 
 // Stop ends the answering; calls under way are finished first.
@@ -95,7 +95,7 @@
 func (s *Server) handle(x *fasthttp.RequestCtx) {
 	c, parts, err := calls.Find(string(x.Method()), string(x.Path()))
 	if err != nil {
-		result.Of(code.Of(err), "").Fill(x)
+		response.Of(code.Of(err), "").Fill(x)
 		return
 	}
 	r := c(s, x, parts)
@@ -103,47 +103,47 @@
 	r.Fill(x)
 }
 
-func of(a keep.Msg) result.Result {
+func of(a keep.Msg) response.Response {
 	if a.OK {
-		return result.OK(nil)
+		return response.OK(nil)
 	}
-	r := result.Of(a.Code, a.Text)
+	r := response.Of(a.Code, a.Text)
 	if r.Status == 503 {
 		r = r.Later(comeAgain)
 	}
 	return r
 }
 
-func (s *Server) change(x *fasthttp.RequestCtx, modify bool) result.Result {
+func (s *Server) change(x *fasthttp.RequestCtx, modify bool) response.Response {
 	b, err := strconv.ParseInt(string(bytes.TrimSpace(x.Request.Header.Peek("Base-Version"))), 10, 64)
 	if err != nil || b < 0 {
-		return result.Of(code.BadFields, "Base-Version is missing or no number")
+		return response.Of(code.BadFields, "Base-Version is missing or no number")
 	}
-	o := &keep.Order{Modify: modify, Base: word.Edition(b), Body: bytes.Clone(x.PostBody())}
-	return of(s.Keeper.Change(word.Configuration, o, clk.Now().Add(opLimit)))
+	o := &keep.Order{Modify: modify, Base: word.Version(b), Body: bytes.Clone(x.PostBody())}
+	return of(s.Keeper.Change(word.Configuration, o, clk.Now().Add(opTimeout)))
 }
 
-func (s *Server) retrieve() result.Result {
-	a := s.Keeper.Change(word.Configuration, &keep.Order{Query: true}, clk.Now().Add(opLimit))
+func (s *Server) retrieve() response.Response {
+	a := s.Keeper.Change(word.Configuration, &keep.Order{Query: true}, clk.Now().Add(opTimeout))
 	if !a.OK {
 		return of(a)
 	}
 	st, err := conf.Decode(a.Val)
 	if err != nil {
-		return result.Of(code.Of(err), "")
+		return response.Of(code.Of(err), "")
 	}
-	if st.Edition == 0 {
-		return result.Of(code.Nothing, "")
+	if st.Version == 0 {
+		return response.Of(code.Nothing, "")
 	}
-	return result.OK(st.JSON)
+	return response.OK(st.JSON)
 }
 
-func (s *Server) evacuate(zone string, on bool) result.Result {
+func (s *Server) evacuate(zone string, on bool) response.Response {
 	s.mu.Lock()
-	_, ok := s.Localities[zone]
+	_, ok := s.Zones[zone]
 	s.mu.Unlock()
 	if !ok {
-		return result.Of(code.NoLocality, zone)
+		return response.Of(code.NoZone, zone)
 	}
-	return of(s.Keeper.Change(word.Evacuation(word.Locality(zone)), &keep.Order{On: on}, clk.Now().Add(opLimit)))
+	return of(s.Keeper.Change(word.Evacuation(word.Zone(zone)), &keep.Order{On: on}, clk.Now().Add(opTimeout)))
 }
--- a/internal/disk/log.go
+++ b/internal/disk/log.go
@@ -62,7 +62,7 @@
 func Open(fs FS, fn func([]byte)) (*Log, State, error) {
 	b, err := fs.Read(name)
 	if err != nil && !os.IsNotExist(err) {
-		return nil, Corrupt, code.New(code.DiskRejected, "%v", err)
+		return nil, Corrupt, code.New(code.DiskRefused, "%v", err)
 	}
 	state := Whole
 	if os.IsNotExist(err) {
@@ -77,12 +77,12 @@
 	}
 	f, err := fs.Open(name)
 	if err != nil {
-		return nil, state, code.New(code.DiskRejected, "%v", err)
+		return nil, state, code.New(code.DiskRefused, "%v", err)
 	}
 	l := &Log{fs: fs, f: f, at: at}
 	if int64(len(b)) > at {
 		if err := f.Truncate(at); err != nil {
-			return nil, state, code.New(code.DiskRejected, "%v", err)
+			return nil, state, code.New(code.DiskRefused, "%v", err)
 		}
 	}
 	return l, state, nil
@@ -135,24 +135,24 @@
 	}
 	b := frame(p)
 	if _, err := l.f.WriteAt(b, l.at); err != nil {
-		return l.reject(err)
+		return l.refuse(err)
 	}
 	if err := l.f.Sync(); err != nil {
-		return l.reject(err)
+		return l.refuse(err)
 	}
 	l.at += int64(len(b))
 	return nil
 }
 
-func (l *Log) reject(err error) error {
+func (l *Log) refuse(err error) error {
 	l.hurt = true
 	_ = l.mend()
-	return code.New(code.DiskRejected, "%v", err)
+	return code.New(code.DiskRefused, "%v", err)
 }
 
 func (l *Log) mend() error {
 	if err := l.f.Truncate(l.at); err != nil {
-		return code.New(code.DiskRejected, "%v", err)
+		return code.New(code.DiskRefused, "%v", err)
 	}
 	l.hurt = false
 	return nil
@@ -166,7 +166,7 @@
 func (l *Log) Rewrite(ps [][]byte) error {
 	f, err := l.fs.Open(fresh)
 	if err != nil {
-		return code.New(code.DiskRejected, "%v", err)
+		return code.New(code.DiskRefused, "%v", err)
 	}
 	var b []byte
 	for _, p := range ps {
@@ -185,7 +185,7 @@
 	}
 	if err != nil {
 		_ = f.Close()
-		return code.New(code.DiskRejected, "%v", err)
+		return code.New(code.DiskRefused, "%v", err)
 	}
 	_ = l.f.Close()
 	l.f, l.at, l.hurt = f, int64(len(b)), false
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -36,7 +36,7 @@
 	Sure(clk.Span) bool
 	Relays() int
 	ListAge() clk.Span
-	Locals() map[word.Node]word.Locality
+	KeeperZones() map[word.Node]word.Zone
 }
 
 // Hub is the keeper's end of the feed.
@@ -192,15 +192,15 @@
 		h.mu.Unlock()
 	}()
 	first := true
-	locals := -1
+	zones := -1
 	for {
 		out := keep.Msg{Kind: keep.Follow, Life: h.Status.Life(), Fresh: h.Status.Sure(h.freshFor()),
 			Count: h.Status.Relays(), ListAge: h.Status.ListAge()}
 		if out.Fresh {
 			out.Snapshot = first && f.num == 0
 			out.Items, out.Num = h.since(f.num)
-			if l := h.Status.Locals(); len(l) != locals {
-				out.Locals, locals = l, len(l)
+			if l := h.Status.KeeperZones(); len(l) != zones {
+				out.KeeperZones, zones = l, len(l)
 			}
 		}
 		if err := push(out); err != nil {
--- a/internal/feed/hub_test.go
+++ b/internal/feed/hub_test.go
@@ -17,11 +17,11 @@
 	sure bool
 }
 
-func (s *status) Life() uint64                        { return s.life }
-func (s *status) Sure(clk.Span) bool                  { return s.sure }
-func (s *status) Relays() int                         { return 3 }
-func (s *status) ListAge() clk.Span                   { return 0 }
-func (s *status) Locals() map[word.Node]word.Locality { return nil }
+func (s *status) Life() uint64                         { return s.life }
+func (s *status) Sure(clk.Span) bool                   { return s.sure }
+func (s *status) Relays() int                          { return 3 }
+func (s *status) ListAge() clk.Span                    { return 0 }
+func (s *status) KeeperZones() map[word.Node]word.Zone { return nil }
 
 func item(k word.Key, round, seq uint64, v string) keep.Item {
 	return keep.Item{Key: k, At: word.Place{Epoch: word.Epoch{Round: round, Node: "a"}, Seq: seq}, Val: []byte(v)}
--- a/internal/feed/tail.go
+++ b/internal/feed/tail.go
@@ -21,19 +21,19 @@
 // Tail is the relay's end of the feed. It follows one keeper at a time and
 // goes over to another when the news turn stale.
 type Tail struct {
-	Self     word.Node
-	Addr     word.Addr
-	IP       string
-	Locality word.Locality
-	Seeds    func() []word.Addr
-	Take     func(it keep.Item)
+	Self  word.Node
+	Addr  word.Addr
+	IP    string
+	Zone  word.Zone
+	Seeds func() []word.Addr
+	Take  func(it keep.Item)
 	// Apply is the time within which a change has to be in force everywhere.
 	Apply clk.Span
 	Heard func(count int, listAge clk.Span)
 
 	mu     sync.Mutex
 	places map[word.Key]word.Place
-	locals map[word.Node]word.Locality
+	zones  map[word.Node]word.Zone
 	fresh  clk.Tick
 	life   uint64
 	num    uint64
@@ -95,7 +95,7 @@
 			out = append(out, a)
 		}
 	}
-	for n := range t.locals {
+	for n := range t.zones {
 		add(word.Addr(n))
 	}
 	for _, a := range t.Seeds() {
@@ -105,7 +105,7 @@
 		h := fnv.New64a()
 		h.Write([]byte(string(t.Self) + "|" + string(a)))
 		r := h.Sum64() >> 2
-		if t.locals[word.Node(a)] != t.Locality {
+		if t.zones[word.Node(a)] != t.Zone {
 			r |= 1 << 62
 		}
 		if at, ok := t.bad[a]; ok && clk.Since(at) < avoid {
@@ -120,11 +120,11 @@
 func (t *Tail) home(a word.Addr) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.locals[word.Node(a)] == t.Locality {
+	if t.zones[word.Node(a)] == t.Zone {
 		return true
 	}
-	for _, z := range t.locals {
-		if z == t.Locality {
+	for _, z := range t.zones {
+		if z == t.Zone {
 			return false
 		}
 	}
@@ -153,7 +153,7 @@
 	var last clk.Tick
 	lost, away := false, false
 	t.mu.Lock()
-	m := keep.Msg{Kind: keep.Follow, From: t.Self, Life: t.life, Num: t.num, Locality: t.Locality, Addr: t.Addr}
+	m := keep.Msg{Kind: keep.Follow, From: t.Self, Life: t.life, Num: t.num, Zone: t.Zone, Addr: t.Addr}
 	t.mu.Unlock()
 	end, err := p.Stream(m, firstWait, func(m keep.Msg, ok bool) {
 		if ok && m.Fresh {
@@ -222,8 +222,8 @@
 	if m.Life != t.life {
 		t.life, t.num = m.Life, 0
 	}
-	if m.Locals != nil {
-		t.locals = m.Locals
+	if m.KeeperZones != nil {
+		t.zones = m.KeeperZones
 	}
 	t.at = a
 	t.mu.Unlock()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -50,8 +50,8 @@
 		keepers: map[int]*ctl.Daemon{}, relays: map[int]*relay.Daemon{}}
 	f.rep = standin.NewReplica("i-1", standin.Well)
 	other := standin.NewReplica("i-2", standin.Well)
-	f.plat.Set(list.Replica{ID: "i-1", Service: "s", Addr: f.rep.Addr, Locality: "z1", Slots: 8, State: "in_service"},
-		list.Replica{ID: "i-2", Service: "t", Addr: other.Addr, Locality: "z1", Slots: 8, State: "in_service"})
+	f.plat.Set(list.Replica{ID: "i-1", Service: "s", Addr: f.rep.Addr, Zone: "z1", Slots: 8, State: "in_service"},
+		list.Replica{ID: "i-2", Service: "t", Addr: other.Addr, Zone: "z1", Slots: 8, State: "in_service"})
 	for i := 1; i <= keepers; i++ {
 		f.dirs[i] = t.TempDir()
 		f.startKeeper(i, true)
@@ -190,8 +190,8 @@
 	return body
 }
 
-func doc(edition int, prefix string) string {
-	return fmt.Sprintf(`{"version":%d,"route-table":[{"name":"a","authority":"h","path-prefix":%q,"route-class":"safe","timeout-ms":2000,"service":"s","max-attempts":2}],"service-table":[{"name":"s"},{"name":"t"}],"limits":{}}`, edition, prefix)
+func doc(version int, prefix string) string {
+	return fmt.Sprintf(`{"version":%d,"route-table":[{"name":"a","authority":"h","path-prefix":%q,"route-class":"safe","timeout-ms":2000,"service":"s","max-attempts":2}],"service-table":[{"name":"s"},{"name":"t"}],"limits":{}}`, version, prefix)
 }
 
 func (f *fleet) ask(relay int, path string) int {
@@ -389,7 +389,7 @@
 	is.Equal(len(tr.Silent), 0)
 	for _, r := range tr.Relays {
 		is.True(r.Applied)
-		is.Equal(r.Edition, word.Edition(3))
+		is.Equal(r.Version, word.Version(3))
 	}
 	is.True(strings.Contains(tr.Text(), "in force"))
 	tr, err := trace.Change(trace.Wire, keeper(1), word.Evacuation("z2"), "on", 2*clk.Second)
@@ -406,22 +406,22 @@
 	is.Equal(tr.Silent, []string{gone})
 	r := f.relays[1].Report()
 	is.True(r.Gauges["relays"] >= 1)
-	is.Equal(r.Edition, word.Edition(3))
+	is.Equal(r.Version, word.Version(3))
 }
 
 func TestOperatorCalls(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, 3, 0)
-	o := &oper.Caller{Limit: 20 * clk.Second, Addrs: []word.Addr{"127.0.0.9:1", word.Addr(fmt.Sprintf("127.0.0.2:%d", f.base+10))}}
+	o := &oper.Client{Limit: 20 * clk.Second, Addrs: []word.Addr{"127.0.0.9:1", word.Addr(fmt.Sprintf("127.0.0.2:%d", f.base+10))}}
 	_, err := o.Call("POST", replace, 0, []byte(doc(3, "/a/")))
 	is.NoErr(err)
 	b, err := o.Call("GET", retrieve, -1, nil)
 	is.NoErr(err)
 	is.Equal(string(b), doc(3, "/a/"))
 	_, err = o.Call("POST", replace, 0, []byte(doc(4, "/a/")))
-	is.Equal(code.Of(err), code.OtherEdition)
+	is.Equal(code.Of(err), code.OtherVersion)
 	_, err = o.Call("POST", "/-/evacuation/nowhere/initiate", -1, nil)
-	is.Equal(code.Of(err), code.NoLocality)
+	is.Equal(code.Of(err), code.NoZone)
 }
 
 // News of a drifted record reaches all relays through the keepers, and goes.
--- a/internal/head/head_test.go
+++ b/internal/head/head_test.go
@@ -22,11 +22,11 @@
 	return bufio.NewReaderSize(r, 4096)
 }
 
-func TestInquiry(t *testing.T) {
+func TestRequest(t *testing.T) {
 	for _, one := range []bool{false, true} {
 		is := is.New(t)
 		br := reader("\r\nPOST /a/b?c=%20 HTTP/1.1\r\nhost: H:80\r\nX-Odd:  v \r\nConnection: close, X-Hop\r\nX-Hop: 1\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nT: 1\r\n\r\nNEXT", one)
-		q, err := ReadInquiry(br)
+		q, err := ReadRequest(br)
 		is.NoErr(err)
 		is.Equal(q.URI, "/a/b?c=%20")
 		is.Equal(q.Host, "H:80")
@@ -47,15 +47,15 @@
 
 func TestSetInPlace(t *testing.T) {
 	is := is.New(t)
-	q, err := ReadInquiry(reader("GET / HTTP/1.1\r\nHost: h\r\ndeadline-ms: 5000\r\nExpect-Replica: forged\r\n\r\n", false))
+	q, err := ReadRequest(reader("GET / HTTP/1.1\r\nHost: h\r\ndeadline-ms: 5000\r\nExpect-Replica: forged\r\n\r\n", false))
 	is.NoErr(err)
-	out := string(q.Append(nil, 0, Set{K: LimitMs, V: "40"}, Set{K: Expected, V: "i-1"}))
+	out := string(q.Append(nil, 0, Set{K: DeadlineMs, V: "40"}, Set{K: Expected, V: "i-1"}))
 	is.Equal(out, "GET / HTTP/1.1\r\nHost: h\r\nDeadline-Ms: 40\r\nExpect-Replica: i-1\r\n\r\n")
 }
 
 func TestHeadTooLarge(t *testing.T) {
 	is := is.New(t)
-	_, err := ReadInquiry(reader("GET / HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("x", 5000)+"\r\n\r\n", false))
+	_, err := ReadRequest(reader("GET / HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("x", 5000)+"\r\n\r\n", false))
 	is.Equal(code.Of(err), code.HeadTooLarge)
 }
 
@@ -98,13 +98,13 @@
 	is.Equal(e.Last, int64(6))
 }
 
-func FuzzInquiry(f *testing.F) {
+func FuzzRequest(f *testing.F) {
 	f.Add("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc")
 	f.Add("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n")
 	f.Add("GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n")
 	f.Fuzz(func(t *testing.T, s string) {
 		br := reader(s, false)
-		q, err := ReadInquiry(br)
+		q, err := ReadRequest(br)
 		if err != nil {
 			return
 		}
@@ -113,7 +113,7 @@
 			return
 		}
 		out := string(q.Append(nil, len(b))) + string(b)
-		p, err := ReadInquiry(reader(out, false))
+		p, err := ReadRequest(reader(out, false))
 		if err != nil {
 			if errors.Is(err, io.ErrUnexpectedEOF) || code.Of(err) == code.HeadTooLarge {
 				return
--- a/internal/head/inquiry.go
+++ b/internal/head/request.go
@@ -10,8 +10,8 @@
 	"spoolswitch/internal/code"
 )
 
-// Inquiry is the head of a request as a caller sent it.
-type Inquiry struct {
+// Request is the head of a request as a client sent it.
+type Request struct {
 	Framing
 	Method  string
 	URI     string
@@ -26,7 +26,7 @@
 // The fields that the relay itself reads.
 const (
 	AttemptID   = "Attempt-Id"
-	LimitMs     = "Deadline-Ms"
+	DeadlineMs  = "Deadline-Ms"
 	Prefix      = "Prompt-Prefix"
 	Tokens      = "Token-Counts"
 	Model       = "Model"
@@ -42,10 +42,10 @@
 	Weights     = "Weight-Versions"
 )
 
-var once = []string{AttemptID, LimitMs, Prefix, Tokens, Model, LastEvent, Expected}
+var once = []string{AttemptID, DeadlineMs, Prefix, Tokens, Model, LastEvent, Expected}
 
-// ReadInquiry reads the head of a request.
-func ReadInquiry(br *bufio.Reader) (*Inquiry, error) {
+// ReadRequest reads the head of a request.
+func ReadRequest(br *bufio.Reader) (*Request, error) {
 	for {
 		b, err := br.Peek(2)
 		if err != nil {
@@ -60,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	q := &Inquiry{special: map[string]int{}}
+	q := &Request{special: map[string]int{}}
 	hosts, conn := 0, [][]byte(nil)
 	first, f, err := lines(raw, func(k, v []byte) error {
 		switch {
@@ -124,7 +124,7 @@
 }
 
 // Field reads a field.
-func (q *Inquiry) Field(k string) []byte {
+func (q *Request) Field(k string) []byte {
 	if v := q.codec.Peek(k); len(v) > 0 {
 		return v
 	}
@@ -153,11 +153,11 @@
 	return false
 }
 
-// Set is a field that is put in place of what the caller sent.
+// Set is a field that is put in place of what the client sent.
 type Set struct{ K, V string }
 
 // Append writes the head as it is sent on, for a body of n bytes.
-func (q *Inquiry) Append(b []byte, n int, set ...Set) []byte {
+func (q *Request) Append(b []byte, n int, set ...Set) []byte {
 	b = append(b, q.Method...)
 	b = append(b, ' ')
 	b = append(b, q.URI...)
--- a/internal/head/result.go
+++ b/internal/head/response.go
@@ -12,8 +12,8 @@
 	"spoolswitch/internal/code"
 )
 
-// Result is the head of a replica's answer.
-type Result struct {
+// Response is the head of a replica's answer.
+type Response struct {
 	Framing
 	Status int
 	Close  bool
@@ -22,9 +22,9 @@
 	oneHop [][]byte
 }
 
-// ReadResult reads the head of an answer.
-func ReadResult(br *bufio.Reader) (*Result, error) {
-	a := &Result{}
+// ReadResponse reads the head of an answer.
+func ReadResponse(br *bufio.Reader) (*Response, error) {
+	a := &Response{}
 	for {
 		raw, err := peek(br)
 		if err != nil {
@@ -60,7 +60,7 @@
 	}
 }
 
-func (a *Result) field(k, v []byte) error {
+func (a *Response) field(k, v []byte) error {
 	switch {
 	case bytes.EqualFold(k, []byte("connection")):
 		for _, p := range bytes.Split(v, []byte(",")) {
@@ -81,7 +81,7 @@
 }
 
 // Field reads a field.
-func (a *Result) Field(k string) []byte {
+func (a *Response) Field(k string) []byte {
 	for f, v := range a.codec.All() {
 		if len(f) == len(k) && strings.EqualFold(string(f), k) {
 			return v
@@ -90,9 +90,9 @@
 	return nil
 }
 
-// Append writes the head as the caller gets it; n is the length of the body,
+// Append writes the head as the client gets it; n is the length of the body,
 // or -1 for chunks.
-func (a *Result) Append(b []byte, n int, last bool) []byte {
+func (a *Response) Append(b []byte, n int, last bool) []byte {
 	b = append(b, "HTTP/1.1 "...)
 	b = appendInt(b, a.Status)
 	b = append(b, ' ')
--- a/internal/keep/acceptor.go
+++ b/internal/keep/acceptor.go
@@ -163,7 +163,7 @@
 // one that has read enough others.
 func (a *Acceptor) Found(r Roster, cells map[word.Key]Cell) error {
 	if !a.lane.Take(laneWait) {
-		return code.New(code.DiskRejected, "busy")
+		return code.New(code.DiskRefused, "busy")
 	}
 	defer a.lane.Give()
 	for k, c := range cells {
@@ -183,7 +183,7 @@
 		return nil
 	}
 	if !a.lane.Take(laneWait) {
-		return code.New(code.DiskRejected, "busy")
+		return code.New(code.DiskRefused, "busy")
 	}
 	defer a.lane.Give()
 	if r.Num <= a.Roster().Num {
@@ -207,7 +207,7 @@
 // Raise makes the acceptor take nothing of an epoch before e, of any key.
 func (a *Acceptor) Raise(e word.Epoch) error {
 	if !a.lane.Take(laneWait) {
-		return code.New(code.DiskRejected, "busy")
+		return code.New(code.DiskRefused, "busy")
 	}
 	defer a.lane.Give()
 	if !a.floor().Less(e) {
@@ -219,7 +219,7 @@
 // Vote asks for a promise to take nothing of an epoch before e.
 func (a *Acceptor) Vote(k word.Key, e word.Epoch, r Roster) Msg {
 	if !a.lane.Take(laneWait) {
-		return Msg{Code: code.DiskRejected}
+		return Msg{Code: code.DiskRefused}
 	}
 	defer a.lane.Give()
 	if !a.Voting() {
@@ -242,7 +242,7 @@
 // Accept asks to have a value on the disk.
 func (a *Acceptor) Accept(k word.Key, at word.Place, val []byte, r Roster) Msg {
 	if !a.lane.Take(laneWait) {
-		return Msg{Code: code.DiskRejected}
+		return Msg{Code: code.DiskRefused}
 	}
 	defer a.lane.Give()
 	if !a.Voting() {
@@ -296,7 +296,7 @@
 // Rewrite rewrites the log with what counts.
 func (a *Acceptor) Rewrite() error {
 	if !a.lane.Take(laneWait) {
-		return code.New(code.DiskRejected, "busy")
+		return code.New(code.DiskRefused, "busy")
 	}
 	defer a.lane.Give()
 	return a.st.Rewrite(a.records(a.Cells()))
@@ -322,6 +322,6 @@
 
 type shut struct{}
 
-func (shut) Append([]byte) error    { return code.New(code.DiskRejected, "closed") }
+func (shut) Append([]byte) error    { return code.New(code.DiskRefused, "closed") }
 func (shut) Long(int64) bool        { return false }
-func (shut) Rewrite([][]byte) error { return code.New(code.DiskRejected, "closed") }
+func (shut) Rewrite([][]byte) error { return code.New(code.DiskRefused, "closed") }
--- a/internal/keep/acceptor_test.go
+++ b/internal/keep/acceptor_test.go
@@ -85,7 +85,7 @@
 	return a
 }
 
-// owner is a thread that wins a term and has a value accepted: the one found,
+// owner is a thread that wins a lease and has a value accepted: the one found,
 // or its own. done gets what it knows to stand with a majority.
 // It asks just those in ask.
 func owner(s *site, r Roster, ask []word.Node, self word.Node, round uint64, own string, done func(string)) check.Thread {
@@ -162,7 +162,7 @@
 const (
 	allGuards guard = iota
 	noReading
-	noTerms
+	noLeases
 	noFloor
 )
 
@@ -172,7 +172,7 @@
 func wiper(s *site, r Roster, n word.Node, off guard) check.Thread {
 	read := func(o word.Node) Msg {
 		tried := map[word.Key]word.Epoch{}
-		if e, ok := s.tried[o]; ok && off != noTerms {
+		if e, ok := s.tried[o]; ok && off != noLeases {
 			tried["k"] = e
 		}
 		return Msg{OK: true, Roster: r, Cells: Surveyed(s.acc[o].Cells(), tried)}
@@ -263,7 +263,7 @@
 	is.True(!a.Vote("k", e(1), three).OK)
 	is.True(!a.Accept("k", word.Place{Epoch: e(1), Seq: 9}, nil, three).OK)
 	is.True(a.Accept("k", word.Place{Epoch: e(2), Seq: 2}, []byte("v"), three).OK)
-	is.True(!a.Accept("k", word.Place{Epoch: e(2), Seq: 1}, []byte("w"), three).OK) // never back within a term
+	is.True(!a.Accept("k", word.Place{Epoch: e(2), Seq: 1}, []byte("w"), three).OK) // never back within a lease
 	is.True(a.Hold("k", e(2), three).OK)
 	is.True(!a.Hold("k", e(1), three).OK)
 }
--- a/internal/keep/beat.go
+++ b/internal/keep/beat.go
@@ -19,11 +19,11 @@
 	countAfter = 4 * clk.Second
 )
 
-const roundLimit = 250 * clk.Millisecond
+const roundTimeout = 250 * clk.Millisecond
 
 func (k *Keeper) askAllLater(to []word.Node, m Msg) {
 	for _, n := range to {
-		spawn.Go(func() { k.Net.Ask(n, m, askLimit) })
+		spawn.Go(func() { k.Net.Ask(n, m, askTimeout) })
 	}
 }
 
@@ -60,7 +60,7 @@
 }
 
 func (k *Keeper) digest() Msg {
-	m := Msg{OK: true, From: k.Self, Locality: k.Locality, Marks: map[word.Key]Mark{}, Roster: k.acc.Roster(), Relays: k.Sink.Followers(), ListAge: k.ListAge()}
+	m := Msg{OK: true, From: k.Self, Zone: k.Zone, Marks: map[word.Key]Mark{}, Roster: k.acc.Roster(), Relays: k.Sink.Followers(), ListAge: k.ListAge()}
 	m.Code = code.OK
 	if !k.acc.Voting() {
 		m.Code = code.NotVoting
@@ -87,7 +87,7 @@
 	to := k.peers()
 	mine := k.digest()
 	fresh := !k.Sure(3 * Beat)
-	got := k.askAll(to, Msg{Kind: Digest, Locality: k.Locality}, roundLimit, func(g map[word.Node]Msg) bool {
+	got := k.askAll(to, Msg{Kind: Digest, Zone: k.Zone}, roundTimeout, func(g map[word.Node]Msg) bool {
 		return len(g) == len(to) || fresh && r.Majority(func(n word.Node) bool {
 			a, ok := g[n]
 			return n == k.Self && mine.Code == code.OK || ok && a.Code == code.OK
@@ -191,7 +191,7 @@
 func (k *Keeper) fetch(key word.Key, at word.Place, from word.Node) bool {
 	c := k.acc.Cell(key)
 	if c.At != at {
-		a, ok := k.Net.Ask(from, Msg{Kind: Fetch, From: k.Self, Key: key}, askLimit)
+		a, ok := k.Net.Ask(from, Msg{Kind: Fetch, From: k.Self, Key: key}, askTimeout)
 		if !ok || a.At != at {
 			return false
 		}
@@ -259,7 +259,7 @@
 }
 
 // Floor is an epoch above all that the others have told of. Raised on those
-// that are read before they are read again, it makes sure that no term goes on
+// that are read before they are read again, it makes sure that no lease goes on
 // counting what the lost disk had accepted.
 func Floor(got map[word.Node]Msg, self word.Node, life uint64) word.Epoch {
 	e := word.Epoch{Round: 1, Node: self, Life: life}
@@ -285,7 +285,7 @@
 		}
 	}
 	all := func(g map[word.Node]Msg) bool { return len(g) == len(to) }
-	got := k.askAll(to, Msg{Kind: Survey, Locality: k.Locality}, askLimit*2, all)
+	got := k.askAll(to, Msg{Kind: Survey, Zone: k.Zone}, askTimeout*2, all)
 	r, _, ok := Regained(k.Self, got)
 	if r.Num != 0 && !r.Has(k.Self) {
 		k.wantSeat(r)
@@ -295,7 +295,7 @@
 		return false
 	}
 	floor := Floor(got, k.Self, k.life)
-	got = k.askAll(to, Msg{Kind: Survey, Locality: k.Locality, Epoch: floor}, askLimit*2, all)
+	got = k.askAll(to, Msg{Kind: Survey, Zone: k.Zone, Epoch: floor}, askTimeout*2, all)
 	r, cells, ok := Regained(k.Self, got)
 	if !ok {
 		return false
@@ -319,11 +319,11 @@
 	return len(k.relays)
 }
 
-// Locals tells the localities of keepers.
-func (k *Keeper) Locals() map[word.Node]word.Locality {
+// KeeperZones tells the zones of keepers.
+func (k *Keeper) KeeperZones() map[word.Node]word.Zone {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	out := map[word.Node]word.Locality{k.Self: k.Locality}
+	out := map[word.Node]word.Zone{k.Self: k.Zone}
 	for n, z := range k.others {
 		if at, ok := k.heard[n]; ok && clk.Since(at) < 10*clk.Second {
 			out[n] = z
--- a/internal/keep/join.go
+++ b/internal/keep/join.go
@@ -16,7 +16,7 @@
 
 func (k *Keeper) wantSeat(r Roster) {
 	for _, n := range r.All() {
-		if a, ok := k.Net.Ask(n, Msg{Kind: Join, From: k.Self, Locality: k.Locality}, askLimit); ok && a.OK {
+		if a, ok := k.Net.Ask(n, Msg{Kind: Join, From: k.Self, Zone: k.Zone}, askTimeout); ok && a.OK {
 			return
 		}
 	}
@@ -68,7 +68,7 @@
 	if len(r.Next) == 0 {
 		return
 	}
-	limit := clk.Now().Add(4 * clk.Second)
+	deadline := clk.Now().Add(4 * clk.Second)
 	keys := []word.Key{word.Roster}
 	for key := range k.acc.Cells() {
 		keys = append(keys, key)
@@ -81,24 +81,24 @@
 		if !key.Kept() || key == floorKey {
 			continue
 		}
-		if !k.rewin(key, limit) {
+		if !k.rewin(key, deadline) {
 			return
 		}
 	}
-	a := k.Own(word.Roster, limit, func(cur []byte) ([]byte, Msg) { return DecideRoster(cur, &Order{On: true}) })
+	a := k.Own(word.Roster, deadline, func(cur []byte) ([]byte, Msg) { return DecideRoster(cur, &Order{On: true}) })
 	if a.OK {
 		note.State("roster changed", "num", k.acc.Roster().Num)
 	}
 }
 
-func (k *Keeper) rewin(key word.Key, limit clk.Tick) bool {
-	t := k.term(key)
-	if !t.turn.Take(clk.Until(limit)) {
+func (k *Keeper) rewin(key word.Key, deadline clk.Tick) bool {
+	t := k.lease(key)
+	if !t.turn.Take(clk.Until(deadline)) {
 		return false
 	}
 	t.held = false
 	t.turn.Give()
-	return k.Own(key, limit, func([]byte) ([]byte, Msg) { return nil, Msg{OK: true} }).OK
+	return k.Own(key, deadline, func([]byte) ([]byte, Msg) { return nil, Msg{OK: true} }).OK
 }
 
 func (k *Keeper) reseat() {
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -22,7 +22,7 @@
 // Keeper is one daemon of the control plane.
 type Keeper struct {
 	Self     word.Node
-	Locality word.Locality
+	Zone     word.Zone
 	Founders []word.Node
 	Seats    int
 	Net      Net
@@ -38,7 +38,7 @@
 	}
 	acc     *Acceptor
 	mu      sync.Mutex
-	terms   map[word.Key]*term
+	leases  map[word.Key]*lease
 	tried   map[word.Key]word.Epoch
 	round   uint64
 	life    uint64
@@ -48,7 +48,7 @@
 	odd     map[word.Key]doubt
 	trail   []Step
 	trailAt []clk.Tick
-	others  map[word.Node]word.Locality
+	others  map[word.Node]word.Zone
 	relays  map[word.Node]clk.Tick
 	listAt  clk.Tick
 }
@@ -56,8 +56,8 @@
 // New makes a keeper over an acceptor.
 func New(self word.Node, acc *Acceptor, net Net, sink Sink) *Keeper {
 	return &Keeper{Self: self, acc: acc, Net: net, Sink: sink, life: rand.Uint64() | 1,
-		terms: map[word.Key]*term{}, tried: map[word.Key]word.Epoch{}, heard: map[word.Node]clk.Tick{},
-		odd: map[word.Key]doubt{}, others: map[word.Node]word.Locality{}, relays: map[word.Node]clk.Tick{},
+		leases: map[word.Key]*lease{}, tried: map[word.Key]word.Epoch{}, heard: map[word.Node]clk.Tick{},
+		odd: map[word.Key]doubt{}, others: map[word.Node]word.Zone{}, relays: map[word.Node]clk.Tick{},
 		local0: clk.Now()}
 }
 
@@ -148,14 +148,14 @@
 }
 
 // Change has an order carried out by the owner of its key, here or elsewhere.
-func (k *Keeper) Change(key word.Key, o *Order, limit clk.Tick) Msg {
+func (k *Keeper) Change(key word.Key, o *Order, deadline clk.Tick) Msg {
 	if n := k.owner(key); n != "" && n != k.Self && k.recent(n, 1500*clk.Millisecond) {
-		a, ok := k.Net.Ask(n, Msg{Kind: Change, From: k.Self, Key: key, Order: o}, min(sendOn, clk.Until(limit)))
+		a, ok := k.Net.Ask(n, Msg{Kind: Change, From: k.Self, Key: key, Order: o}, min(forwardTimeout, clk.Until(deadline)))
 		if ok && a.Code != code.NoMajority && a.Code != code.NotVoting {
 			return a
 		}
 	}
-	return k.Own(key, limit, k.Decider(key, o))
+	return k.Own(key, deadline, k.Decider(key, o))
 }
 
 func (k *Keeper) local(m Msg) Msg {
@@ -205,7 +205,7 @@
 	case Join:
 		return k.join(m.From)
 	case Change:
-		return k.Own(m.Key, clk.Now().Add(sendOn), k.Decider(m.Key, m.Order))
+		return k.Own(m.Key, clk.Now().Add(forwardTimeout), k.Decider(m.Key, m.Order))
 	}
 	return Msg{Code: code.NoCall}
 }
@@ -217,7 +217,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.heard[m.From] = clk.Now()
-	if m.Locality != "" {
-		k.others[m.From] = m.Locality
+	if m.Zone != "" {
+		k.others[m.From] = m.Zone
 	}
 }
--- a/internal/keep/keeper_test.go
+++ b/internal/keep/keeper_test.go
@@ -24,7 +24,7 @@
 	self word.Node
 }
 
-func (e end) Ask(to word.Node, m Msg, limit clk.Span) (Msg, bool) {
+func (e end) Ask(to word.Node, m Msg, timeout clk.Span) (Msg, bool) {
 	e.n.mu.Lock()
 	k := e.n.ks[to]
 	off := e.n.cut[[2]word.Node{e.self, to}] || e.n.cut[[2]word.Node{to, e.self}]
@@ -38,7 +38,7 @@
 		a = k.Handle(m)
 		done.Set()
 	})
-	if !done.Wait(limit) {
+	if !done.Wait(timeout) {
 		return Msg{}, false
 	}
 	return a, true
@@ -75,7 +75,7 @@
 		m.Set()
 	}
 	if no {
-		return code.New(code.DiskRejected, "full")
+		return code.New(code.DiskRefused, "full")
 	}
 	return s.page.Append(b)
 }
@@ -148,7 +148,7 @@
 					return nil, Msg{OK: true}
 				}
 				if len(cur) != int(o.Base) {
-					return nil, Msg{Code: code.OtherEdition}
+					return nil, Msg{Code: code.OtherVersion}
 				}
 				return o.Body, Msg{OK: true}
 			}
@@ -162,7 +162,7 @@
 const kk word.Key = "k"
 
 func (c *core) put(n word.Node, base int, v string) Msg {
-	return c.ks[n].Change(kk, &Order{Base: word.Edition(base), Body: []byte(v)}, clk.Now().Add(900*clk.Millisecond))
+	return c.ks[n].Change(kk, &Order{Base: word.Version(base), Body: []byte(v)}, clk.Now().Add(900*clk.Millisecond))
 }
 
 func (c *core) get(n word.Node) (string, bool) {
@@ -182,7 +182,7 @@
 	is.True(!ok)
 	is.True(c.put("b", 1, "22").OK)
 	c.n.join()
-	is.Equal(c.put("a", 1, "yy").Code, code.OtherEdition)
+	is.Equal(c.put("a", 1, "yy").Code, code.OtherVersion)
 	v, ok := c.get("a")
 	is.True(ok)
 	is.Equal(v, "22")
@@ -219,7 +219,7 @@
 		m := spawn.NewMark()
 		c.st[slow].set(m, false)
 		got := c.put("a", 1, "22")
-		if !got.OK { // a caller tries another
+		if !got.OK { // a client tries another
 			got = c.put("b", 1, "22")
 		}
 		is.True(got.OK)
--- a/internal/keep/term.go
+++ b/internal/keep/lease.go
@@ -12,24 +12,24 @@
 )
 
 const (
-	askLimit = 450 * clk.Millisecond
-	sendOn   = 350 * clk.Millisecond
+	askTimeout     = 450 * clk.Millisecond
+	forwardTimeout = 350 * clk.Millisecond
 )
 
-type term struct {
+type lease struct {
 	turn spawn.Turn
 	held bool
 	at   word.Place
 	val  []byte
 }
 
-func (k *Keeper) term(key word.Key) *term {
+func (k *Keeper) lease(key word.Key) *lease {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	t := k.terms[key]
+	t := k.leases[key]
 	if t == nil {
-		t = &term{turn: spawn.Turn{Max: 64}}
-		k.terms[key] = t
+		t = &lease{turn: spawn.Turn{Max: 64}}
+		k.leases[key] = t
 	}
 	return t
 }
@@ -38,29 +38,29 @@
 // things as they are.
 type Decide func(cur []byte) (next []byte, a Msg)
 
-// Own runs d as the owner of the key: it wins a term if it has none, and
+// Own runs d as the owner of the key: it wins a lease if it has none, and
 // answers once the change, or that there is none, stands with a majority.
-func (k *Keeper) Own(key word.Key, limit clk.Tick, d Decide) Msg {
-	t := k.term(key)
-	if !t.turn.Take(clk.Until(limit)) {
+func (k *Keeper) Own(key word.Key, deadline clk.Tick, d Decide) Msg {
+	t := k.lease(key)
+	if !t.turn.Take(clk.Until(deadline)) {
 		return Msg{Code: code.NoMajority}
 	}
 	defer t.turn.Give()
-	for clk.Until(limit) > 0 {
-		if !t.held && !k.win(key, t, limit) {
+	for clk.Until(deadline) > 0 {
+		if !t.held && !k.win(key, t, deadline) {
 			clk.Sleep(clk.Span(20+rand.IntN(60)) * clk.Millisecond)
 			continue
 		}
 		next, a := d(t.val)
 		if next == nil || bytes.Equal(next, t.val) {
-			if k.holds(key, t, limit) {
+			if k.holds(key, t, deadline) {
 				return a
 			}
 			t.held = false
 			continue
 		}
 		at := word.Place{Epoch: t.at.Epoch, Seq: t.at.Seq + 1}
-		if !k.commit(key, at, next, limit) {
+		if !k.commit(key, at, next, deadline) {
 			t.held = false
 			continue
 		}
@@ -71,10 +71,10 @@
 	return Msg{Code: code.NoMajority}
 }
 
-func (k *Keeper) commit(key word.Key, at word.Place, val []byte, limit clk.Tick) bool {
+func (k *Keeper) commit(key word.Key, at word.Place, val []byte, deadline clk.Tick) bool {
 	r := k.acc.Roster()
 	k.stepVal(key, at, val, "sent to the disks")
-	got := k.askAll(r.All(), Msg{Kind: Accept, Key: key, At: at, Val: val, Roster: r}, min(askLimit, clk.Until(limit)),
+	got := k.askAll(r.All(), Msg{Kind: Accept, Key: key, At: at, Val: val, Roster: r}, min(askTimeout, clk.Until(deadline)),
 		func(g map[word.Node]Msg) bool { return r.Majority(oks(g)) })
 	if !r.Majority(oks(got)) {
 		k.heed(got)
@@ -90,9 +90,9 @@
 	return true
 }
 
-func (k *Keeper) holds(key word.Key, t *term, limit clk.Tick) bool {
+func (k *Keeper) holds(key word.Key, t *lease, deadline clk.Tick) bool {
 	r := k.acc.Roster()
-	got := k.askAll(r.All(), Msg{Kind: Hold, Key: key, Epoch: t.at.Epoch, Roster: r}, min(askLimit, clk.Until(limit)),
+	got := k.askAll(r.All(), Msg{Kind: Hold, Key: key, Epoch: t.at.Epoch, Roster: r}, min(askTimeout, clk.Until(deadline)),
 		func(g map[word.Node]Msg) bool { return r.Majority(oks(g)) })
 	if r.Majority(oks(got)) {
 		return true
@@ -131,7 +131,7 @@
 	return best, true
 }
 
-func (k *Keeper) win(key word.Key, t *term, limit clk.Tick) bool {
+func (k *Keeper) win(key word.Key, t *lease, deadline clk.Tick) bool {
 	if !k.acc.Voting() {
 		return false
 	}
@@ -143,7 +143,7 @@
 	k.tried[key] = e
 	k.mu.Unlock()
 	r := k.acc.Roster()
-	got := k.askAll(r.All(), Msg{Kind: Vote, Key: key, Epoch: e, Roster: r}, min(askLimit, clk.Until(limit)),
+	got := k.askAll(r.All(), Msg{Kind: Vote, Key: key, Epoch: e, Roster: r}, min(askTimeout, clk.Until(deadline)),
 		func(g map[word.Node]Msg) bool { return r.Majority(oks(g)) })
 	k.heed(got)
 	best, won := Best(r, got)
@@ -156,12 +156,12 @@
 		}
 	}
 	at := word.Place{Epoch: e, Seq: 1}
-	if !k.commit(key, at, best.Val, limit) {
+	if !k.commit(key, at, best.Val, deadline) {
 		return false
 	}
 	t.held, t.at, t.val = true, at, best.Val
 	if key != word.ListDuty {
-		note.State("term won", "key", key, "epoch", e)
+		note.State("lease won", "key", key, "epoch", e)
 	}
 	return true
 }
--- a/internal/keep/msg.go
+++ b/internal/keep/msg.go
@@ -48,10 +48,10 @@
 	return ok
 }
 
-// Order is a change or a question that a caller of control brings.
+// Order is a change or a question that a client of control brings.
 type Order struct {
 	Body   []byte
-	Base   word.Edition
+	Base   word.Version
 	Modify bool
 	On     bool
 	Query  bool
@@ -75,37 +75,37 @@
 	Marks  map[word.Key]Mark
 	Cells  map[word.Key]Cell
 
-	Life     uint64
-	Num      uint64
-	Items    []Item
-	Snapshot bool
-	Fresh    bool
-	ListAge  clk.Span
-	Relays   []word.Node
-	Count    int
-	Locality word.Locality
-	Locals   map[word.Node]word.Locality
-	Addr     word.Addr
-	Report   *Report
+	Life        uint64
+	Num         uint64
+	Items       []Item
+	Snapshot    bool
+	Fresh       bool
+	ListAge     clk.Span
+	Relays      []word.Node
+	Count       int
+	Zone        word.Zone
+	KeeperZones map[word.Node]word.Zone
+	Addr        word.Addr
+	Report      *Report
 }
 
 // Report is what a daemon tells of itself when it is asked for a trace.
 type Report struct {
-	Node     word.Node
-	Role     string
-	Locality word.Locality
-	Voting   bool
-	Sure     bool
-	Roster   Roster
-	Owners   map[word.Key]word.Place
-	Feed     uint64
-	Keeper   word.Addr
-	Relays   map[word.Node]word.Addr
-	Steps    []Step
-	Applied  map[string]clk.Span
-	Edition  word.Edition
-	Counts   map[string]int64
-	Gauges   map[string]float64
+	Node    word.Node
+	Role    string
+	Zone    word.Zone
+	Voting  bool
+	Sure    bool
+	Roster  Roster
+	Owners  map[word.Key]word.Place
+	Feed    uint64
+	Keeper  word.Addr
+	Relays  map[word.Node]word.Addr
+	Steps   []Step
+	Applied map[string]clk.Span
+	Version word.Version
+	Counts  map[string]int64
+	Gauges  map[string]float64
 }
 
 // Step is one step of a change as a daemon saw it.
--- a/internal/keep/net.go
+++ b/internal/keep/net.go
@@ -11,7 +11,7 @@
 
 // Net asks other keepers.
 type Net interface {
-	Ask(to word.Node, m Msg, limit clk.Span) (Msg, bool)
+	Ask(to word.Node, m Msg, timeout clk.Span) (Msg, bool)
 }
 
 // Wires is a Net over the wire.
@@ -22,7 +22,7 @@
 }
 
 // Ask sends m and waits for the answer.
-func (w *Wires) Ask(to word.Node, m Msg, limit clk.Span) (Msg, bool) {
+func (w *Wires) Ask(to word.Node, m Msg, timeout clk.Span) (Msg, bool) {
 	w.mu.Lock()
 	if w.shut {
 		w.mu.Unlock()
@@ -37,7 +37,7 @@
 		w.peers[to] = p
 	}
 	w.mu.Unlock()
-	a, err := p.Call(m, limit)
+	a, err := p.Call(m, timeout)
 	return a, err == nil
 }
 
@@ -59,13 +59,13 @@
 	mark *spawn.Mark
 }
 
-func (k *Keeper) askAll(to []word.Node, m Msg, limit clk.Span, done func(map[word.Node]Msg) bool) map[word.Node]Msg {
+func (k *Keeper) askAll(to []word.Node, m Msg, timeout clk.Span, done func(map[word.Node]Msg) bool) map[word.Node]Msg {
 	p := &poll{got: map[word.Node]Msg{}, left: len(to), mark: spawn.NewMark()}
 	if len(to) == 0 {
 		return p.got
 	}
 	m.From = k.Self
-	at := clk.Now().Add(limit)
+	at := clk.Now().Add(timeout)
 	for _, n := range to {
 		spawn.Go(func() {
 			var a Msg
@@ -73,7 +73,7 @@
 			if n == k.Self {
 				a = k.local(m)
 			} else {
-				a, ok = k.Net.Ask(n, m, limit)
+				a, ok = k.Net.Ask(n, m, timeout)
 			}
 			p.mu.Lock()
 			defer p.mu.Unlock()
--- a/internal/keep/roster.go
+++ b/internal/keep/roster.go
@@ -1,4 +1,4 @@
-// Package keep is the control plane: registers with one owner per term, each
+// Package keep is the control plane: registers with one owner per lease, each
 // change on a majority of disks before it is answered.
 package keep
 
--- a/internal/keep/seats.go
+++ b/internal/keep/seats.go
@@ -16,7 +16,7 @@
 	}
 	if len(r.Next) > 0 {
 		if !o.On {
-			return nil, Msg{Code: code.HoldingFull, Text: "a change is under way"}
+			return nil, Msg{Code: code.QueueFull, Text: "a change is under way"}
 		}
 		n := Roster{Num: r.Num + 1, Seat: r.Next}
 		return n.Encode(), Msg{OK: true}
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -1,4 +1,4 @@
-// Package link keeps connections to replicas and carries one inquiry at a
+// Package link keeps connections to replicas and carries one request at a
 // time over each.
 package link
 
@@ -42,9 +42,9 @@
 	spent bool
 }
 
-func dial(a word.Addr, limit clk.Span) (*Conn, error) {
+func dial(a word.Addr, timeout clk.Span) (*Conn, error) {
 	dials.Add(1)
-	c, err := wire.Dial(a, limit)
+	c, err := wire.Dial(a, timeout)
 	if err != nil {
 		return nil, err
 	}
@@ -74,20 +74,20 @@
 
 // Put sends bytes; whole tells whether all of them left. A request of which a
 // part never left cannot have run.
-func (k *Conn) Put(b []byte, limit clk.Tick) (whole bool, err error) {
-	_ = k.c.SetDeadline(limit.Limit())
+func (k *Conn) Put(b []byte, deadline clk.Tick) (whole bool, err error) {
+	_ = k.c.SetDeadline(deadline.Deadline())
 	n, err := k.c.Write(b)
 	return n == len(b), err
 }
 
 // Limit sets the moment past which reading ends.
-func (k *Conn) Limit(t clk.Tick) { _ = k.c.SetReadDeadline(t.Limit()) }
+func (k *Conn) SetDeadline(t clk.Tick) { _ = k.c.SetReadDeadline(t.Deadline()) }
 
 // Result reads the head of the answer to the try id. Answers to other tries
 // are passed over, and the connection is not used again.
-func (k *Conn) Result(id []byte) (*head.Result, error) {
+func (k *Conn) Response(id []byte) (*head.Response, error) {
 	for i := 0; ; i++ {
-		a, err := head.ReadResult(k.br)
+		a, err := head.ReadResponse(k.br)
 		if err != nil {
 			k.spent = true
 			return nil, err
@@ -110,7 +110,7 @@
 }
 
 // Body is the reader of the answer's body.
-func (k *Conn) Body(a *head.Result) *head.Body { return head.NewBody(k.br, a.Framing) }
+func (k *Conn) Body(a *head.Response) *head.Body { return head.NewBody(k.br, a.Framing) }
 
 // Unheard tells whether an error says that the other end's machine has not even
 // taken notice of what was sent.
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -28,7 +28,7 @@
 }
 
 // Get finds an idle connection or makes one.
-func (p *Pool) Get(limit clk.Span) (*Conn, error) {
+func (p *Pool) Get(timeout clk.Span) (*Conn, error) {
 	for {
 		p.mu.Lock()
 		n := len(p.idle)
@@ -46,7 +46,7 @@
 		}
 		p.Drop(k)
 	}
-	k, err := dial(p.Addr, limit)
+	k, err := dial(p.Addr, timeout)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
@@ -66,7 +66,7 @@
 
 // Give takes a connection back after a whole answer, or closes it if it may
 // not be used again.
-func (p *Pool) Give(k *Conn, a *head.Result) {
+func (p *Pool) Give(k *Conn, a *head.Response) {
 	if k.spent || a.Close {
 		p.Drop(k)
 		return
--- a/internal/link/pool_test.go
+++ b/internal/link/pool_test.go
@@ -35,12 +35,12 @@
 	k, err := p.Get(clk.Second)
 	is.NoErr(err)
 	accept()
-	p.Give(k, &head.Result{})
+	p.Give(k, &head.Response{})
 	again, err := p.Get(clk.Second)
 	is.NoErr(err)
 	is.True(again == k)
 	is.Equal(p.Open(), 1)
-	p.Give(again, &head.Result{Close: true}) // says that it closes
+	p.Give(again, &head.Response{Close: true}) // says that it closes
 	is.Equal(p.Open(), 0)
 }
 
@@ -59,7 +59,7 @@
 			spoil(accept())
 			for k.quiet() {
 			}
-			p.Give(k, &head.Result{})
+			p.Give(k, &head.Response{})
 			next, err := p.Get(clk.Second)
 			is.NoErr(err)
 			is.True(next != k)
@@ -76,7 +76,7 @@
 	is.NoErr(err)
 	accept()
 	t.Cleanup(sim.Use())
-	p.Give(k, &head.Result{Alive: 2 * clk.Second})
+	p.Give(k, &head.Response{Alive: 2 * clk.Second})
 	sim.Move(1600 * clk.Millisecond) // short of it by less than the margin
 	p.mu.Lock()
 	idle := p.idle[0]
@@ -98,8 +98,8 @@
 		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 2\r\n\r\nno" +
 			"HTTP/1.1 200 OK\r\nAttempt-Id: mine\r\nContent-Length: 3\r\n\r\nyes"))
 	})
-	k.Limit(clk.Now().Add(10 * clk.Second))
-	ans, err := k.Result([]byte("mine"))
+	k.SetDeadline(clk.Now().Add(10 * clk.Second))
+	ans, err := k.Response([]byte("mine"))
 	is.NoErr(err)
 	b, err := k.Body(ans).ReadAll(10)
 	is.NoErr(err)
--- a/internal/list/duty.go
+++ b/internal/list/duty.go
@@ -133,7 +133,7 @@
 	for i := range a {
 		x, y := a[i], b[i]
 		if x.ID != y.ID || x.Addr != y.Addr || x.State != y.State || x.Service != y.Service ||
-			x.Locality != y.Locality || x.Slots != y.Slots || x.Edition != y.Edition || len(x.Models) != len(y.Models) {
+			x.Zone != y.Zone || x.Slots != y.Slots || x.Version != y.Version || len(x.Models) != len(y.Models) {
 			return false
 		}
 		for j := range x.Models {
--- a/internal/list/duty_test.go
+++ b/internal/list/duty_test.go
@@ -79,7 +79,7 @@
 func TestPlatformDown(t *testing.T) {
 	is := is.New(t)
 	d, w, sim := newDuty(t)
-	d.Read = func() ([]Replica, error) { return nil, code.New(code.ListRejected, "down") }
+	d.Read = func() ([]Replica, error) { return nil, code.New(code.ListRefused, "down") }
 	for range 20 {
 		sim.Move(200 * clk.Millisecond)
 		d.Keeper.Round()
@@ -95,7 +95,7 @@
 	b := Encode([]Replica{{ID: "a", Models: []Model{{"m", 2}}}})
 	rs, ok := Decode(b)
 	is.True(ok)
-	is.Equal(rs[0].Models[0].Edition, int64(2))
+	is.Equal(rs[0].Models[0].Version, int64(2))
 	_, ok = Decode([]byte("no list"))
 	is.True(!ok)
 }
@@ -106,7 +106,7 @@
 	is := is.New(t)
 	r := &Reader{Addr: "127.0.0.1:1", Rate: Share(2, 0.5)}
 	_, err := r.Read()
-	is.True(code.Of(err) == code.ListRejected)
+	is.True(code.Of(err) == code.ListRefused)
 	r.Rate.Reserve()
 	r.Rate.Reserve()
 	is.True(r.Rate.Tokens() < 1)
--- a/internal/list/reader.go
+++ b/internal/list/reader.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	callLimit = 800 * clk.Millisecond
-	pagesMost = 1000
+	callTimeout = 800 * clk.Millisecond
+	pagesMost   = 1000
 )
 
 var calls = note.Counter("list.calls")
@@ -50,7 +50,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.Rate != nil && r.Rate.Tokens() < 1 {
-		return nil, code.New(code.ListRejected, "over this daemon's share of the rate")
+		return nil, code.New(code.ListRefused, "over this daemon's share of the rate")
 	}
 	var out []Replica
 	token := ""
@@ -67,7 +67,7 @@
 		}
 		token = *p.Next
 	}
-	return nil, code.New(code.ListRejected, "more than %d pages", pagesMost)
+	return nil, code.New(code.ListRefused, "more than %d pages", pagesMost)
 }
 
 func (r *Reader) drop() {
@@ -79,9 +79,9 @@
 
 func (r *Reader) page(token string) (*page, error) {
 	if r.c == nil {
-		c, err := wire.Dial(r.Addr, callLimit)
+		c, err := wire.Dial(r.Addr, callTimeout)
 		if err != nil {
-			return nil, code.New(code.ListRejected, "%v", err)
+			return nil, code.New(code.ListRefused, "%v", err)
 		}
 		r.c, r.br = c, bufio.NewReaderSize(c, 4096)
 	}
@@ -89,27 +89,27 @@
 		r.Rate.Reserve()
 	}
 	calls.Add(1)
-	_ = r.c.SetDeadline(clk.Now().Add(callLimit).Limit())
+	_ = r.c.SetDeadline(clk.Now().Add(callTimeout).Deadline())
 	path := "/replicas"
 	if token != "" {
 		path += "?page-token=" + url.QueryEscape(token)
 	}
 	if _, err := r.c.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: " + string(r.Addr) + "\r\n\r\n")); err != nil {
-		return nil, code.New(code.ListRejected, "%v", err)
+		return nil, code.New(code.ListRefused, "%v", err)
 	}
 	var a fasthttp.Response
 	if err := a.ReadLimitBody(r.br, 8<<20); err != nil {
-		return nil, code.New(code.ListRejected, "%v", err)
+		return nil, code.New(code.ListRefused, "%v", err)
 	}
 	if a.ConnectionClose() {
 		defer r.drop()
 	}
 	if a.StatusCode() != 200 {
-		return nil, code.New(code.ListRejected, "status %d", a.StatusCode())
+		return nil, code.New(code.ListRefused, "status %d", a.StatusCode())
 	}
 	p := &page{}
 	if err := json.Unmarshal(a.Body(), p); err != nil {
-		return nil, code.New(code.ListRejected, "%v", err)
+		return nil, code.New(code.ListRefused, "%v", err)
 	}
 	return p, nil
 }
--- a/internal/list/replica.go
+++ b/internal/list/replica.go
@@ -11,21 +11,21 @@
 // Model is a model that a replica holds.
 type Model struct {
 	Name    string `json:"name"`
-	Edition int64  `json:"version"`
+	Version int64  `json:"version"`
 }
 
 // Replica is one entry of the list.
 type Replica struct {
-	ID       word.Replica  `json:"replica-id"`
-	Service  word.Service  `json:"service"`
-	Addr     word.Addr     `json:"address"`
-	Locality word.Locality `json:"zone"`
-	Edition  string        `json:"version"`
-	Slots    int           `json:"capacity-slots"`
-	State    string        `json:"state"`
-	ColdMs   float64       `json:"cold-remaining-ms"`
-	Stage    string        `json:"stage"`
-	Models   []Model       `json:"models"`
+	ID      word.Replica `json:"replica-id"`
+	Service word.Service `json:"service"`
+	Addr    word.Addr    `json:"address"`
+	Zone    word.Zone    `json:"zone"`
+	Version string       `json:"version"`
+	Slots   int          `json:"capacity-slots"`
+	State   string       `json:"state"`
+	ColdMs  float64      `json:"cold-remaining-ms"`
+	Stage   string       `json:"stage"`
+	Models  []Model      `json:"models"`
 }
 
 // InService tells whether the replica may be sent to.
--- a/internal/oper/caller.go
+++ b/internal/oper/client.go
@@ -12,15 +12,15 @@
 	"spoolswitch/internal/word"
 )
 
-// Caller calls control daemons, one after the other until one answers clearly.
-type Caller struct {
+// Client calls control daemons, one after the other until one answers clearly.
+type Client struct {
 	Addrs []word.Addr
 	Limit clk.Span
 }
 
 const (
-	callLimit = 2 * clk.Second
-	pause     = 100 * clk.Millisecond
+	callTimeout = 2 * clk.Second
+	pause       = 100 * clk.Millisecond
 )
 
 type result struct {
@@ -29,7 +29,7 @@
 }
 
 // Call makes one call. base is left out if it is negative.
-func (c *Caller) Call(method, path string, base int64, body []byte) ([]byte, error) {
+func (c *Client) Call(method, path string, base int64, body []byte) ([]byte, error) {
 	end := clk.Now().Add(c.Limit)
 	err := code.New(code.PeerLost, "no control address")
 	for wait := pause; ; wait *= 2 {
@@ -47,7 +47,7 @@
 	}
 }
 
-func (c *Caller) once(a word.Addr, method, path string, base int64, body []byte) (out []byte, final bool, err error) {
+func (c *Client) once(a word.Addr, method, path string, base int64, body []byte) (out []byte, final bool, err error) {
 	cl := &fasthttp.HostClient{Addr: string(a), MaxIdemponentCallAttempts: 1}
 	var q fasthttp.Request
 	var r fasthttp.Response
@@ -61,7 +61,7 @@
 		q.Header.SetContentType("application/json")
 		q.SetBody(body)
 	}
-	if err := cl.DoTimeout(&q, &r, callLimit); err != nil {
+	if err := cl.DoTimeout(&q, &r, callTimeout); err != nil {
 		return nil, false, code.New(code.PeerLost, "%s: %v", a, err)
 	}
 	st := r.StatusCode()
--- a/internal/pick/audit.go
+++ b/internal/pick/audit.go
@@ -7,7 +7,7 @@
 )
 
 // Promise is what the record said that a replica keeps of a prompt when it
-// was selected.
+// was chosen.
 type Promise struct {
 	Tokens int64
 	Unread int64
--- a/internal/pick/audit_test.go
+++ b/internal/pick/audit_test.go
@@ -71,7 +71,7 @@
 	own := int64(100 + w.n*137%900)
 	c := chain(t, fmt.Sprintf("%x:500,%x:%d", 100+session, 100000+w.n, own))
 	a := &Ask{Service: "s", Sticky: true, Chain: c, Tokens: 500 + own}
-	r, err := w.f.Select(a)
+	r, err := w.f.Choose(a)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/pick/budget.go
+++ b/internal/pick/budget.go
@@ -54,7 +54,7 @@
 	b.Ratio, b.Slack, b.Window = ratio, slack, window
 }
 
-// Note counts a caller's inquiry for a service.
+// Note counts a client's request for a service.
 func (b *Budget) Note(s word.Service) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/pick/chain.go
+++ b/internal/pick/chain.go
@@ -1,4 +1,4 @@
-// Package pick selects the replica of an inquiry: the session design.
+// Package pick chooses the replica of a request: the session design.
 package pick
 
 import (
--- a/internal/pick/select.go
+++ b/internal/pick/choose.go
@@ -8,7 +8,7 @@
 	"spoolswitch/internal/word"
 )
 
-// Ask is what an inquiry wants of a replica.
+// Ask is what a request wants of a replica.
 type Ask struct {
 	Service word.Service
 	Chain   Chain
@@ -17,7 +17,7 @@
 	Draw    uint64
 	Not     []word.Replica
 
-	// Promise is filled by Select.
+	// Promise is filled by Choose.
 	Promise Promise
 }
 
@@ -58,12 +58,12 @@
 }
 
 func (f *Fleet) open(r *Rep, a *Ask) bool {
-	return !r.gone && r.InService() && !f.evac[r.Locality] && !a.not(r.ID)
+	return !r.gone && r.InService() && !f.evac[r.Zone] && !a.not(r.ID)
 }
 
-// Select names the replica of an inquiry and takes a place there. Done must be
+// Choose names the replica of a request and takes a place there. Done must be
 // called with what came of it.
-func (f *Fleet) Select(a *Ask) (*Rep, error) {
+func (f *Fleet) Choose(a *Ask) (*Rep, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := clk.Now()
@@ -88,7 +88,7 @@
 		s = f.session(a.Chain)
 	}
 	if len(able) == 0 {
-		return nil, code.New(code.HoldingFull, "%s", a.Service)
+		return nil, code.New(code.QueueFull, "%s", a.Service)
 	}
 	var r *Rep
 	if len(s) > 0 {
@@ -175,7 +175,7 @@
 func (f *Fleet) least(a *Ask, able []*Rep, now clk.Tick) *Rep {
 	cost := func(r *Rep) float64 {
 		c := float64(r.press(now)) / float64(max(1, r.Slots))
-		if r.Locality != f.Locality {
+		if r.Zone != f.Zone {
 			c += 0.35
 		}
 		return c
--- a/internal/pick/select_test.go
+++ b/internal/pick/choose_test.go
@@ -13,10 +13,10 @@
 	"spoolswitch/internal/word"
 )
 
-func replicas(n int, z word.Locality) []list.Replica {
+func replicas(n int, z word.Zone) []list.Replica {
 	var rs []list.Replica
 	for i := range n {
-		rs = append(rs, list.Replica{ID: word.Replica(fmt.Sprintf("i-%d", i)), Service: "s", Addr: word.Addr(fmt.Sprintf("127.0.0.1:%d", i+1)), Locality: z, Slots: 100, State: "in_service"})
+		rs = append(rs, list.Replica{ID: word.Replica(fmt.Sprintf("i-%d", i)), Service: "s", Addr: word.Addr(fmt.Sprintf("127.0.0.1:%d", i+1)), Zone: z, Slots: 100, State: "in_service"})
 	}
 	return rs
 }
@@ -45,7 +45,7 @@
 // turn sends one turn of a session whose own part is named own, and ends it.
 func turn(t *testing.T, f *Fleet, prefix, own string) word.Replica {
 	t.Helper()
-	r, err := f.Select(&Ask{Service: "s", Sticky: true, Chain: chain(t, prefix+","+own+":50"), Tokens: 50})
+	r, err := f.Choose(&Ask{Service: "s", Sticky: true, Chain: chain(t, prefix+","+own+":50"), Tokens: 50})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -135,7 +135,7 @@
 			rs := replicas(5, "z")
 			for i := range rs {
 				if rs[i].ID == id {
-					rs[i].Locality = "y"
+					rs[i].Zone = "y"
 				}
 			}
 			f.reps = map[word.Replica]*Rep{}
@@ -191,7 +191,7 @@
 	var at []clk.Tick
 	for range 400 {
 		for _, f := range fs {
-			if r, err := f.Select(&Ask{Service: "s"}); err == nil {
+			if r, err := f.Choose(&Ask{Service: "s"}); err == nil {
 				at = append(at, clk.Now())
 				f.Done(r, Fine)
 			}
@@ -213,12 +213,12 @@
 func TestNobodyLeft(t *testing.T) {
 	is := is.New(t)
 	f, _ := fleet(t, 1)
-	_, err := f.Select(&Ask{Service: "t"})
+	_, err := f.Choose(&Ask{Service: "t"})
 	is.Equal(code.Of(err), code.NoReplica)
 	f.Told(f.reps["i-0"], "100,0,100")
-	_, err = f.Select(&Ask{Service: "s"})
-	is.Equal(code.Of(err), code.HoldingFull)
-	_, err = f.Select(&Ask{Service: "s", Not: []word.Replica{"i-0"}})
+	_, err = f.Choose(&Ask{Service: "s"})
+	is.Equal(code.Of(err), code.QueueFull)
+	_, err = f.Choose(&Ask{Service: "s", Not: []word.Replica{"i-0"}})
 	is.Equal(code.Of(err), code.NoReplica)
 }
 
@@ -227,15 +227,15 @@
 	is := is.New(t)
 	f, _ := fleet(t, 3)
 	rs := replicas(3, "far")
-	rs[1].Locality = "z"
+	rs[1].Zone = "z"
 	f.reps = map[word.Replica]*Rep{}
 	f.Listed(rs, 0)
-	r, err := f.Select(&Ask{Service: "s"})
+	r, err := f.Choose(&Ask{Service: "s"})
 	is.NoErr(err)
 	is.Equal(r.ID, word.Replica("i-1"))
 	f.Told(f.reps["i-1"], "80,0,100")
 	f.Told(f.reps["i-0"], "5,0,100")
-	r, err = f.Select(&Ask{Service: "s"})
+	r, err = f.Choose(&Ask{Service: "s"})
 	is.NoErr(err)
 	is.Equal(r.ID, word.Replica("i-2"))
 }
@@ -262,11 +262,11 @@
 	is.Equal(f.Share(), 11)
 }
 
-// A replica that was down is tried by one inquiry at a time until it answers.
+// A replica that was down is tried by one request at a time until it answers.
 func TestOneTrial(t *testing.T) {
 	is := is.New(t)
 	f, sim := fleet(t, 1)
-	ask := func() (*Rep, error) { return f.Select(&Ask{Service: "s"}) }
+	ask := func() (*Rep, error) { return f.Choose(&Ask{Service: "s"}) }
 	r, err := ask()
 	is.NoErr(err)
 	f.Done(r, Silent)
@@ -292,12 +292,12 @@
 	f.Relays(11)
 	n := 0
 	for range 50 {
-		if _, err := f.Select(&Ask{Service: "s"}); err == nil {
+		if _, err := f.Choose(&Ask{Service: "s"}); err == nil {
 			n++
 		}
 	}
 	is.Equal(n, 3)
 	f.Relays(100)
-	_, err := f.Select(&Ask{Service: "s"})
-	is.Equal(code.Of(err), code.HoldingFull)
+	_, err := f.Choose(&Ask{Service: "s"})
+	is.Equal(code.Of(err), code.QueueFull)
 }
--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -14,16 +14,16 @@
 
 // Fleet is all that a relay knows of the replicas.
 type Fleet struct {
-	Locality word.Locality
-	Idle     clk.Span
-	Overrun  float64
-	Slack    float64
+	Zone    word.Zone
+	Idle    clk.Span
+	Overrun float64
+	Slack   float64
 
 	mu       sync.Mutex
 	reps     map[word.Replica]*Rep
 	services map[word.Service][]*Rep
 	confs    map[word.Service]*conf.Service
-	evac     map[word.Locality]bool
+	evac     map[word.Zone]bool
 	relays   int
 	sessions *lru[*binding]
 	seen     *lru[struct{}]
@@ -58,9 +58,9 @@
 )
 
 // NewFleet makes an empty fleet.
-func NewFleet(z word.Locality, idle clk.Span) *Fleet {
-	return &Fleet{Locality: z, Idle: idle, relays: relaysMany, reps: map[word.Replica]*Rep{}, services: map[word.Service][]*Rep{},
-		confs: map[word.Service]*conf.Service{}, evac: map[word.Locality]bool{}, sessions: newLRU[*binding](sessionsMost),
+func NewFleet(z word.Zone, idle clk.Span) *Fleet {
+	return &Fleet{Zone: z, Idle: idle, relays: relaysMany, reps: map[word.Replica]*Rep{}, services: map[word.Service][]*Rep{},
+		confs: map[word.Service]*conf.Service{}, evac: map[word.Zone]bool{}, sessions: newLRU[*binding](sessionsMost),
 		seen: newLRU[struct{}](seenMost), trunks: newLRU[*fork](seenMost)}
 }
 
@@ -80,7 +80,7 @@
 			rep = &Rep{Replica: r, Pool: &link.Pool{Addr: r.Addr}, kept: newLRU[part](f.capacity(r.Service))}
 			f.reps[r.ID] = rep
 		}
-		rep.State, rep.Slots, rep.Models, rep.Edition = r.State, r.Slots, r.Models, r.Edition
+		rep.State, rep.Slots, rep.Models, rep.Version = r.State, r.Slots, r.Models, r.Version
 		if d := clk.Ms(r.ColdMs) - age; r.ColdMs > 0 && d > 0 {
 			rep.cold = max(rep.cold, now.Add(d))
 		}
@@ -127,14 +127,14 @@
 	}
 }
 
-// Evacuate takes in whether a locality is evacuated. Replicas of one that is
+// Evacuate takes in whether a zone is evacuated. Replicas of one that is
 // taken back may have turned cold.
-func (f *Fleet) Evacuate(z word.Locality, on bool) {
+func (f *Fleet) Evacuate(z word.Zone, on bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.evac[z] && !on {
 		for _, r := range f.reps {
-			if r.Locality == z {
+			if r.Zone == z {
 				f.chill(r, clk.Now())
 			}
 		}
--- a/internal/pick/vitals.go
+++ b/internal/pick/health.go
@@ -14,12 +14,12 @@
 // The outcomes.
 const (
 	Fine Outcome = iota
-	Rejected
+	Refused
 	Unreached
 	Broke
 	Silent
 	Stranger
-	CutByCaller
+	CutByClient
 )
 
 var outcomes = [...]*note.Count{note.Counter("send.fine"), note.Counter("send.turned"), note.Counter("send.unreached"),
@@ -51,7 +51,7 @@
 	r.load, r.loadAt, r.since = Load{n[0], n[1], n[2]}, clk.Now(), 0
 }
 
-// Done gives the place at a replica back and takes note of its vitals.
+// Done gives the place at a replica back and takes note of its health.
 func (f *Fleet) Done(r *Rep, o Outcome) {
 	outcomes[o].Add(1)
 	if o == Unreached || o == Silent {
--- a/internal/pick/urgency.go
+++ b/internal/pick/urgency.go
@@ -6,7 +6,7 @@
 	"spoolswitch/internal/word"
 )
 
-// Sizes follows how large the inquiries for each service are, so that urgency
+// Sizes follows how large the requests for each service are, so that urgency
 // can go by size: the short before the long, which hold up all that runs
 // beside them.
 type Sizes struct {
--- a/internal/relay/caller.go
+++ b/internal/relay/client.go
@@ -14,12 +14,12 @@
 	"spoolswitch/internal/conf"
 	"spoolswitch/internal/head"
 	"spoolswitch/internal/note"
-	"spoolswitch/internal/result"
+	"spoolswitch/internal/response"
 	"spoolswitch/internal/spawn"
 )
 
-// Caller is a caller's connection.
-type Caller struct {
+// Client is a client's connection.
+type Client struct {
 	c    net.Conn
 	br   *bufio.Reader
 	r    *Relay
@@ -30,14 +30,14 @@
 }
 
 const (
-	writeLimit  = 10 * clk.Second
-	longestHead = 64 << 10
-	chunkedRoom = 256 << 10
+	writeTimeout = 10 * clk.Second
+	longestHead  = 64 << 10
+	chunkedRoom  = 256 << 10
 )
 
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 16<<10) }}
 
-func (k *Caller) reader(most int) {
+func (k *Client) reader(most int) {
 	if most+2 <= 16<<10 {
 		k.br = readers.Get().(*bufio.Reader)
 		k.br.Reset(k.c)
@@ -46,14 +46,14 @@
 	k.br = bufio.NewReaderSize(k.c, min(most, longestHead)+2)
 }
 
-func (k *Caller) free() {
+func (k *Client) free() {
 	if k.br.Size() == 16<<10 {
 		k.br.Reset(nil)
 		readers.Put(k.br)
 	}
 }
 
-func (k *Caller) serve() {
+func (k *Client) serve() {
 	lim := conf.Limits{}.Whole()
 	if t := k.r.View.Table(); t != nil {
 		lim = t.Limits
@@ -65,7 +65,7 @@
 		if t := k.r.View.Table(); t != nil {
 			lim = t.Limits
 		}
-		k.limit(clk.Now().Add(clk.Ms(lim.IdleMs)))
+		k.deadline(clk.Now().Add(clk.Ms(lim.IdleMs)))
 		if k.br.Buffered() == 0 {
 			if !k.r.idle(k, true) {
 				return
@@ -76,52 +76,52 @@
 				return
 			}
 		}
-		k.limit(clk.Now().Add(clk.Ms(lim.HeadMs)))
-		q, err := head.ReadInquiry(k.br)
+		k.deadline(clk.Now().Add(clk.Ms(lim.HeadMs)))
+		q, err := head.ReadRequest(k.br)
 		if err != nil {
-			k.reject(err)
+			k.refuse(err)
 			return
 		}
-		if !k.inquiry(q, lim) {
+		if !k.request(q, lim) {
 			return
 		}
 	}
 }
 
-func (k *Caller) limit(t clk.Tick) { _ = k.c.SetReadDeadline(t.Limit()) }
+func (k *Client) deadline(t clk.Tick) { _ = k.c.SetReadDeadline(t.Deadline()) }
 
-func (k *Caller) reject(err error) {
+func (k *Client) refuse(err error) {
 	var f *code.Fault
 	switch {
 	case errors.As(err, &f):
-		note.Counter("caller.malformed").Add(1)
-		k.write(result.Of(f.Code, f.Text).Last().Append(nil))
+		note.Counter("client.malformed").Add(1)
+		k.write(response.Of(f.Code, f.Text).Last().Append(nil))
 		k.linger()
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		note.Counter("caller.slow").Add(1)
+		note.Counter("client.slow").Add(1)
 		if k.br.Buffered() > 0 {
-			k.write(result.Of(code.HeadTooSlow, "").Last().Append(nil))
+			k.write(response.Of(code.HeadTooSlow, "").Last().Append(nil))
 		}
 	case errors.Is(err, io.ErrUnexpectedEOF):
-		note.Counter("caller.cutshort").Add(1)
+		note.Counter("client.cutshort").Add(1)
 	}
 }
 
-func (k *Caller) linger() {
+func (k *Client) linger() {
 	if t, ok := k.c.(*net.TCPConn); ok {
 		_ = t.CloseWrite()
 	}
-	k.limit(clk.Now().Add(300 * clk.Millisecond))
+	k.deadline(clk.Now().Add(300 * clk.Millisecond))
 	_, _ = io.CopyN(io.Discard, k.br, 1<<20)
 }
 
-func (k *Caller) write(b []byte) bool {
-	_ = k.c.SetWriteDeadline(clk.Now().Add(writeLimit).Limit())
+func (k *Client) write(b []byte) bool {
+	_ = k.c.SetWriteDeadline(clk.Now().Add(writeTimeout).Deadline())
 	_, err := k.c.Write(b)
 	return err == nil
 }
 
-func (k *Caller) inquiry(q *head.Inquiry, lim conf.Limits) bool {
+func (k *Client) request(q *head.Request, lim conf.Limits) bool {
 	begun := clk.Now()
 	room := q.Length
 	if q.Chunked {
@@ -129,7 +129,7 @@
 	}
 	if room <= int64(lim.BodyBytes) {
 		if !k.r.reserve(room) {
-			k.write(result.Of(code.HoldingFull, "").For(q.Field(head.AttemptID)).Later(k.r.back()).Last().Append(nil))
+			k.write(response.Of(code.QueueFull, "").For(q.Field(head.AttemptID)).Later(k.r.back()).Last().Append(nil))
 			k.linger()
 			return false
 		}
@@ -138,14 +138,14 @@
 	if q.Expect && !q.None {
 		k.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
-	k.limit(begun.Add(clk.Ms(lim.HeadMs + lim.IdleMs)))
+	k.deadline(begun.Add(clk.Ms(lim.HeadMs + lim.IdleMs)))
 	b := head.NewBody(k.br, q.Framing)
 	body, err := b.ReadAll(lim.BodyBytes)
 	if err != nil {
-		k.reject(err)
+		k.refuse(err)
 		return false
 	}
-	n := &Inquiry{Head: q, Body: body, k: k, r: k.r, begun: begun, done: spawn.NewMark()}
+	n := &Request{Head: q, Body: body, k: k, r: k.r, begun: begun, done: spawn.NewMark()}
 	k.r.enter()
 	defer k.r.exit()
 	if !k.r.senders.Try(func() {
@@ -156,16 +156,16 @@
 		_ = k.c.SetReadDeadline(clk.Past())
 		n.done.Set()
 	}) {
-		n.reject(code.HoldingFull)
+		n.refuse(code.QueueFull)
 		return !n.last
 	}
 	k.watch(n)
 	return !n.last && !k.gone.Load()
 }
 
-func (k *Caller) watch(n *Inquiry) {
+func (k *Client) watch(n *Request) {
 	if k.br.Buffered() == 0 {
-		_ = k.c.SetReadDeadline(clk.NoLimit())
+		_ = k.c.SetReadDeadline(clk.NoDeadline())
 		k.mu.Lock()
 		over := k.dead
 		k.mu.Unlock()
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -18,7 +18,7 @@
 	"spoolswitch/internal/list"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/pick"
-	"spoolswitch/internal/result"
+	"spoolswitch/internal/response"
 	"spoolswitch/internal/spawn"
 	"spoolswitch/internal/wire"
 	"spoolswitch/internal/word"
@@ -47,7 +47,7 @@
 	if s.Bindings.Front == "" || s.Bindings.Readiness == "" {
 		return nil, code.New(code.BadSettings, "bindings lack front-addr or readiness")
 	}
-	f := pick.NewFleet(s.Locality, clk.Ms(s.Session.IdleS*1000))
+	f := pick.NewFleet(s.Zone, clk.Ms(s.Session.IdleS*1000))
 	f.Overrun, f.Slack = s.Bounds.ColdOverrun, s.Bounds.ColdSlack
 	v := &View{Fleet: f}
 	b := &pick.Budget{Ratio: s.Bounds.RetryBudgetRatio, Slack: s.Bounds.RetrySlack,
@@ -55,7 +55,7 @@
 	most := max(32, (s.Limits.Descriptors-200)/3)
 	d := &Daemon{Relay: NewRelay(v, b, most, most, most), s: s}
 	d.Relay.BodiesMost = s.Limits.MemoryMB << 20 / 4
-	d.Tail = &feed.Tail{Self: s.Node, Addr: s.Inner(s.IP, 1), IP: s.IP, Locality: s.Locality, Take: v.Take, Apply: clk.Ms(s.Bounds.ConfigApplyMs),
+	d.Tail = &feed.Tail{Self: s.Node, Addr: s.Inner(s.IP, 1), IP: s.IP, Zone: s.Zone, Take: v.Take, Apply: clk.Ms(s.Bounds.ConfigApplyMs),
 		Heard: func(n int, _ clk.Span) { f.Relays(n) }, Seeds: d.seeds}
 	d.Relay.Tell = func(x pick.Drift) {
 		var b bytes.Buffer
@@ -92,7 +92,7 @@
 		return true
 	})
 	spawn.Every(glance, func() bool { return !d.readFirst(rd) })
-	note.State("relay up", "node", s.Node, "locality", s.Locality)
+	note.State("relay up", "node", s.Node, "zone", s.Zone)
 	return d, nil
 }
 
@@ -155,11 +155,11 @@
 		Handler: func(x *fasthttp.RequestCtx) {
 			switch {
 			case string(x.Path()) != "/-/ready":
-				result.Of(code.NoCall, "").Fill(x)
+				response.Of(code.NoCall, "").Fill(x)
 			case d.Relay.Ready():
-				result.OK(nil).Fill(x)
+				response.OK(nil).Fill(x)
 			default:
-				result.Of(code.NotReady, "").Fill(x)
+				response.Of(code.NotReady, "").Fill(x)
 			}
 		}}
 	return srv.Serve(l)
@@ -170,11 +170,11 @@
 	at, num, places := d.Tail.Place()
 	v := d.Relay.View
 	sessions, tokens := v.Fleet.Gauges()
-	r := &keep.Report{Node: d.Tail.Self, Role: "relay", Locality: d.Tail.Locality, Sure: d.Tail.Fresh(cutAfter), Keeper: at, Feed: num,
+	r := &keep.Report{Node: d.Tail.Self, Role: "relay", Zone: d.Tail.Zone, Sure: d.Tail.Fresh(cutAfter), Keeper: at, Feed: num,
 		Owners: places, Applied: v.Applied(), Counts: note.Map(), Gauges: map[string]float64{
 			"sessions": float64(sessions), "held_tokens": float64(tokens), "active": float64(d.Relay.Active()), "relays": float64(v.Fleet.Share())}}
 	if t := v.Table(); t != nil {
-		r.Edition = t.Edition
+		r.Version = t.Version
 		for s := range t.Services {
 			r.Gauges["budget_left."+string(s)] = d.Relay.Budget.Left(s)
 		}
--- a/internal/relay/holding.go
+++ b/internal/relay/queue.go
@@ -9,31 +9,31 @@
 	"spoolswitch/internal/word"
 )
 
-// Holding keeps inquiries that wait for a place at a replica, by service: the
-// higher priority first, then the sooner limit. Only the first of a line asks
+// Queue keeps requests that wait for a place at a replica, by service: the
+// higher priority first, then the sooner deadline. Only the first of a line asks
 // for a place; the others wait until they are first.
-type Holding struct {
+type Queue struct {
 	Most  int
 	mu    sync.Mutex
 	lines map[word.Service][]*held
 }
 
 type held struct {
-	svc   word.Service
-	prio  int
-	limit clk.Tick
-	first *spawn.Mark
+	svc      word.Service
+	prio     int
+	deadline clk.Tick
+	first    *spawn.Mark
 }
 
 // Empty tells whether nothing waits for the service.
-func (h *Holding) Empty(s word.Service) bool {
+func (h *Queue) Empty(s word.Service) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return len(h.lines[s]) == 0
 }
 
-// Enter takes a place in the line; nil if holding is full.
-func (h *Holding) Enter(s word.Service, prio int, limit clk.Tick) *held {
+// Enter takes a place in the line; nil if queue is full.
+func (h *Queue) Enter(s word.Service, prio int, deadline clk.Tick) *held {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.lines == nil {
@@ -43,7 +43,7 @@
 	if len(l) >= h.Most {
 		return nil
 	}
-	w := &held{svc: s, prio: prio, limit: limit, first: spawn.NewMark()}
+	w := &held{svc: s, prio: prio, deadline: deadline, first: spawn.NewMark()}
 	i := sort.Search(len(l), func(i int) bool { return w.before(l[i]) })
 	l = append(l, nil)
 	copy(l[i+1:], l[i:])
@@ -59,11 +59,11 @@
 	if w.prio != o.prio {
 		return w.prio < o.prio
 	}
-	return w.limit < o.limit
+	return w.deadline < o.deadline
 }
 
 // First tells whether w is first now; if not it waits for at most d to be.
-func (h *Holding) First(w *held, d clk.Span) bool {
+func (h *Queue) First(w *held, d clk.Span) bool {
 	h.mu.Lock()
 	first := h.lines[w.svc][0] == w
 	h.mu.Unlock()
@@ -77,7 +77,7 @@
 }
 
 // Leave gives the place in the line up and lets the next be first.
-func (h *Holding) Leave(w *held) {
+func (h *Queue) Leave(w *held) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	l := h.lines[w.svc]
--- a/internal/relay/holding_test.go
+++ b/internal/relay/queue_test.go
@@ -8,9 +8,9 @@
 	"spoolswitch/internal/clk"
 )
 
-func TestHoldingOrder(t *testing.T) {
+func TestQueueOrder(t *testing.T) {
 	is := is.New(t)
-	h := &Holding{Most: 4}
+	h := &Queue{Most: 4}
 	is.True(h.Empty("s"))
 	late := h.Enter("s", 1, 200)
 	is.True(h.First(late, 0))
@@ -33,7 +33,7 @@
 
 func TestNextIsWoken(t *testing.T) {
 	is := is.New(t)
-	h := &Holding{Most: 4}
+	h := &Queue{Most: 4}
 	a, b := h.Enter("s", 0, 1), h.Enter("s", 0, 2)
 	is.True(!h.First(b, clk.Millisecond))
 	h.Leave(a)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,7 +11,7 @@
 	"spoolswitch/internal/wire"
 )
 
-// Relay takes connections of callers and serves them.
+// Relay takes connections of clients and serves them.
 type Relay struct {
 	View   *View
 	Fleet  *pick.Fleet
@@ -21,29 +21,29 @@
 	// Tell has other relays told that a record has drifted.
 	Tell func(pick.Drift)
 
-	// BodiesMost bounds the bytes of callers' bodies that are held at once.
+	// BodiesMost bounds the bytes of clients' bodies that are held at once.
 	BodiesMost int64
 
 	senders *spawn.Pool
-	holding *Holding
+	queue   *Queue
 	bodies  int64
 	sizes   pick.Sizes
 	mu      sync.Mutex
 	leaving bool
 	closing bool
 	active  int
-	idles   map[*Caller]bool
+	idles   map[*Client]bool
 	open    int
 	most    int
 }
 
-// NewRelay makes a relay that holds at most most connections of callers.
-func NewRelay(v *View, b *pick.Budget, senders, holding, most int) *Relay {
-	return &Relay{View: v, Fleet: v.Fleet, Budget: b, senders: spawn.NewPool(senders, holding), holding: &Holding{Most: holding}, idles: map[*Caller]bool{}, most: most,
+// NewRelay makes a relay that holds at most most connections of clients.
+func NewRelay(v *View, b *pick.Budget, senders, queue, most int) *Relay {
+	return &Relay{View: v, Fleet: v.Fleet, Budget: b, senders: spawn.NewPool(senders, queue), queue: &Queue{Most: queue}, idles: map[*Client]bool{}, most: most,
 		Current: func() bool { return true }}
 }
 
-// Serve serves callers that come in at l.
+// Serve serves clients that come in at l.
 func (r *Relay) Serve(l net.Listener) {
 	for {
 		c, err := l.Accept()
@@ -57,7 +57,7 @@
 			clk.Sleep(5 * clk.Millisecond)
 			continue
 		}
-		note.Counter("caller.connections").Add(1)
+		note.Counter("client.connections").Add(1)
 		wire.Tune(c, 5*clk.Second)
 		r.mu.Lock()
 		if r.open >= r.most {
@@ -68,7 +68,7 @@
 		r.open++
 		r.mu.Unlock()
 		spawn.Go(func() {
-			(&Caller{c: c, r: r}).serve()
+			(&Client{c: c, r: r}).serve()
 			r.mu.Lock()
 			r.open--
 			r.mu.Unlock()
@@ -76,7 +76,7 @@
 	}
 }
 
-func (r *Relay) idle(k *Caller, on bool) bool {
+func (r *Relay) idle(k *Client, on bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !on {
@@ -125,7 +125,7 @@
 	return r.leaving
 }
 
-// Active is how many inquiries are under way.
+// Active is how many requests are under way.
 func (r *Relay) Active() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -151,7 +151,7 @@
 	clk.Sleep(min(unready, grace/2))
 	r.mu.Lock()
 	r.closing = true
-	var ks []*Caller
+	var ks []*Client
 	for k := range r.idles {
 		ks = append(ks, k)
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -67,7 +67,7 @@
 	return word.Place{Epoch: word.Epoch{Round: 1}, Seq: g.place}
 }
 
-func (g *rig) configure(edition int, more ...string) {
+func (g *rig) configure(version int, more ...string) {
 	routes := []string{
 		`{"name":"safe","authority":"h.example","path-prefix":"/safe/","route-class":"safe","timeout-ms":3000,"target-ms":400,"service":"s","max-attempts":3}`,
 		`{"name":"unsafe","authority":"h.example","path-prefix":"/unsafe/","route-class":"unsafe","timeout-ms":3000,"target-ms":400,"service":"s","max-attempts":3}`,
@@ -75,18 +75,18 @@
 		`{"name":"resume","authority":"h.example","path-prefix":"/resume/","route-class":"streaming","timeout-ms":3000,"target-ms":400,"service":"s","max-attempts":3,"session-affinity":true,"stream-resumption":true}`,
 	}
 	routes = append(routes, more...)
-	doc := fmt.Sprintf(`{"version":%d,"route-table":[%s],"service-table":[{"name":"s"},{"name":"t"}],"limits":{"max-header-bytes":4096,"max-body-bytes":10000,"header-timeout-ms":300,"idle-timeout-ms":2000}}`, edition, strings.Join(routes, ","))
+	doc := fmt.Sprintf(`{"version":%d,"route-table":[%s],"service-table":[{"name":"s"},{"name":"t"}],"limits":{"max-header-bytes":4096,"max-body-bytes":10000,"header-timeout-ms":300,"idle-timeout-ms":2000}}`, version, strings.Join(routes, ","))
 	if !json.Valid([]byte(doc)) {
 		g.t.Fatal(doc)
 	}
-	st := &conf.State{Edition: word.Edition(edition), JSON: []byte(doc)}
+	st := &conf.State{Version: word.Version(version), JSON: []byte(doc)}
 	g.r.View.Take(keep.Item{Key: word.Configuration, At: g.at(), Val: st.Encode()})
 }
 
 func (g *rig) list(state string) {
 	var rs []list.Replica
 	for _, r := range g.reps {
-		rs = append(rs, list.Replica{ID: r.ID, Service: "s", Addr: r.Addr, Locality: "z1", Slots: 8, State: state})
+		rs = append(rs, list.Replica{ID: r.ID, Service: "s", Addr: r.Addr, Zone: "z1", Slots: 8, State: state})
 	}
 	g.r.View.Take(keep.Item{Key: word.List, At: g.at(), Val: list.Encode(rs)})
 }
@@ -140,7 +140,7 @@
 	is.Equal(g.arrivals(), 0)
 }
 
-// MIXED: what is no whole answer to this very try never reaches a caller as a success.
+// MIXED: what is no whole answer to this very try never reaches a client as a success.
 func TestMixed(t *testing.T) {
 	raw := func(s string) standin.Play {
 		return func(w net.Conn, g standin.Got) bool {
@@ -270,7 +270,7 @@
 	}
 }
 
-// A promise that nothing ran lets even an unsafe inquiry go to another replica.
+// A promise that nothing ran lets even an unsafe request go to another replica.
 func TestTurnedAway(t *testing.T) {
 	is := is.New(t)
 	g := newRig(t, standin.Full, standin.Full, standin.Full)
@@ -316,7 +316,7 @@
 	}
 }
 
-// ROUTE: every inquiry names the replica it is for; another one that has the
+// ROUTE: every request names the replica it is for; another one that has the
 // address answers 421 and is not asked again.
 func TestRoute(t *testing.T) {
 	is := is.New(t)
@@ -381,7 +381,7 @@
 }
 
 // ORDER: a stream that may not be resumed ends cut, not as though whole, and
-// only whole pieces reach the caller.
+// only whole pieces reach the client.
 func TestOrderCut(t *testing.T) {
 	is := is.New(t)
 	g := newRig(t, standin.Stream(10, 4), standin.Stream(10, 4))
@@ -426,7 +426,7 @@
 	is.Equal(r.Status, 200)
 }
 
-// CONFIG: a relay takes newer editions only.
+// CONFIG: a relay takes newer versions only.
 func TestNeverBack(t *testing.T) {
 	is := is.New(t)
 	g := newRig(t, standin.Well)
@@ -484,7 +484,7 @@
 	is.True(left.Wait(10 * clk.Second))
 }
 
-// A caller that goes away takes its run along.
+// A client that goes away takes its run along.
 func TestDeserted(t *testing.T) {
 	is := is.New(t)
 	in, cut := spawn.NewMark(), spawn.NewMark()
@@ -515,7 +515,7 @@
 	is.Equal(g.arrivals(), 0)
 }
 
-// Replicas lose and regain what they keep while inquiries flow: each is
+// Replicas lose and regain what they keep while requests flow: each is
 // answered once, run once, and the news of a drift changes nothing else.
 func TestCacheLostBeneath(t *testing.T) {
 	is := is.New(t)
@@ -552,7 +552,7 @@
 	}
 }
 
-// Bodies over the room for them are rejected before they are read, and room
+// Bodies over the room for them are refused before they are read, and room
 // comes back.
 func TestRoomForBodies(t *testing.T) {
 	is := is.New(t)
@@ -587,24 +587,24 @@
 	is.Equal(r.Status, 502)
 }
 
-// A caller that goes once it has its answer does not cut the connection that
-// was given back: another inquiry may be on it.
+// A client that goes once it has its answer does not cut the connection that
+// was given back: another request may be on it.
 func TestGivenBackIsNotCut(t *testing.T) {
 	is := is.New(t)
 	g := newRig(t, standin.Well)
 	pool := &link.Pool{Addr: g.reps[0].Addr}
 	c, err := pool.Get(clk.Second)
 	is.NoErr(err)
-	n := &Inquiry{}
+	n := &Request{}
 	is.True(n.hold(c))
-	n.give(&pick.Rep{Pool: pool}, c, &head.Result{})
+	n.give(&pick.Rep{Pool: pool}, c, &head.Response{})
 	n.abandon()
 	again, err := pool.Get(clk.Second)
 	is.NoErr(err)
 	is.True(again == c)
 	_, err = again.Put([]byte("POST / HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n"), clk.Now().Add(clk.Second))
 	is.NoErr(err)
-	a, err := again.Result([]byte("a"))
+	a, err := again.Response([]byte("a"))
 	is.NoErr(err)
 	is.Equal(a.Status, 200)
 }
--- a/internal/relay/inquiry.go
+++ b/internal/relay/request.go
@@ -13,24 +13,24 @@
 	"spoolswitch/internal/link"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/pick"
-	"spoolswitch/internal/result"
+	"spoolswitch/internal/response"
 	"spoolswitch/internal/spawn"
 	"spoolswitch/internal/word"
 )
 
-// Inquiry is one try of a caller on its way through the stages.
-type Inquiry struct {
-	Head *head.Inquiry
+// Request is one try of a client on its way through the stages.
+type Request struct {
+	Head *head.Request
 	Body []byte
 
-	k     *Caller
-	r     *Relay
-	route *conf.Route
-	begun clk.Tick
-	limit clk.Tick
-	id    []byte
-	done  *spawn.Mark
-	last  bool
+	k        *Client
+	r        *Relay
+	route    *conf.Route
+	begun    clk.Tick
+	deadline clk.Tick
+	id       []byte
+	done     *spawn.Mark
+	last     bool
 
 	ask     pick.Ask
 	sends   int
@@ -46,21 +46,21 @@
 	skip   int64
 }
 
-func (n *Inquiry) run() {
+func (n *Request) run() {
 	n.last = n.Head.Close
 	n.id = bytes.Clone(n.Head.Field(head.AttemptID))
 	if !n.awake() {
-		n.reject(code.NotReady)
+		n.refuse(code.NotReady)
 		return
 	}
 	t := n.r.View.Table()
 	n.route = t.Match(n.Head.Host, n.Head.URI)
 	if n.route == nil {
-		n.reject(code.NoRoute)
+		n.refuse(code.NoRoute)
 		return
 	}
 	if err := n.read(); err != nil {
-		n.reject(code.Of(err))
+		n.refuse(code.Of(err))
 		return
 	}
 	n.r.Budget.Note(n.ask.Service)
@@ -72,9 +72,9 @@
 	wakeStep = 20 * clk.Millisecond
 )
 
-func (n *Inquiry) awake() bool {
+func (n *Request) awake() bool {
 	d := wakeMost
-	if ms, err := strconv.ParseFloat(string(n.Head.Field(head.LimitMs)), 64); err == nil && ms >= 0 {
+	if ms, err := strconv.ParseFloat(string(n.Head.Field(head.DeadlineMs)), 64); err == nil && ms >= 0 {
 		d = min(d, clk.Ms(ms/4))
 	}
 	for !n.r.known() {
@@ -86,20 +86,20 @@
 	return true
 }
 
-func (n *Inquiry) read() error {
+func (n *Request) read() error {
 	rt := n.route
-	n.limit = n.begun.Add(clk.Ms(rt.TimeoutMs))
-	if v := n.Head.Field(head.LimitMs); len(v) > 0 {
+	n.deadline = n.begun.Add(clk.Ms(rt.TimeoutMs))
+	if v := n.Head.Field(head.DeadlineMs); len(v) > 0 {
 		ms, err := strconv.ParseFloat(string(v), 64)
 		if err != nil || ms < 0 || ms > 1e9 {
 			return code.New(code.BadFields, "Deadline-Ms")
 		}
-		n.limit = min(n.limit, n.begun.Add(clk.Ms(ms)))
+		n.deadline = min(n.deadline, n.begun.Add(clk.Ms(ms)))
 	}
 	h := fnv.New64a()
 	h.Write(n.id)
 	n.ask = pick.Ask{Draw: h.Sum64(), Sticky: rt.Affinity}
-	n.ask.Service = rt.Select(float64(n.ask.Draw>>11) / (1 << 53))
+	n.ask.Service = rt.Choose(float64(n.ask.Draw>>11) / (1 << 53))
 	n.skip = -1
 	if v := n.Head.Field(head.LastEvent); len(v) > 0 {
 		id, err := strconv.ParseInt(string(v), 10, 64)
@@ -126,8 +126,8 @@
 	return nil
 }
 
-func (n *Inquiry) reject(c code.Code) {
-	r := result.Of(c, "").For(n.id)
+func (n *Request) refuse(c code.Code) {
+	r := response.Of(c, "").For(n.id)
 	if r.Status == 503 {
 		if n.ran {
 			r.Status = 502
@@ -145,13 +145,13 @@
 	}
 }
 
-func (n *Inquiry) abort() {
+func (n *Request) abort() {
 	note.Counter("stream.cut").Add(1)
 	n.last = true
 	_ = n.k.c.Close()
 }
 
-func (n *Inquiry) abandon() {
+func (n *Request) abandon() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.left = true
@@ -160,17 +160,17 @@
 	}
 }
 
-func (n *Inquiry) hold(c *link.Conn) bool {
+func (n *Request) hold(c *link.Conn) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.conn = c
 	return !n.left
 }
 
-func (n *Inquiry) deserted() bool {
+func (n *Request) deserted() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.left
 }
 
-func (n *Inquiry) not(id word.Replica) { n.ask.Not = append(n.ask.Not, id) }
+func (n *Request) not(id word.Replica) { n.ask.Not = append(n.ask.Not, id) }
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -14,13 +14,13 @@
 )
 
 const (
-	dialLimit  = 300 * clk.Millisecond
-	holdStep   = 15 * clk.Millisecond
-	holdLook   = 50 * clk.Millisecond
-	plainMost  = 8 << 20
-	turnedMost = 64 << 10
-	eventMost  = 1 << 20
-	reachMost  = 4
+	dialTimeout = 300 * clk.Millisecond
+	holdStep    = 15 * clk.Millisecond
+	holdLook    = 50 * clk.Millisecond
+	plainMost   = 8 << 20
+	turnedMost  = 64 << 10
+	eventMost   = 1 << 20
+	reachMost   = 4
 )
 
 type verdict int
@@ -31,7 +31,7 @@
 	mayHave
 )
 
-func (n *Inquiry) send() {
+func (n *Request) send() {
 	reach := 0
 	refused := false
 	for {
@@ -45,7 +45,7 @@
 			return
 		}
 		if n.sends > 0 && !n.r.Budget.Spend(n.ask.Service) {
-			n.r.Fleet.Done(rep, pick.CutByCaller)
+			n.r.Fleet.Done(rep, pick.CutByClient)
 			n.fail(code.NoReplica)
 			return
 		}
@@ -73,7 +73,7 @@
 		}
 		if n.sends >= n.route.Attempts() {
 			if refused && !n.ran {
-				n.fail(code.HoldingFull)
+				n.fail(code.QueueFull)
 			} else {
 				n.fail(code.ReplicaBroke)
 			}
@@ -82,17 +82,17 @@
 	}
 }
 
-func (n *Inquiry) pick() (*pick.Rep, error) {
-	h := n.r.holding
-	var err error = code.New(code.HoldingFull, "%s", n.ask.Service)
+func (n *Request) pick() (*pick.Rep, error) {
+	h := n.r.queue
+	var err error = code.New(code.QueueFull, "%s", n.ask.Service)
 	if h.Empty(n.ask.Service) {
 		var rep *pick.Rep
-		if rep, err = n.r.Fleet.Select(&n.ask); err == nil {
+		if rep, err = n.r.Fleet.Choose(&n.ask); err == nil {
 			return rep, nil
 		}
 	}
-	until := n.begun.Add(min(clk.Ms(n.route.TargetMs/5), clk.Until(n.limit)/3))
-	w := h.Enter(n.ask.Service, n.route.Priority, n.limit)
+	until := n.begun.Add(min(clk.Ms(n.route.TargetMs/5), clk.Until(n.deadline)/3))
+	w := h.Enter(n.ask.Service, n.route.Priority, n.deadline)
 	if w == nil {
 		return nil, err
 	}
@@ -102,7 +102,7 @@
 			continue
 		}
 		var rep *pick.Rep
-		if rep, err = n.r.Fleet.Select(&n.ask); err == nil {
+		if rep, err = n.r.Fleet.Choose(&n.ask); err == nil {
 			return rep, nil
 		}
 		clk.Sleep(holdStep)
@@ -110,42 +110,42 @@
 	return nil, err
 }
 
-func (n *Inquiry) fail(c code.Code) {
+func (n *Request) fail(c code.Code) {
 	if n.first {
 		n.abort()
 		return
 	}
-	if clk.Now() >= n.limit {
+	if clk.Now() >= n.deadline {
 		if n.ran {
-			c = code.PastLimit
+			c = code.PastDeadline
 		} else {
-			c = code.HoldingFull
+			c = code.QueueFull
 		}
 	}
-	if n.ran && c != code.PastLimit {
+	if n.ran && c != code.PastDeadline {
 		c = code.ReplicaBroke
 	}
-	n.reject(c)
+	n.refuse(c)
 }
 
-func (n *Inquiry) try(rep *pick.Rep) (verdict, pick.Outcome) {
-	left := clk.Until(n.limit)
+func (n *Request) try(rep *pick.Rep) (verdict, pick.Outcome) {
+	left := clk.Until(n.deadline)
 	if left <= 0 {
-		return notRun, pick.CutByCaller
+		return notRun, pick.CutByClient
 	}
-	c, err := rep.Pool.Get(min(dialLimit, left))
+	c, err := rep.Pool.Get(min(dialTimeout, left))
 	if err != nil {
 		return notRun, pick.Unreached
 	}
 	if !n.hold(c) {
 		rep.Pool.Drop(c)
 		n.last = true
-		return over, pick.CutByCaller
+		return over, pick.CutByClient
 	}
 	defer n.hold(nil)
 	set := []head.Set{{K: head.Expected, V: string(rep.ID)}}
-	if len(n.Head.Field(head.LimitMs)) > 0 {
-		set = append(set, head.Set{K: head.LimitMs, V: strconv.FormatInt(max(1, int64(left/clk.Millisecond)), 10)})
+	if len(n.Head.Field(head.DeadlineMs)) > 0 {
+		set = append(set, head.Set{K: head.DeadlineMs, V: strconv.FormatInt(max(1, int64(left/clk.Millisecond)), 10)})
 	}
 	if n.urgency != 0 && len(n.Head.Field(head.Urgency)) == 0 {
 		set = append(set, head.Set{K: head.Urgency, V: strconv.Itoa(n.urgency)})
@@ -154,7 +154,7 @@
 		set = append(set, head.Set{K: head.LastEvent, V: strconv.FormatInt(n.events.Last, 10)})
 	}
 	b := n.Head.Append(make([]byte, 0, len(n.Body)+1024), len(n.Body), set...)
-	whole, err := c.Put(append(b, n.Body...), n.limit)
+	whole, err := c.Put(append(b, n.Body...), n.deadline)
 	if !whole {
 		rep.Pool.Drop(c)
 		return notRun, pick.Unreached
@@ -165,7 +165,7 @@
 		rep.Pool.Drop(c)
 		return mayHave, pick.Broke
 	}
-	a, err := c.Result(n.id)
+	a, err := c.Response(n.id)
 	if err != nil {
 		rep.Pool.Drop(c)
 		return n.broke(err)
@@ -204,15 +204,15 @@
 	return n.pass(rep, c, a)
 }
 
-func (n *Inquiry) broke(err error) (verdict, pick.Outcome) {
+func (n *Request) broke(err error) (verdict, pick.Outcome) {
 	if n.deserted() {
 		n.last = true
-		return over, pick.CutByCaller
+		return over, pick.CutByClient
 	}
-	if clk.Now() >= n.limit {
+	if clk.Now() >= n.deadline {
 		n.ran = true
-		n.fail(code.PastLimit)
-		return over, pick.CutByCaller
+		n.fail(code.PastDeadline)
+		return over, pick.CutByClient
 	}
 	if link.Unheard(err) {
 		return mayHave, pick.Silent
@@ -220,8 +220,8 @@
 	return mayHave, pick.Broke
 }
 
-func (n *Inquiry) turned(rep *pick.Rep, c *link.Conn, a *head.Result) (verdict, pick.Outcome) {
-	o := pick.Rejected
+func (n *Request) turned(rep *pick.Rep, c *link.Conn, a *head.Response) (verdict, pick.Outcome) {
+	o := pick.Refused
 	if a.Status == 421 {
 		o = pick.Stranger
 	}
@@ -233,7 +233,7 @@
 	return notRun, o
 }
 
-func (n *Inquiry) pass(rep *pick.Rep, c *link.Conn, a *head.Result) (verdict, pick.Outcome) {
+func (n *Request) pass(rep *pick.Rep, c *link.Conn, a *head.Response) (verdict, pick.Outcome) {
 	body, err := c.Body(a).ReadAll(plainMost)
 	if err != nil {
 		rep.Pool.Drop(c)
@@ -248,7 +248,7 @@
 	return over, pick.Fine
 }
 
-func (n *Inquiry) finish() {
+func (n *Request) finish() {
 	if n.r.Leaving() || n.Head.Close {
 		n.last = true
 	}
@@ -256,7 +256,7 @@
 
 var resumed = note.Counter("stream.resumed")
 
-func (n *Inquiry) stream(rep *pick.Rep, c *link.Conn, a *head.Result, sent clk.Tick) (verdict, pick.Outcome) {
+func (n *Request) stream(rep *pick.Rep, c *link.Conn, a *head.Response, sent clk.Tick) (verdict, pick.Outcome) {
 	body := c.Body(a)
 	skip := int64(-1)
 	if n.first {
@@ -292,7 +292,7 @@
 				if !n.k.write(out) {
 					rep.Pool.Drop(c)
 					n.last = true
-					return over, pick.CutByCaller
+					return over, pick.CutByClient
 				}
 			}
 			continue
@@ -318,7 +318,7 @@
 	}
 }
 
-func (n *Inquiry) judge(rep *pick.Rep, took clk.Span) {
+func (n *Request) judge(rep *pick.Rep, took clk.Span) {
 	if len(n.ask.Chain) == 0 || n.ask.Tokens == 0 {
 		return
 	}
@@ -327,7 +327,7 @@
 	}
 }
 
-func (n *Inquiry) give(rep *pick.Rep, c *link.Conn, a *head.Result) {
+func (n *Request) give(rep *pick.Rep, c *link.Conn, a *head.Response) {
 	n.hold(nil)
 	rep.Pool.Give(c, a)
 }
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -1,4 +1,4 @@
-// Package relay is the data plane: it takes inquiries of callers and sends
+// Package relay is the data plane: it takes requests of clients and sends
 // them on to replicas.
 package relay
 
@@ -54,14 +54,14 @@
 			v.mu.Lock()
 			v.stamp(it.Key, string(it.Val))
 			v.mu.Unlock()
-			note.State("evacuation", "locality", z, "on", string(it.Val) == "on")
+			note.State("evacuation", "zone", z, "on", string(it.Val) == "on")
 		}
 	}
 }
 
 func (v *View) configure(b []byte) {
 	s, err := conf.Decode(b)
-	if err != nil || s.Edition == 0 {
+	if err != nil || s.Version == 0 {
 		return
 	}
 	d, errs := conf.Read(s.JSON)
@@ -71,15 +71,15 @@
 	}
 	t := conf.NewTable(d)
 	v.mu.Lock()
-	if v.table != nil && v.table.Edition >= t.Edition {
+	if v.table != nil && v.table.Version >= t.Version {
 		v.mu.Unlock()
 		return
 	}
 	v.table = t
-	v.stamp(word.Configuration, strconv.FormatInt(int64(t.Edition), 10))
+	v.stamp(word.Configuration, strconv.FormatInt(int64(t.Version), 10))
 	v.mu.Unlock()
 	v.Fleet.Configured(t)
-	note.State("configuration in force", "edition", t.Edition, "routes", len(t.Routes))
+	note.State("configuration in force", "version", t.Version, "routes", len(t.Routes))
 }
 
 // Applied tells how long ago each change was put in force here, by its key
--- a/internal/result/result.go
+++ b/internal/response/response.go
@@ -1,5 +1,5 @@
-// Package result makes every answer that is the system's own.
-package result
+// Package response makes every answer that is the system's own.
+package response
 
 import (
 	"encoding/json"
@@ -11,8 +11,8 @@
 	"spoolswitch/internal/code"
 )
 
-// Result is an answer of the system's own.
-type Result struct {
+// Response is an answer of the system's own.
+type Response struct {
 	Status int
 	Code   code.Code
 	Cause  string
@@ -24,11 +24,11 @@
 
 var statuses = map[code.Code]int{
 	code.OK: 200, code.BadHead: 400, code.HeadTooLarge: 431, code.BodyTooLarge: 413, code.HeadTooSlow: 408,
-	code.BadBody: 400, code.NoRoute: 404, code.NotReady: 503, code.NoReplica: 503, code.HoldingFull: 503,
-	code.PastLimit: 504, code.ReplicaBroke: 502, code.Leaving: 503, code.BadFields: 400, code.BadMethod: 405,
+	code.BadBody: 400, code.NoRoute: 404, code.NotReady: 503, code.NoReplica: 503, code.QueueFull: 503,
+	code.PastDeadline: 504, code.ReplicaBroke: 502, code.Leaving: 503, code.BadFields: 400, code.BadMethod: 405,
 	code.NoCall: 404, code.Unreadable: 400, code.NoService: 400, code.SamePlace: 400, code.NoWeight: 400,
-	code.NoTimeout: 400, code.OldEdition: 400, code.OtherEdition: 412, code.NoLocality: 404, code.NoMajority: 503,
-	code.Nothing: 404, code.BadItem: 400, code.DiskRejected: 503, code.NotVoting: 503, code.PeerLost: 503,
+	code.NoTimeout: 400, code.OldVersion: 400, code.OtherVersion: 412, code.NoZone: 404, code.NoMajority: 503,
+	code.Nothing: 404, code.BadItem: 400, code.DiskRefused: 503, code.NotVoting: 503, code.PeerLost: 503,
 	code.UnknownChange: 404,
 }
 
@@ -41,30 +41,30 @@
 }
 
 // Of makes the result of a code.
-func Of(c code.Code, cause string) Result {
+func Of(c code.Code, cause string) Response {
 	if cause == "" {
 		cause = c.String()
 	}
-	return Result{Status: Status(c), Code: c, Cause: cause}
+	return Response{Status: Status(c), Code: c, Cause: cause}
 }
 
 // OK makes a result with a JSON body.
-func OK(b []byte) Result { return Result{Status: 200, Body: b} }
+func OK(b []byte) Response { return Response{Status: 200, Body: b} }
 
-// Later asks the caller to come back after d.
-func (r Result) Later(d clk.Span) Result {
+// Later asks the client to come back after d.
+func (r Response) Later(d clk.Span) Response {
 	r.Back = d
 	return r
 }
 
 // Last says that the connection ends with this answer.
-func (r Result) Last() Result {
+func (r Response) Last() Response {
 	r.Close = true
 	return r
 }
 
 // For names the try that is answered.
-func (r Result) For(id []byte) Result {
+func (r Response) For(id []byte) Response {
 	r.ID = id
 	return r
 }
@@ -74,7 +74,7 @@
 	Cause string `json:"cause"`
 }
 
-func (r Result) body() []byte {
+func (r Response) body() []byte {
 	if r.Body != nil || r.Code == code.OK {
 		return r.Body
 	}
@@ -90,7 +90,7 @@
 }
 
 // Append writes the whole answer behind b.
-func (r Result) Append(b []byte) []byte {
+func (r Response) Append(b []byte) []byte {
 	body := r.body()
 	b = append(b, "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(r.Status), 10)
@@ -115,7 +115,7 @@
 }
 
 // Fill puts the answer into a call that fasthttp serves.
-func (r Result) Fill(x *fasthttp.RequestCtx) {
+func (r Response) Fill(x *fasthttp.RequestCtx) {
 	x.SetStatusCode(r.Status)
 	if b := r.body(); len(b) > 0 {
 		x.SetContentType("application/json")
--- a/internal/result/result_test.go
+++ b/internal/response/response_test.go
@@ -1,4 +1,4 @@
-package result
+package response
 
 import (
 	"bufio"
@@ -15,7 +15,7 @@
 
 func TestAppend(t *testing.T) {
 	is := is.New(t)
-	b := Of(code.HoldingFull, "").For([]byte("id1")).Later(250 * clk.Millisecond).Last().Append(nil)
+	b := Of(code.QueueFull, "").For([]byte("id1")).Later(250 * clk.Millisecond).Last().Append(nil)
 	var r fasthttp.Response
 	is.NoErr(r.Read(bufio.NewReader(bytes.NewReader(b))))
 	is.Equal(r.StatusCode(), 503)
@@ -32,7 +32,7 @@
 		s := Status(c)
 		is.True(s >= 200 && s < 600)
 	}
-	for _, c := range []code.Code{code.ReplicaBroke, code.PastLimit} {
+	for _, c := range []code.Code{code.ReplicaBroke, code.PastDeadline} {
 		s := Status(c)
 		is.True(s == 502 || s == 504)
 	}
--- a/internal/spawn/turn.go
+++ b/internal/spawn/turn.go
@@ -6,8 +6,8 @@
 	"spoolswitch/internal/clk"
 )
 
-// Turn lets one caller in at a time, in the order of arrival, holding at most
-// Max others. A caller that waits past its limit gives its place up.
+// Turn lets one client in at a time, in the order of arrival, queue at most
+// Max others. A client that waits past its deadline gives its place up.
 type Turn struct {
 	Max  int
 	mu   sync.Mutex
--- a/internal/standin/caller.go
+++ b/internal/standin/client.go
@@ -13,7 +13,7 @@
 	"spoolswitch/internal/word"
 )
 
-// Reply is an answer as a caller got it. Whole tells whether its body was.
+// Reply is an answer as a client got it. Whole tells whether its body was.
 type Reply struct {
 	Status int
 	Body   string
@@ -24,33 +24,33 @@
 	Close  bool
 }
 
-// Caller is a stand-in for a caller's connection.
-type Caller struct {
+// Client is a stand-in for a client's connection.
+type Client struct {
 	c  net.Conn
 	br *bufio.Reader
 }
 
 // Call opens a connection.
-func Call(a word.Addr) *Caller {
+func Call(a word.Addr) *Client {
 	c, err := net.Dial("tcp4", string(a))
 	if err != nil {
 		panic(err)
 	}
-	_ = c.SetDeadline(clk.Now().Add(15 * clk.Second).Limit())
-	return &Caller{c: c, br: bufio.NewReader(c)}
+	_ = c.SetDeadline(clk.Now().Add(15 * clk.Second).Deadline())
+	return &Client{c: c, br: bufio.NewReader(c)}
 }
 
 // Close closes the connection.
-func (k *Caller) Close() { _ = k.c.Close() }
+func (k *Client) Close() { _ = k.c.Close() }
 
 // Put writes bytes as they are.
-func (k *Caller) Put(s string) {
+func (k *Client) Put(s string) {
 	_, _ = io.WriteString(k.c, s)
 }
 
 // Get reads one answer.
-func (k *Caller) Get() (Reply, error) {
-	a, err := head.ReadResult(k.br)
+func (k *Client) Get() (Reply, error) {
+	a, err := head.ReadResponse(k.br)
 	if err != nil {
 		return Reply{}, err
 	}
@@ -71,8 +71,8 @@
 	}
 }
 
-// Ask sends one inquiry and reads the answer. Fields are lines without ends.
-func (k *Caller) Ask(host, path, id, body string, fields ...string) (Reply, error) {
+// Ask sends one request and reads the answer. Fields are lines without ends.
+func (k *Client) Ask(host, path, id, body string, fields ...string) (Reply, error) {
 	var b strings.Builder
 	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\n", path, host, id)
 	for _, f := range fields {
@@ -84,7 +84,7 @@
 }
 
 // More tells whether anything but an end follows.
-func (k *Caller) More() bool {
+func (k *Client) More() bool {
 	_, err := k.br.Peek(1)
 	return err == nil
 }
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -1,5 +1,5 @@
 // Package standin holds stand-ins for the systems outside: replicas, the
-// platform and callers. Tests use them; the programs do not.
+// platform and clients. Tests use them; the programs do not.
 package standin
 
 import (
@@ -14,12 +14,12 @@
 	"spoolswitch/internal/word"
 )
 
-// Got is an inquiry as a replica received it.
+// Got is a request as a replica received it.
 type Got struct {
 	ID, Method, URI, Host, Expect, LastEvent, Deadline, Body string
 }
 
-// Play answers one inquiry; false closes the connection.
+// Play answers one request; false closes the connection.
 type Play func(w net.Conn, g Got) bool
 
 // Replica is a stand-in for a replica.
@@ -84,7 +84,7 @@
 	defer c.Close()
 	br := bufio.NewReaderSize(c, 64<<10)
 	for {
-		q, err := head.ReadInquiry(br)
+		q, err := head.ReadRequest(br)
 		if err != nil {
 			return
 		}
@@ -94,7 +94,7 @@
 		}
 		f := func(k string) string { return string(q.Field(k)) }
 		g := Got{ID: f(head.AttemptID), Method: q.Method, URI: q.URI, Host: q.Host, Expect: f(head.Expected),
-			LastEvent: f(head.LastEvent), Deadline: f(head.LimitMs), Body: string(b)}
+			LastEvent: f(head.LastEvent), Deadline: f(head.DeadlineMs), Body: string(b)}
 		r.mu.Lock()
 		r.got = append(r.got, g)
 		p := r.play
@@ -128,7 +128,7 @@
 // Well answers 200 with a body that names the try.
 func Well(w net.Conn, g Got) bool { return Say(w, g.ID, 200, Seal, "body of "+g.ID) }
 
-// Full answers that the inquiry did not run.
+// Full answers that the request did not run.
 func Full(w net.Conn, g Got) bool { return Say(w, g.ID, 503, "Not-Executed: 1\r\n", "") }
 
 // Break reads and closes.
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -16,13 +16,13 @@
 )
 
 // Ask asks one daemon for its report on a key.
-type Ask func(a word.Addr, key word.Key, limit clk.Span) (*keep.Report, error)
+type Ask func(a word.Addr, key word.Key, timeout clk.Span) (*keep.Report, error)
 
 // Wire asks over the wire.
-func Wire(a word.Addr, key word.Key, limit clk.Span) (*keep.Report, error) {
+func Wire(a word.Addr, key word.Key, timeout clk.Span) (*keep.Report, error) {
 	p := wire.NewPeer[keep.Msg](a)
 	defer p.Close()
-	m, err := p.Call(keep.Msg{Kind: keep.Trace, Key: key}, limit)
+	m, err := p.Call(keep.Msg{Kind: keep.Trace, Key: key}, timeout)
 	if err != nil {
 		return nil, err
 	}
@@ -39,7 +39,7 @@
 	Feed    uint64
 	Applied bool
 	Ago     clk.Span
-	Edition word.Edition
+	Version word.Version
 }
 
 // Trace is all that is known of one change.
@@ -57,9 +57,9 @@
 	Reports []*keep.Report `json:"-"`
 }
 
-// Fleet asks all daemons that a keeper knows of, within limit.
-func Fleet(ask Ask, first word.Addr, key word.Key, limit clk.Span) ([]*keep.Report, []string, error) {
-	r, err := ask(first, key, limit)
+// Fleet asks all daemons that a keeper knows of, within timeout.
+func Fleet(ask Ask, first word.Addr, key word.Key, timeout clk.Span) ([]*keep.Report, []string, error) {
+	r, err := ask(first, key, timeout)
 	if err != nil {
 		return nil, nil, code.New(code.PeerLost, "%s: %v", first, err)
 	}
@@ -74,7 +74,7 @@
 		}
 		for n, a := range who {
 			spawn.Go(func() {
-				r, err := ask(a, key, limit)
+				r, err := ask(a, key, timeout)
 				mu.Lock()
 				defer mu.Unlock()
 				if err != nil {
@@ -87,7 +87,7 @@
 				}
 			})
 		}
-		done.Wait(2 * limit)
+		done.Wait(2 * timeout)
 	}
 	keepers, relays := map[string]word.Addr{}, map[string]word.Addr{}
 	for _, n := range r.Roster.All() {
@@ -112,8 +112,8 @@
 }
 
 // Change traces the change of a key that carries a label.
-func Change(ask Ask, first word.Addr, key word.Key, label string, limit clk.Span) (*Trace, error) {
-	rs, silent, err := Fleet(ask, first, key, limit)
+func Change(ask Ask, first word.Addr, key word.Key, label string, timeout clk.Span) (*Trace, error) {
+	rs, silent, err := Fleet(ask, first, key, timeout)
 	if err != nil {
 		return nil, err
 	}
@@ -147,7 +147,7 @@
 		}
 		ago, ok := r.Applied[string(key)+" "+label]
 		known = known || ok
-		t.Relays = append(t.Relays, Relay{Node: r.Node, Keeper: r.Keeper, Feed: r.Feed, Applied: ok, Ago: ago, Edition: r.Edition})
+		t.Relays = append(t.Relays, Relay{Node: r.Node, Keeper: r.Keeper, Feed: r.Feed, Applied: ok, Ago: ago, Version: r.Version})
 	}
 	t.Voted, t.Synced = names(voted), names(synced)
 	if !known {
@@ -174,7 +174,7 @@
 	if t.At.Zero() {
 		b.WriteString("  owner    not kept any more\n")
 	} else {
-		fmt.Fprintf(&b, "  owner    %s, term %d, place %s\n", t.Owner, t.At.Epoch.Round, t.At)
+		fmt.Fprintf(&b, "  owner    %s, lease %d, place %s\n", t.Owner, t.At.Epoch.Round, t.At)
 		fmt.Fprintf(&b, "  ballots  %v\n  synced   %v\n", t.Voted, t.Synced)
 	}
 	for _, n := range sortedKeys(t.Feeds) {
@@ -188,7 +188,7 @@
 		if r.Applied {
 			fmt.Fprintf(&b, "  relay    %s in force %s (from %s, feed at %d)\n", r.Node, ms(r.Ago), r.Keeper, r.Feed)
 		} else {
-			fmt.Fprintf(&b, "  relay    %s has it not in force (edition %d, from %s, feed at %d)\n", r.Node, r.Edition, r.Keeper, r.Feed)
+			fmt.Fprintf(&b, "  relay    %s has it not in force (version %d, from %s, feed at %d)\n", r.Node, r.Version, r.Keeper, r.Feed)
 		}
 	}
 	for _, n := range t.Silent {
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -38,14 +38,14 @@
 func (p *pipe[M]) put(f *Frame[M]) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_ = p.c.SetWriteDeadline(clk.Now().Add(silent).Limit())
+	_ = p.c.SetWriteDeadline(clk.Now().Add(silent).Deadline())
 	if err := p.enc.Encode(f); err != nil {
 		return err
 	}
 	return p.w.Flush()
 }
 
-// Peer is the caller's end of the wire to one daemon. It dials when needed.
+// Peer is the client's end of the wire to one daemon. It dials when needed.
 type Peer[M any] struct {
 	Addr word.Addr
 	turn spawn.Turn
@@ -60,14 +60,14 @@
 	return &Peer[M]{Addr: a, turn: spawn.Turn{Max: 64}, open: map[uint64]func(M, bool){}}
 }
 
-func (r *Peer[M]) line(limit clk.Tick) (*pipe[M], error) {
+func (r *Peer[M]) line(deadline clk.Tick) (*pipe[M], error) {
 	r.mu.Lock()
 	p := r.p
 	r.mu.Unlock()
 	if p != nil {
 		return p, nil
 	}
-	if !r.turn.Take(clk.Until(limit)) {
+	if !r.turn.Take(clk.Until(deadline)) {
 		return nil, code.New(code.PeerLost, "%s", r.Addr)
 	}
 	defer r.turn.Give()
@@ -77,7 +77,7 @@
 	if p != nil {
 		return p, nil
 	}
-	c, err := Dial(r.Addr, min(clk.Until(limit), silent))
+	c, err := Dial(r.Addr, min(clk.Until(deadline), silent))
 	if err != nil {
 		return nil, code.New(code.PeerLost, "%v", err)
 	}
@@ -134,8 +134,8 @@
 
 // Stream sends m and hands every answer to fn, until the wire breaks (ok is
 // false then) or the function that it returns is called.
-func (r *Peer[M]) Stream(m M, limit clk.Span, fn func(m M, ok bool)) (func(), error) {
-	p, err := r.line(clk.Now().Add(limit))
+func (r *Peer[M]) Stream(m M, timeout clk.Span, fn func(m M, ok bool)) (func(), error) {
+	p, err := r.line(clk.Now().Add(timeout))
 	if err != nil {
 		return nil, err
 	}
@@ -158,13 +158,13 @@
 }
 
 // Call sends m and waits for the answer.
-func (r *Peer[M]) Call(m M, limit clk.Span) (M, error) {
+func (r *Peer[M]) Call(m M, timeout clk.Span) (M, error) {
 	var a M
 	var got bool
 	var mu sync.Mutex
 	k := spawn.NewMark()
-	at := clk.Now().Add(limit)
-	end, err := r.Stream(m, limit, func(m M, ok bool) {
+	at := clk.Now().Add(timeout)
+	end, err := r.Stream(m, timeout, func(m M, ok bool) {
 		mu.Lock()
 		a, got = m, ok
 		mu.Unlock()
--- a/internal/wire/serve.go
+++ b/internal/wire/serve.go
@@ -30,8 +30,8 @@
 }
 
 // Dial connects to an address given by numbers.
-func Dial(a word.Addr, limit clk.Span) (net.Conn, error) {
-	d := net.Dialer{Timeout: max(limit, clk.Millisecond), KeepAlive: -1}
+func Dial(a word.Addr, timeout clk.Span) (net.Conn, error) {
+	d := net.Dialer{Timeout: max(timeout, clk.Millisecond), KeepAlive: -1}
 	c, err := d.DialContext(context.Background(), "tcp4", string(a))
 	if err != nil {
 		return nil, err
--- a/internal/word/word.go
+++ b/internal/word/word.go
@@ -1,4 +1,4 @@
-// Package word holds the small types that ids, editions and places are made of.
+// Package word holds the small types that ids, versions and places are made of.
 package word
 
 import (
@@ -6,8 +6,8 @@
 	"strings"
 )
 
-// Edition is the version of a configuration.
-type Edition int64
+// Version is the version of a configuration.
+type Version int64
 
 // Node names a daemon.
 type Node string
@@ -15,8 +15,8 @@
 // Addr is the address of a daemon or replica, IP and port.
 type Addr string
 
-// Locality names a zone.
-type Locality string
+// Zone names a zone.
+type Zone string
 
 // Service names a service.
 type Service string
@@ -41,8 +41,8 @@
 	drift = "drift/"
 )
 
-// Evacuation is the key of a locality's evacuation.
-func Evacuation(z Locality) Key { return Key(evac + string(z)) }
+// Evacuation is the key of a zone's evacuation.
+func Evacuation(z Zone) Key { return Key(evac + string(z)) }
 
 // Drift is the key under which news of a replica's drifted record travels.
 func Drift(r Replica) Key { return Key(drift + string(r)) }
@@ -59,13 +59,13 @@
 	return k != List && !d
 }
 
-// Evacuated tells which locality an evacuation key is about.
-func (k Key) Evacuated() (Locality, bool) {
+// Evacuated tells which zone an evacuation key is about.
+func (k Key) Evacuated() (Zone, bool) {
 	s, ok := strings.CutPrefix(string(k), evac)
-	return Locality(s), ok
+	return Zone(s), ok
 }
 
-// Epoch orders the terms of a key. No two terms share one: Life is drawn anew
+// Epoch orders the leases of a key. No two leases share one: Life is drawn anew
 // at each start of a daemon.
 type Epoch struct {
 	Round uint64
