--- a/internal/boot/settings.go
+++ b/internal/boot/settings.go
@@ -46,6 +46,12 @@
 	ColdSlack        float64 `toml:"cold-slack" validate:"gte=0"`
 }
 
+// Tolerance is what may be lost at the same time while every rule holds.
+type Tolerance struct {
+	Machines int `toml:"machine-losses" validate:"gte=0,lte=100"`
+	Zones    int `toml:"zones" validate:"gte=0,lte=100"`
+}
+
 // Platform is where the list of replicas is kept.
 type Platform struct {
 	Address string  `toml:"address" validate:"required,hostport4"`
@@ -54,20 +60,21 @@
 
 // Settings are all that a daemon is told.
 type Settings struct {
-	Node     word.Node         `toml:"node-name" validate:"required"`
-	IP       string            `toml:"ip" validate:"required,ipv4"`
-	Zone     word.Zone         `toml:"zone" validate:"required"`
-	Ports    []int             `toml:"internal-ports" validate:"len=2,dive,gte=1,lte=65535"`
-	Seeds    []word.Addr       `toml:"seed-nodes" validate:"min=1,dive,hostport4"`
-	Initial  bool              `toml:"initial-start"`
-	DataDir  string            `toml:"data-dir"`
-	Zones    map[string]string `toml:"zones"`
-	Bindings Bindings          `toml:"bindings"`
-	Limits   Limits            `toml:"limits"`
-	Bounds   Bounds            `toml:"timing-bounds"`
-	Platform Platform          `toml:"platform-api"`
-	Calendar Calendar          `toml:"calendar"`
-	Session  Session           `toml:"session"`
+	Node      word.Node         `toml:"node-name" validate:"required"`
+	IP        string            `toml:"ip" validate:"required,ipv4"`
+	Zone      word.Zone         `toml:"zone" validate:"required"`
+	Ports     []int             `toml:"internal-ports" validate:"len=2,dive,gte=1,lte=65535"`
+	Seeds     []word.Addr       `toml:"seed-nodes" validate:"min=1,dive,hostport4"`
+	Initial   bool              `toml:"initial-start"`
+	DataDir   string            `toml:"data-dir"`
+	Zones     map[string]string `toml:"zones"`
+	Bindings  Bindings          `toml:"bindings"`
+	Limits    Limits            `toml:"limits"`
+	Bounds    Bounds            `toml:"timing-bounds"`
+	Tolerance Tolerance         `toml:"fault-tolerance"`
+	Platform  Platform          `toml:"platform-api"`
+	Calendar  Calendar          `toml:"calendar"`
+	Session   Session           `toml:"session"`
 }
 
 // Calendar says when keepers rewrite their log, cron-like; empty is never.
--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -23,15 +23,18 @@
 
 // Daemon is a running keeper.
 type Daemon struct {
-	Keeper *keep.Keeper
-	Hub    *feed.Hub
-	lc     net.Listener
-	srv    *Server
-	in     *wire.Server[keep.Msg]
-	net    *keep.Wires
-	over   atomic.Bool
+	Keeper  *keep.Keeper
+	Hub     *feed.Hub
+	lc      net.Listener
+	srv     *Server
+	in      *wire.Server[keep.Msg]
+	net     *keep.Wires
+	over    atomic.Bool
+	founder atomic.Bool
 }
 
+const watchPause = 1200 * clk.Millisecond
+
 // Start starts a keeper from its settings.
 func Start(s *boot.Settings) (*Daemon, error) {
 	debug.SetMemoryLimit(s.Limits.MemoryMB << 20 * 7 / 10)
@@ -45,7 +48,8 @@
 	k := keep.New(self, acc, wires, hub)
 	k.Zone = s.Zone
 	k.Decider = Decide
-	k.Seats = len(s.Zones)
+	k.Seats = keep.Seats(s.Tolerance.Machines, len(s.Zones))
+	k.Disk = s.DataDir != ""
 	k.Label = label
 	for _, a := range s.Seeds {
 		k.Founders = append(k.Founders, word.Node(s.Keeper(a)))
@@ -84,9 +88,18 @@
 	d.srv.Serve(lc)
 	spawn.Go(func() {
 		for !d.over.Load() {
-			if !acc.Voting() && acc.Ready() {
+			if d.founder.Load() && !acc.Voting() {
+				if k.Begin() {
+					d.founder.Store(false)
+				}
+			} else if acc.Ready() && (k.Disk || acc.Roster().Has(k.Self)) {
 				k.Regain()
 			}
+			if !k.Disk && !acc.Voting() && !d.founder.Load() {
+				k.Watch()
+				clk.Sleep(watchPause)
+				continue
+			}
 			k.Round()
 			hub.Check()
 			if !k.Sure(3 * keep.Beat) {
@@ -111,7 +124,7 @@
 	for !d.over.Load() {
 		st, err := disk.Empty, error(nil)
 		if s.DataDir == "" {
-			note.Trouble("no data-dir, kept in memory only")
+			note.State("no data-dir, forwards only where others have one")
 			acc.Use(keep.Volatile{})
 		} else {
 			st, err = acc.Open(disk.Dir(s.DataDir))
@@ -127,11 +140,8 @@
 		}
 		switch {
 		case st == disk.Empty && s.Initial && seat:
-			if err := acc.Found(keep.Founding(d.Keeper.Founders), nil); err != nil {
-				note.Trouble("founding record refused", "err", err)
-				clk.Sleep(200 * clk.Millisecond)
-				continue
-			}
+			d.founder.Store(true)
+		case s.DataDir == "":
 		case st != disk.Whole:
 			note.Trouble("disk without its records, not voting", "state", int(st))
 		}
@@ -146,7 +156,7 @@
 	for _, a := range s.Seeds {
 		ns = append(ns, word.Node(s.Keeper(a)))
 	}
-	d.Keeper.Seeded(ns, len(s.Zones))
+	d.Keeper.Seeded(ns, keep.Seats(s.Tolerance.Machines, len(s.Zones)))
 }
 
 // Stop ends the daemon.
--- a/internal/keep/acceptor.go
+++ b/internal/keep/acceptor.go
@@ -152,6 +152,9 @@
 	a.mu.Lock()
 	st := a.st
 	a.mu.Unlock()
+	if st == nil {
+		return code.New(code.DiskRefused, "not open")
+	}
 	if err := st.Append(e.encode()); err != nil {
 		return err
 	}
@@ -299,6 +302,9 @@
 		return code.New(code.DiskRefused, "busy")
 	}
 	defer a.lane.Give()
+	if !a.Ready() {
+		return code.New(code.DiskRefused, "not open")
+	}
 	return a.st.Rewrite(a.records(a.Cells()))
 }
 
--- a/internal/keep/beat.go
+++ b/internal/keep/beat.go
@@ -60,7 +60,7 @@
 }
 
 func (k *Keeper) digest() Msg {
-	m := Msg{OK: true, From: k.Self, Zone: k.Zone, Marks: map[word.Key]Mark{}, Roster: k.acc.Roster(), Relays: k.Sink.Followers(), ListAge: k.ListAge()}
+	m := Msg{OK: true, From: k.Self, Zone: k.Zone, Marks: map[word.Key]Mark{}, Roster: k.acc.Roster(), Relays: k.Sink.Followers(), Disk: k.Disk, ListAge: k.ListAge()}
 	m.Code = code.OK
 	if !k.acc.Voting() {
 		m.Code = code.NotVoting
@@ -211,7 +211,7 @@
 	k.mu.Lock()
 	tried := maps.Clone(k.tried)
 	k.mu.Unlock()
-	return Msg{OK: k.acc.Voting(), From: k.Self, Roster: k.acc.Roster(), Cells: Surveyed(k.acc.Cells(), tried)}
+	return Msg{OK: k.acc.Voting(), Disk: k.Disk, From: k.Self, Roster: k.acc.Roster(), Cells: Surveyed(k.acc.Cells(), tried)}
 }
 
 // Surveyed adds to the cells of a disk the epochs that its keeper has asked
@@ -236,7 +236,7 @@
 			r = a.Roster
 		}
 	}
-	if r.Num == 0 || !r.Has(self) || !r.Covers(self, func(n word.Node) bool { return got[n].OK }) {
+	if r.Num == 0 || !r.Has(self) {
 		return r, nil, false
 	}
 	cells := map[word.Key]Cell{}
@@ -255,7 +255,24 @@
 			cells[key] = have
 		}
 	}
-	return r, cells, true
+	return r, cells, r.Covers(self, func(n word.Node) bool { return got[n].OK })
+}
+
+// Newcomer tells whether self can never have been counted: a majority of the
+// newest roster that anybody knows or has accepted has answered, and self is
+// in none of them.
+func Newcomer(self word.Node, got map[word.Node]Msg) bool {
+	var top Roster
+	for _, a := range got {
+		at, ok := DecodeRoster(a.Cells[word.Roster].Val)
+		if a.Roster.Has(self) || ok && at.Has(self) {
+			return false
+		}
+		if a.Roster.Num > top.Num {
+			top = a.Roster
+		}
+	}
+	return top.Majority(oks(got))
 }
 
 // Floor is an epoch above all that the others have told of. Raised on those
@@ -274,7 +291,11 @@
 // Regain reads enough others to take the place of a lost disk. It tells
 // whether this keeper may vote now.
 func (k *Keeper) Regain() bool {
+	r := k.acc.Roster()
 	if k.acc.Voting() {
+		if r.Num != 0 && !r.Has(k.Self) {
+			k.wantSeat(r)
+		}
 		return true
 	}
 	to := k.peers()
@@ -286,17 +307,34 @@
 	}
 	all := func(g map[word.Node]Msg) bool { return len(g) == len(to) }
 	got := k.askAll(to, Msg{Kind: Survey, Zone: k.Zone}, askTimeout*2, all)
-	r, _, ok := Regained(k.Self, got)
+	r, cells, ok := Regained(k.Self, got)
 	if r.Num != 0 && !r.Has(k.Self) {
-		k.wantSeat(r)
+		if Newcomer(k.Self, got) {
+			k.mu.Lock()
+			k.newcomer = true
+			k.mu.Unlock()
+		}
+		if k.Disk || !anyDisk(got) {
+			k.wantSeat(r)
+		}
 		return false
 	}
+	k.mu.Lock()
+	newcomer := k.newcomer
+	k.mu.Unlock()
+	if newcomer && r.Has(k.Self) {
+		if k.acc.Found(r, cells) != nil {
+			return false
+		}
+		note.State("seat taken", "read", len(got))
+		return true
+	}
 	if !ok {
 		return false
 	}
 	floor := Floor(got, k.Self, k.life)
 	got = k.askAll(to, Msg{Kind: Survey, Zone: k.Zone, Epoch: floor}, askTimeout*2, all)
-	r, cells, ok := Regained(k.Self, got)
+	r, cells, ok = Regained(k.Self, got)
 	if !ok {
 		return false
 	}
--- a/internal/keep/join.go
+++ b/internal/keep/join.go
@@ -11,6 +11,8 @@
 
 const (
 	goneAfter = 3 * clk.Second
+	goneLong  = 10 * clk.Second
+	askedFor  = 2 * clk.Second
 	hereFor   = 1200 * clk.Millisecond
 )
 
@@ -22,7 +24,39 @@
 	}
 }
 
-func (k *Keeper) join(j word.Node) Msg {
+type asked struct {
+	at   clk.Tick
+	zone word.Zone
+}
+
+func (k *Keeper) zoneOf(n word.Node) word.Zone {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if n == k.Self {
+		return k.Zone
+	}
+	if z, ok := k.others[n]; ok && z != "" {
+		return z
+	}
+	return word.Zone("of " + n)
+}
+
+func (k *Keeper) askers(j word.Node, z word.Zone) []word.Node {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.asked[j] = asked{clk.Now(), z}
+	var out []word.Node
+	for n, a := range k.asked {
+		if clk.Since(a.at) > askedFor {
+			delete(k.asked, n)
+			continue
+		}
+		out = append(out, n)
+	}
+	return out
+}
+
+func (k *Keeper) join(j word.Node, z word.Zone) Msg {
 	r := k.acc.Roster()
 	if !k.acc.Voting() || !r.Has(k.Self) || !k.Sure(hereFor) {
 		return Msg{}
@@ -40,8 +74,14 @@
 			return Msg{OK: true}
 		}
 	}
-	founders, seats := k.seeds()
-	if gone == "" && len(r.Seat) >= max(len(founders), seats) {
+	_, seats := k.seeds()
+	in := k.askers(j, z)
+	if gone == "" {
+		in = r.Admit(in, k.zoneOf, seats)
+	} else {
+		in = k.instead(r, gone, j)
+	}
+	if len(in) == 0 {
 		return Msg{OK: true}
 	}
 	if !k.seating.TryLock() {
@@ -53,16 +93,27 @@
 			if len(cur) == 0 {
 				cur = k.acc.Roster().Encode()
 			}
-			return DecideRoster(cur, &Order{Joiner: j, Gone: gone})
+			return DecideRoster(cur, &Order{Joiners: in, Gone: gone})
 		})
 		if a.OK {
-			note.State("seat given", "to", j, "instead of", gone)
+			note.State("seats given", "to", in, "instead of", gone)
 			k.seat()
 		}
 	})
 	return Msg{OK: true}
 }
 
+// instead tells whether j may take the seat of one that is gone: at once if a
+// lost zone is borne no worse, and after a while in any case.
+func (k *Keeper) instead(r Roster, gone, j word.Node) []word.Node {
+	next := Roster{Seat: append(slices.DeleteFunc(slices.Clone(r.Seat), func(n word.Node) bool { return n == gone }), j)}
+	_, before := r.bears(k.zoneOf)
+	if _, after := next.bears(k.zoneOf); before && !after && k.recent(gone, goneLong) {
+		return nil
+	}
+	return []word.Node{j}
+}
+
 func (k *Keeper) seat() {
 	r := k.acc.Roster()
 	if len(r.Next) == 0 {
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -25,9 +25,12 @@
 	Zone     word.Zone
 	Founders []word.Node
 	Seats    int
-	Net      Net
-	Sink     Sink
-	Decider  func(key word.Key, o *Order) Decide
+	// Disk tells whether this keeper has a disk. One without never votes where
+	// others have one: it forwards.
+	Disk    bool
+	Net     Net
+	Sink    Sink
+	Decider func(key word.Key, o *Order) Decide
 	// Label names what a value is, for the trace.
 	Label func(key word.Key, val []byte) string
 
@@ -51,11 +54,16 @@
 	others  map[word.Node]word.Zone
 	relays  map[word.Node]clk.Tick
 	listAt  clk.Tick
+	asked   map[word.Node]asked
+	last    word.Node
+	// newcomer says that this life of the keeper began before it had a seat, so
+	// that no promise of it can have been lost.
+	newcomer bool
 }
 
 // New makes a keeper over an acceptor.
 func New(self word.Node, acc *Acceptor, net Net, sink Sink) *Keeper {
-	return &Keeper{Self: self, acc: acc, Net: net, Sink: sink, life: rand.Uint64() | 1,
+	return &Keeper{Self: self, Disk: true, asked: map[word.Node]asked{}, acc: acc, Net: net, Sink: sink, life: rand.Uint64() | 1,
 		leases: map[word.Key]*lease{}, tried: map[word.Key]word.Epoch{}, heard: map[word.Node]clk.Tick{},
 		odd: map[word.Key]doubt{}, others: map[word.Node]word.Zone{}, relays: map[word.Node]clk.Tick{},
 		local0: clk.Now()}
@@ -149,6 +157,9 @@
 
 // Change has an order carried out by the owner of its key, here or elsewhere.
 func (k *Keeper) Change(key word.Key, o *Order, deadline clk.Tick) Msg {
+	if !k.Disk && !k.acc.Voting() {
+		return k.forward(key, o, deadline)
+	}
 	if n := k.owner(key); n != "" && n != k.Self && k.recent(n, 1500*clk.Millisecond) {
 		a, ok := k.Net.Ask(n, Msg{Kind: Change, From: k.Self, Key: key, Order: o}, min(forwardTimeout, clk.Until(deadline)))
 		if ok && a.Code != code.NoMajority && a.Code != code.NotVoting {
@@ -203,7 +214,9 @@
 		k.Share(m.Key, at, m.Val)
 		return Msg{OK: true}
 	case Join:
-		return k.join(m.From)
+		return k.join(m.From, m.Zone)
+	case Forward:
+		return k.Change(m.Key, m.Order, clk.Now().Add(forwardTimeout*2))
 	case Change:
 		return k.Own(m.Key, clk.Now().Add(forwardTimeout), k.Decider(m.Key, m.Order))
 	}
--- a/internal/keep/keeper_test.go
+++ b/internal/keep/keeper_test.go
@@ -128,35 +128,52 @@
 	si map[word.Node]*sink
 }
 
-func newCore(t *testing.T) *core {
+func newCore(t *testing.T) *core { return newCoreOf(t, three) }
+
+func newCoreOf(t *testing.T, r Roster) *core {
 	c := &core{n: &net{ks: map[word.Node]*Keeper{}, cut: map[[2]word.Node]bool{}}, ks: map[word.Node]*Keeper{}, st: map[word.Node]*shelf{}, si: map[word.Node]*sink{}}
-	for _, n := range three.Seat {
-		acc := NewAcceptor()
-		c.st[n], c.si[n] = &shelf{}, &sink{items: map[word.Key]Item{}}
-		acc.Use(c.st[n])
-		if err := acc.Found(three, nil); err != nil {
+	for _, n := range r.Seat {
+		if err := c.add(n, r.Seat).acc.Found(r, nil); err != nil {
 			t.Fatal(err)
 		}
-		k := New(n, acc, end{c.n, n}, c.si[n])
-		k.Founders = three.Seat
-		k.Decider = func(_ word.Key, o *Order) Decide {
-			return func(cur []byte) ([]byte, Msg) {
-				if o.Query {
-					return nil, Msg{OK: true, Val: cur}
-				}
-				if string(cur) == string(o.Body) {
-					return nil, Msg{OK: true}
-				}
-				if len(cur) != int(o.Base) {
-					return nil, Msg{Code: code.OtherVersion}
-				}
-				return o.Body, Msg{OK: true}
+	}
+	return c
+}
+
+// add starts a keeper with an empty disk. Its zone is the first letter of its name.
+func (c *core) add(n word.Node, founders []word.Node) *Keeper {
+	c.st[n] = &shelf{}
+	return c.start(n, founders)
+}
+
+// start starts a keeper from what its disk has.
+func (c *core) start(n word.Node, founders []word.Node) *Keeper {
+	acc := NewAcceptor()
+	c.si[n] = &sink{items: map[word.Key]Item{}}
+	for _, p := range c.st[n].recs {
+		acc.Replay(p)
+	}
+	acc.Use(c.st[n])
+	k := New(n, acc, end{c.n, n}, c.si[n])
+	k.Founders, k.Zone = founders, word.Zone(n[:1])
+	k.Decider = func(_ word.Key, o *Order) Decide {
+		return func(cur []byte) ([]byte, Msg) {
+			if o.Query {
+				return nil, Msg{OK: true, Val: cur}
 			}
+			if string(cur) == string(o.Body) {
+				return nil, Msg{OK: true}
+			}
+			if len(cur) != int(o.Base) {
+				return nil, Msg{Code: code.OtherVersion}
+			}
+			return o.Body, Msg{OK: true}
 		}
-		c.ks[n] = k
-		c.n.ks[n] = k
 	}
-	return c
+	c.n.mu.Lock()
+	defer c.n.mu.Unlock()
+	c.ks[n], c.n.ks[n] = k, k
+	return k
 }
 
 const kk word.Key = "k"
--- a/internal/keep/msg.go
+++ b/internal/keep/msg.go
@@ -24,6 +24,7 @@
 	Join
 	Trace
 	Drift
+	Forward
 )
 
 // Mark is what one keeper has of one key.
@@ -50,13 +51,13 @@
 
 // Order is a change or a question that a client of control brings.
 type Order struct {
-	Body   []byte
-	Base   word.Version
-	Modify bool
-	On     bool
-	Query  bool
-	Joiner word.Node
-	Gone   word.Node
+	Body    []byte
+	Base    word.Version
+	Modify  bool
+	On      bool
+	Query   bool
+	Joiners []word.Node
+	Gone    word.Node
 }
 
 // Msg is a message between daemons; which fields count depends on Kind.
@@ -83,6 +84,7 @@
 	ListAge     clk.Span
 	Relays      []word.Node
 	Count       int
+	Disk        bool
 	Zone        word.Zone
 	KeeperZones map[word.Node]word.Zone
 	Addr        word.Addr
--- a/internal/keep/roster_test.go
+++ b/internal/keep/roster_test.go
@@ -70,19 +70,19 @@
 
 func TestDecideRoster(t *testing.T) {
 	is := is.New(t)
-	b, a := DecideRoster(three.Encode(), &Order{Joiner: "d", Gone: "c"})
+	b, a := DecideRoster(three.Encode(), &Order{Joiners: []word.Node{"d"}, Gone: "c"})
 	is.True(a.OK)
 	r, ok := DecodeRoster(b)
 	is.True(ok)
 	is.Equal(r.Num, uint64(2))
 	is.Equal(r.Seat, three.Seat)
 	is.Equal(r.Next, []word.Node{"a", "b", "d"})
-	_, a = DecideRoster(b, &Order{Joiner: "e"})
+	_, a = DecideRoster(b, &Order{Joiners: []word.Node{"e"}})
 	is.True(!a.OK) // one change at a time
 	b, a = DecideRoster(b, &Order{On: true})
 	is.True(a.OK)
 	r, _ = DecodeRoster(b)
 	is.Equal(r, Roster{Num: 3, Seat: []word.Node{"a", "b", "d"}})
-	_, a = DecideRoster(nil, &Order{Joiner: "d"})
+	_, a = DecideRoster(nil, &Order{Joiners: []word.Node{"d"}})
 	is.True(!a.OK)
 }
--- a/internal/keep/seats.go
+++ b/internal/keep/seats.go
@@ -21,7 +21,8 @@
 		n := Roster{Num: r.Num + 1, Seat: r.Next}
 		return n.Encode(), Msg{OK: true}
 	}
-	if o.On || o.Joiner == "" || slices.Contains(r.Seat, o.Joiner) {
+	joiners := slices.DeleteFunc(slices.Clone(o.Joiners), r.Has)
+	if o.On || len(joiners) == 0 {
 		return nil, Msg{OK: true}
 	}
 	n := Roster{Num: r.Num + 1, Seat: r.Seat}
@@ -30,10 +31,59 @@
 			n.Next = append(n.Next, s)
 		}
 	}
-	n.Next = append(n.Next, o.Joiner)
+	n.Next = append(n.Next, joiners...)
 	return n.Encode(), Msg{OK: true}
 }
 
+// Seats is how many seats bear the loss of so many machines, with one to spare
+// while a lost disk is read back, and of a zone.
+func Seats(machines, zones int) int { return max(2*(machines+1), zones) }
+
+func (r Roster) bears(zone func(word.Node) word.Zone) (machines int, anyZone bool) {
+	in := map[word.Zone]int{}
+	for _, n := range r.Seat {
+		in[zone(n)]++
+	}
+	for _, c := range in {
+		if len(r.Seat)-c <= len(r.Seat)/2 {
+			return (len(r.Seat) - 1) / 2, false
+		}
+	}
+	return (len(r.Seat) - 1) / 2, true
+}
+
+// Admit names those of the askers who get a seat in one change: as many as are
+// wanted, from the zones with the fewest seats first, as long as the loss of a
+// zone or of machines is borne no worse than before.
+func (r Roster) Admit(ask []word.Node, zone func(word.Node) word.Zone, want int) []word.Node {
+	ask = slices.DeleteFunc(slices.Clone(ask), r.Has)
+	slices.Sort(ask)
+	in := map[word.Zone]int{}
+	for _, n := range r.Seat {
+		in[zone(n)]++
+	}
+	var line []word.Node
+	for len(ask) > 0 && len(r.Seat)+len(line) < want {
+		best := 0
+		for i, n := range ask {
+			if in[zone(n)] < in[zone(ask[best])] {
+				best = i
+			}
+		}
+		in[zone(ask[best])]++
+		line = append(line, ask[best])
+		ask = slices.Delete(ask, best, best+1)
+	}
+	m, z := r.bears(zone)
+	for ; len(line) > 0; line = line[:len(line)-1] {
+		m2, z2 := Roster{Seat: append(slices.Clone(r.Seat), line...)}.bears(zone)
+		if m2 >= m && (z2 || !z) {
+			return line
+		}
+	}
+	return nil
+}
+
 // Founding is the roster of the first start.
 func Founding(ns []word.Node) Roster {
 	s := slices.Clone(ns)
