--- a/cmd/spoolctl/tool.go
+++ b/cmd/spoolctl/tool.go
@@ -157,6 +157,11 @@
 		for k, v := range r.Counts {
 			gs = append(gs, fmt.Sprintf("%s=%d", k, v))
 		}
+		for _, s := range r.Streams {
+			if s.Quarantined || s.Gap {
+				fmt.Printf("  replica %s of %s: quarantined %v for %v, next batch %d, oldest replayable %d\n", s.Epoch.Life, s.Epoch.Service, s.Quarantined, s.For, s.Next, s.Oldest)
+			}
+		}
 		sort.Strings(gs)
 		fmt.Println("  " + strings.Join(gs, " "))
 	}
--- a/internal/boot/settings.go
+++ b/internal/boot/settings.go
@@ -74,6 +74,7 @@
 	Tolerance Tolerance         `toml:"fault-tolerance"`
 	Platform  Platform          `toml:"platform-api"`
 	Calendar  Calendar          `toml:"calendar"`
+	Index     Index             `toml:"kv-index"`
 	Session   Session           `toml:"session"`
 }
 
@@ -82,6 +83,28 @@
 	Rewrite string `toml:"rewrite"`
 }
 
+// Index holds the defaults of the cache index: for how many batches a second,
+// how long an outage and how long a way back replays are kept, with a factor
+// for safety; how long a speculative entry lives before its latency has been
+// measured; and how many answers after a hole make a view again.
+type Index struct {
+	PerS          float64 `toml:"batches-per-s" validate:"gt=0,lte=100000"`
+	OutageS       float64 `toml:"outage-s" validate:"gte=0,lte=3600"`
+	CatchUpS      float64 `toml:"catch-up-s" validate:"gte=0,lte=3600"`
+	Safety        float64 `toml:"safety-factor" validate:"gte=1,lte=100"`
+	SpeculativeMs float64 `toml:"speculative-ms" validate:"gt=0,lte=60000"`
+	Proofs        int     `toml:"proofs" validate:"gte=1,lte=1000"`
+}
+
+// Steps is how many batches of one stream are kept for replays.
+func (x *Index) Steps() int {
+	return max(1, int(x.PerS*(x.OutageS+x.CatchUpS)*x.Safety+0.5))
+}
+
+// ReplayMost is how many batches of all streams together are kept for replays:
+// a sixty-fourth of the memory, at half a kilobyte each.
+func (s *Settings) ReplayMost() int { return int(s.Limits.MemoryMB << 20 / 64 / 512) }
+
 // Session holds the defaults of the session design.
 type Session struct {
 	IdleS float64 `toml:"idle-timeout-s" validate:"gte=0"`
@@ -99,7 +122,7 @@
 
 // Parse reads and checks settings; every fault is in the errors.
 func Parse(b []byte) (*Settings, []error) {
-	s := &Settings{}
+	s := &Settings{Index: Index{PerS: 50, OutageS: 12, CatchUpS: 3, Safety: 2, SpeculativeMs: 2000, Proofs: 3}}
 	if err := toml.Unmarshal(b, s); err != nil {
 		return nil, []error{code.New(code.BadSettings, "%v", err)}
 	}
@@ -121,6 +144,9 @@
 			out = append(out, code.New(code.BadSettings, "calendar.rewrite: %v", err))
 		}
 	}
+	if n := s.Index.Steps(); n > s.ReplayMost() {
+		out = append(out, code.New(code.BadSettings, "kv-index asks for %d batches to be kept for replays, limits.memory-mb has room for %d", n, s.ReplayMost()))
+	}
 	if s.Bounds.DrainMs == 0 {
 		s.Bounds.DrainMs = 3000
 	}
--- a/internal/boot/watch_test.go
+++ b/internal/boot/watch_test.go
@@ -35,6 +35,12 @@
 	_, errs = Parse([]byte("node-name = \"a\"\nip = \"x\"\ninternal-ports = [1]\n"))
 	is.True(len(errs) >= 5) // every fault, by the names of the file
 	is.True(strings.Contains(fmt.Sprint(errs), "internal-ports"))
+	is.Equal((&Index{PerS: 800, OutageS: 12, CatchUpS: 3, Safety: 1}).Steps(), 12000) // the source's figures
+	is.Equal((&Index{PerS: 800, OutageS: 12, CatchUpS: 3, Safety: 2}).Steps(), 24000)
+	for _, x := range []string{"batches-per-s = 800", "safety-factor = 0.5", "proofs = 0", "speculative-ms = 0", "outage-s = -1"} {
+		_, errs = Parse([]byte(settings("a") + "[kv-index]\n" + x + "\n")) // 24,000 batches do not fit in 64 MB / 64
+		is.Equal(len(errs), 1)
+	}
 	_, errs = Parse([]byte(settings("a") + "[calendar]\nrewrite = \"often\"\n"))
 	is.Equal(len(errs), 1)
 	_, errs = Parse([]byte(settings("a") + "[calendar]\nrewrite = \"0 3 * * *\"\n"))
--- a/internal/check/house_test.go
+++ b/internal/check/house_test.go
@@ -15,9 +15,9 @@
 var layers = [][]string{
 	{"clk", "word", "code"},
 	{"spawn", "note", "check"},
-	{"match", "response", "disk", "head", "conf", "cal"},
-	{"wire", "boot"},
-	{"keep", "link"},
+	{"match", "response", "disk", "head", "conf", "cal", "lru"},
+	{"wire", "boot", "kvindex"},
+	{"keep", "link", "evidence"},
 	{"feed", "list", "oper"},
 	{"pick", "trace"},
 	{"relay", "ctl"},
--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -48,6 +48,10 @@
 	NotVoting     Code = 404
 	ListRefused   Code = 405
 	UnknownChange Code = 406
+	BadBatch      Code = 501
+	OldEpoch      Code = 502
+	BadCounts     Code = 511
+	BadPlan       Code = 512
 )
 
 var names = map[Code]string{
@@ -62,6 +66,8 @@
 	NoZone: "unknown zone", NoMajority: "no majority", Nothing: "nothing there yet", BadItem: "item at fault",
 	DiskRefused: "the disk refused it", DiskCorrupt: "a record is corrupt", PeerLost: "a daemon did not answer",
 	NotVoting: "not voting", ListRefused: "the platform refused the call", UnknownChange: "unknown change",
+	BadBatch: "malformed batch", OldEpoch: "batch of an epoch that is over",
+	BadCounts: "counts unreadable", BadPlan: "plan unreadable",
 }
 
 func (c Code) String() string { return names[c] }
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -4,6 +4,7 @@
 
 import (
 	"sort"
+	"strings"
 	"sync"
 
 	"spoolswitch/internal/clk"
@@ -203,6 +204,11 @@
 				out.KeeperZones, zones = l, len(l)
 			}
 		}
+		for _, it := range out.Items {
+			name := strings.Split(string(it.Key), "/")[0]
+			note.Counter("feed.items." + name).Add(1)
+			note.Counter("feed.bytes." + name).Add(int64(len(it.Val)))
+		}
 		if err := push(out); err != nil {
 			return
 		}
--- a/internal/keep/msg.go
+++ b/internal/keep/msg.go
@@ -3,6 +3,7 @@
 import (
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
+	"spoolswitch/internal/kvindex"
 	"spoolswitch/internal/word"
 )
 
@@ -108,6 +109,14 @@
 	Version word.Version
 	Counts  map[string]int64
 	Gauges  map[string]float64
+	Streams []Stream
+}
+
+// Stream is how a relay's view of one replica stands, and the oldest batch that
+// could be replayed.
+type Stream struct {
+	kvindex.Status
+	Oldest kvindex.Seq
 }
 
 // Step is one step of a change as a daemon saw it.
--- a/internal/pick/chain.go
+++ b/internal/kvindex/chain.go
@@ -1,5 +1,4 @@
-// Package pick chooses the replica of a request: the session design.
-package pick
+package kvindex
 
 import (
 	"hash/fnv"
@@ -7,17 +6,17 @@
 	"strings"
 
 	"spoolswitch/internal/code"
-	"spoolswitch/internal/word"
 )
 
-// Link is one part of a prompt, named by all the parts up to it.
-type Link struct {
+// Block is one block of a prompt, named by all the blocks up to it.
+type Block struct {
 	Hash   uint64
 	Tokens int64
 }
 
-// Chain is the parts of a prompt in order.
-type Chain []Link
+// Chain is the blocks of a prompt in order. Here a block is a part of the
+// prompt as its client names it.
+type Chain []Block
 
 // Tokens is the size of the whole chain.
 func (c Chain) Tokens() int64 {
@@ -36,6 +35,24 @@
 	return c[len(c)-1].Hash
 }
 
+// Extra is what names blocks beside their tokens, such as a model, an adapter
+// or a salt. Blocks with other extras never meet, whatever their text.
+type Extra struct{ Kind, Value string }
+
+// Hashed names the blocks of a prompt by their ids and all that comes before.
+func Hashed(extras []Extra, ids []string, tokens []int64) Chain {
+	h := fnv.New64a()
+	for _, x := range extras {
+		h.Write([]byte(x.Kind + "=" + x.Value + ";"))
+	}
+	out := make(Chain, 0, len(ids))
+	for i, id := range ids {
+		h.Write([]byte("," + id))
+		out = append(out, Block{mix(h.Sum64()), tokens[i]})
+	}
+	return out
+}
+
 const partsMost = 64
 
 // ReadChain reads a Prompt-Prefix. Parts of different models never meet.
@@ -43,19 +60,17 @@
 	if prefix == "" {
 		return nil, nil
 	}
-	h := fnv.New64a()
-	h.Write([]byte(model))
-	var out Chain
+	var ids []string
+	var ns []int64
 	for p := range strings.SplitSeq(prefix, ",") {
 		id, num, ok := strings.Cut(strings.TrimSpace(p), ":")
 		n, err := strconv.ParseInt(num, 10, 64)
-		if !ok || err != nil || !hex(id) || n < 0 || len(out) >= partsMost {
+		if !ok || err != nil || !hex(id) || n < 0 || len(ids) >= partsMost {
 			return nil, code.New(code.BadFields, "Prompt-Prefix: %.40q", p)
 		}
-		h.Write([]byte("," + id))
-		out = append(out, Link{mix(h.Sum64()), n})
+		ids, ns = append(ids, id), append(ns, n)
 	}
-	return out, nil
+	return Hashed([]Extra{{"model", model}}, ids, ns), nil
 }
 
 func hex(s string) bool {
@@ -74,20 +89,3 @@
 	x *= 0xc4ceb9fe1a85ec53
 	return x ^ x>>33
 }
-
-func rank(chain uint64, id word.Replica) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(id))
-	return mix(chain ^ mix(h.Sum64()))
-}
-
-// ReadTokens reads Token-Counts: those of the prompt and the most sent out.
-func ReadTokens(s string) (in, out int64, err error) {
-	a, b, ok := strings.Cut(s, ",")
-	in, e1 := strconv.ParseInt(strings.TrimSpace(a), 10, 64)
-	out, e2 := strconv.ParseInt(strings.TrimSpace(b), 10, 64)
-	if !ok || e1 != nil || e2 != nil || in < 0 || out < 0 {
-		return 0, 0, code.New(code.BadFields, "Token-Counts: %.40q", s)
-	}
-	return in, out, nil
-}
--- a/internal/pick/chain_test.go
+++ b/internal/kvindex/chain_test.go
@@ -1,4 +1,4 @@
-package pick
+package kvindex
 
 import (
 	"testing"
@@ -18,6 +18,9 @@
 	is.True(e[0].Hash != c[1].Hash)
 	o, _ := ReadChain("other", "5c1e07a2:800")
 	is.True(o[0].Hash != c[0].Hash) // models never meet
+	a := Hashed([]Extra{{"model", "m"}, {"adapter", "x"}}, []string{"5c1e07a2"}, []int64{800})
+	b := Hashed([]Extra{{"model", "m"}, {"salt", "x"}}, []string{"5c1e07a2"}, []int64{800})
+	is.True(a[0].Hash != b[0].Hash && a[0].Hash != c[0].Hash) // nor do adapters and salts
 	for _, s := range []string{"x:1", "a", "a:", ":1", "a:-1", "a:1,", "a:1,,b:2", "a:1:2"} {
 		_, err := ReadChain("m", s)
 		is.True(err != nil)
--- /dev/null
+++ b/internal/kvindex/view.go
@@ -0,0 +1,440 @@
+package kvindex
+
+import (
+	"sync"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/lru"
+	"spoolswitch/internal/note"
+)
+
+// View is what one epoch of a publisher keeps, as far as its batches told.
+type View struct {
+	x     *Index
+	epoch Epoch
+
+	mu       sync.Mutex
+	next     Seq
+	upto     Seq
+	began    bool
+	blocks   *lru.Cache[resident]
+	gone     *lru.Cache[struct{}]
+	spec     map[uint64]hope
+	line     []hopeful
+	waiting  map[Seq]Batch
+	gap      bool
+	lost     bool
+	since    clk.Tick
+	closed   bool
+	second   int64
+	inSecond int
+	peak     int
+}
+
+type resident struct {
+	tokens int64
+	used   clk.Tick
+	grade  Grade
+}
+
+type hope struct {
+	routed, until clk.Tick
+	tokens        int64
+}
+
+type hopeful struct {
+	hash  uint64
+	until clk.Tick
+}
+
+const (
+	capacityDefault = 200000
+	goneMost        = 4096
+	specsMost       = 8192
+	waitingMost     = 256
+)
+
+func newView(x *Index, e Epoch) *View {
+	v := &View{x: x, epoch: e, blocks: lru.New[resident](capacityDefault), gone: lru.New[struct{}](goneMost),
+		spec: map[uint64]hope{}, waiting: map[Seq]Batch{}}
+	v.blocks.Dropped = v.evicted
+	return v
+}
+
+func (v *View) evicted(k uint64, _ resident) { v.gone.Put(k, struct{}{}, 1) }
+
+func (v *View) close() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.leave()
+	v.closed = true
+	v.clear()
+	v.spec, v.line = map[uint64]hope{}, nil
+}
+
+// Bound says how many tokens the replica can keep. What is beyond has given way.
+func (v *View) Bound(tokens int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.blocks.Bound(tokens)
+}
+
+// Capacity is how many tokens the replica is taken to be able to keep.
+func (v *View) Capacity() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.blocks.Most()
+}
+
+// Tokens is how many tokens the replica is known to keep.
+func (v *View) Tokens() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.blocks.Weight()
+}
+
+func (v *View) expected() Seq {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.next
+}
+
+// take applies a batch that is in its place, with what waited behind it. It
+// tells false if a replay has to be asked for.
+func (v *View) take(b Batch) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.closed {
+		return true
+	}
+	v.count()
+	v.upto = max(v.upto, b.Seq+1)
+	switch {
+	case b.Seq < v.next:
+		duplicates.Add(1)
+		return true
+	case b.Seq == v.next && !v.lost:
+		v.apply(b)
+		v.drain()
+		return true
+	}
+	if !v.gap {
+		v.gap = true
+		gaps.Add(1)
+	}
+	if _, ok := v.waiting[b.Seq]; ok {
+		duplicates.Add(1)
+		return true
+	}
+	if len(v.waiting) < waitingMost {
+		v.waiting[b.Seq] = b
+	} else if !v.lost {
+		v.quarantine()
+	}
+	return false
+}
+
+func (v *View) behind(newest Seq) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.upto = max(v.upto, newest+1)
+	if v.closed || newest < v.next {
+		return false
+	}
+	if !v.gap {
+		v.gap = true
+		gaps.Add(1)
+	}
+	return true
+}
+
+// replayed takes in what a replay brought. If it does not begin where it must,
+// the epoch is incomplete.
+func (v *View) replayed(bs []Batch) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.closed || !v.gap {
+		return true
+	}
+	filled := false
+	for _, b := range bs {
+		if b.Seq == v.next {
+			v.apply(b)
+			filled = true
+		}
+	}
+	v.drain()
+	if !filled || v.gap {
+		if !v.lost {
+			unrecoverable.Add(1)
+			v.quarantine()
+		}
+		return false
+	}
+	replays.Add(1)
+	v.trust()
+	return true
+}
+
+// drain applies what waited and is in its place now.
+func (v *View) drain() {
+	for {
+		b, ok := v.waiting[v.next]
+		if !ok {
+			break
+		}
+		delete(v.waiting, v.next)
+		v.apply(b)
+	}
+	for s := range v.waiting {
+		if s < v.next {
+			delete(v.waiting, s)
+		}
+	}
+	v.gap = v.next < v.upto
+}
+
+func (v *View) apply(b Batch) {
+	v.next, v.began = b.Seq+1, true
+	for _, e := range b.Events {
+		v.event(e)
+	}
+}
+
+func (v *View) event(e Event) {
+	now := clk.Now()
+	switch e.Kind {
+	case AllBlocksCleared:
+		v.clear()
+	case BlockRemoved:
+		for _, k := range e.Blocks {
+			if v.blocks.Remove(k.Hash) {
+				v.gone.Put(k.Hash, struct{}{}, 1)
+			} else {
+				unknownBlocks.Add(1)
+			}
+		}
+	case BlockStored:
+		// the last blocks of a chain give way first
+		for i := len(e.Blocks) - 1; i >= 0; i-- {
+			k := e.Blocks[i]
+			v.gone.Remove(k.Hash)
+			v.blocks.Put(k.Hash, resident{k.Tokens, now, e.Grade}, max(1, k.Tokens))
+			if h, ok := v.spec[k.Hash]; ok {
+				delete(v.spec, k.Hash)
+				if now < h.until {
+					confirmed.Add(1)
+				} else {
+					expired.Add(1)
+				}
+				v.x.Latency.See(now.Sub(h.routed))
+			}
+		}
+	}
+}
+
+func (v *View) clear() {
+	v.blocks.Each(func(k uint64, _ resident) bool {
+		v.gone.Put(k, struct{}{}, 1)
+		return true
+	})
+	v.blocks.Clear()
+}
+
+func (v *View) quarantine() {
+	if v.lost {
+		return
+	}
+	v.lost, v.since = true, clk.Now()
+	note.State("cache view quarantined", "replica", v.epoch.Life, "next", v.next)
+}
+
+var inQuarantine = note.Counter("kv.quarantined-ms")
+
+func (v *View) leave() {
+	if v.lost {
+		inQuarantine.Add(int64(clk.Since(v.since) / clk.Millisecond))
+		v.lost = false
+	}
+}
+
+func (v *View) trust() {
+	if v.lost {
+		v.leave()
+		note.State("cache view trusted again", "replica", v.epoch.Life, "next", v.next)
+	}
+}
+
+// snapshot replaces the view by all that the publisher keeps as of a batch.
+func (v *View) snapshot(at Seq, blocks []Block) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.closed || at+1 < v.next {
+		return false
+	}
+	v.blocks.Clear()
+	v.gone.Clear()
+	v.next, v.began = at+1, true
+	if len(blocks) > 0 {
+		v.event(Event{Kind: BlockStored, Grade: Inferred, Blocks: blocks})
+	}
+	return v.renewed()
+}
+
+func (v *View) renewed() bool {
+	v.drain()
+	if v.gap {
+		return false
+	}
+	rebuilds.Add(1)
+	v.trust()
+	return true
+}
+
+// rebuild starts anew from a batch that says that nothing is kept any more:
+// what came before does not matter then.
+func (v *View) rebuild(b *Batch) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	from := -1
+	for i, e := range b.Events {
+		if e.Kind == AllBlocksCleared {
+			from = i
+		}
+	}
+	if v.closed || !v.lost || from < 0 {
+		untrusted.Add(1)
+		return
+	}
+	delete(v.waiting, b.Seq)
+	v.blocks.Clear()
+	v.gone.Clear()
+	v.apply(Batch{b.Epoch, b.Seq, b.Events[from:]})
+	v.renewed()
+}
+
+// Speculate enters blocks that a request just routed will bring, apart from
+// those that are known. Each expires unless an event confirms it.
+func (v *View) Speculate(c Chain) {
+	d := v.x.lifetime()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.closed {
+		return
+	}
+	now := clk.Now()
+	v.expire(now)
+	for _, k := range c {
+		if _, ok := v.blocks.Get(k.Hash); ok || len(v.spec) >= specsMost {
+			continue
+		}
+		h, ok := v.spec[k.Hash]
+		if !ok {
+			h.routed = now
+		}
+		h.until, h.tokens = now.Add(d), k.Tokens
+		v.spec[k.Hash] = h
+		v.line = append(v.line, hopeful{k.Hash, h.until})
+	}
+}
+
+func (v *View) expire(now clk.Tick) {
+	i := 0
+	for i < len(v.line) && now >= v.line[i].until {
+		if h, ok := v.spec[v.line[i].hash]; ok && now >= h.until {
+			delete(v.spec, v.line[i].hash)
+			expired.Add(1)
+		}
+		i++
+	}
+	if i > 0 {
+		v.line = append([]hopeful(nil), v.line[i:]...)
+	}
+}
+
+// Quarantined tells whether the view may not be trusted now.
+func (v *View) Quarantined() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.lost
+}
+
+// Leading is how many of the first blocks of a chain the replica keeps or will
+// shortly, none while the view may not be trusted.
+func (v *View) Leading(c Chain) (n int, trusted bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.lost || v.closed {
+		return 0, false
+	}
+	if v.blocks.Len() == 0 && len(v.spec) == 0 {
+		return 0, true
+	}
+	now := clk.Now()
+	for i, k := range c {
+		if _, ok := v.blocks.Get(k.Hash); ok {
+			continue
+		}
+		if h, ok := v.spec[k.Hash]; !ok || now >= h.until {
+			return i, true
+		}
+	}
+	return len(c), true
+}
+
+// Promise is how many leading tokens of a chain are known to be kept, and when
+// the one of them unused the longest was used.
+func (v *View) Promise(c Chain) (tokens int64, used clk.Tick) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	used = clk.Now()
+	if v.lost || v.closed {
+		return 0, used
+	}
+	for _, k := range c {
+		r, ok := v.blocks.Get(k.Hash)
+		if !ok {
+			break
+		}
+		tokens += k.Tokens
+		used = min(used, r.used)
+	}
+	return tokens, used
+}
+
+// Unused names the blocks that went unused for d or longer.
+func (v *View) Unused(d clk.Span) []Block {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := clk.Now()
+	var out []Block
+	v.blocks.Each(func(k uint64, r resident) bool {
+		if now.Sub(r.used) < d {
+			return false
+		}
+		out = append(out, Block{k, r.tokens})
+		return len(out) < blocksMost
+	})
+	return out
+}
+
+func (v *View) count() {
+	s := int64(clk.Now()) / int64(clk.Second)
+	if s != v.second {
+		v.second, v.inSecond = s, 0
+	}
+	v.inSecond++
+	v.peak = max(v.peak, v.inSecond)
+}
+
+func (v *View) status() Status {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.expire(clk.Now())
+	s := Status{Epoch: v.epoch, Next: v.next, Gap: v.gap, Quarantined: v.lost,
+		Blocks: v.blocks.Len(), Tokens: v.blocks.Weight(), Speculative: len(v.spec), PeakPerS: v.peak}
+	if v.lost {
+		s.For = clk.Since(v.since)
+	}
+	return s
+}
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -30,6 +30,7 @@
 	reused   = note.Counter("link.reused")
 	surplus  = note.Counter("link.surplus")
 	mistaken = note.Counter("link.mistaken")
+	bytesOut = note.Counter("link.bytes-out")
 )
 
 // Conn is a connection to a replica.
@@ -77,6 +78,7 @@
 func (k *Conn) Put(b []byte, deadline clk.Tick) (whole bool, err error) {
 	_ = k.c.SetDeadline(deadline.Deadline())
 	n, err := k.c.Write(b)
+	bytesOut.Add(int64(n))
 	return n == len(b), err
 }
 
--- a/internal/pick/audit.go
+++ b/internal/pick/audit.go
@@ -2,6 +2,8 @@
 
 import (
 	"spoolswitch/internal/clk"
+	"spoolswitch/internal/evidence"
+	"spoolswitch/internal/kvindex"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/word"
 )
@@ -47,101 +49,133 @@
 	weightsMoved  = note.Counter("drift.weights")
 )
 
-func (r *Rep) promise(c Chain, want int64, now clk.Tick) Promise {
-	p := Promise{Used: now, At: now}
-	for _, l := range c {
-		k, ok := r.kept.get(l.Hash)
-		if !ok {
-			break
-		}
-		p.Tokens += l.Tokens
-		p.Used = min(p.Used, k.used)
-	}
+func (r *Rep) promise(c kvindex.Chain, want int64, now clk.Tick) Promise {
+	p := Promise{At: now}
+	p.Tokens, p.Used = r.view.Promise(c)
 	p.Unread = max(0, max(want, c.Tokens())-p.Tokens)
 	return p
 }
 
-// Judge takes in how long after the sending an answer began. It returns what
-// other relays should be told, if the record turns out to have drifted.
-func (f *Fleet) Judge(r *Rep, p Promise, took clk.Span) (Drift, bool) {
+// Sent numbers the attempt that has just been sent to r.
+func (f *Fleet) Sent(r *Rep, a *Ask) { a.attempt = r.stream.Sent() }
+
+// Read says that the answer to an attempt has begun, so that the replica has
+// read the prompt and keeps it; took is how long that was after the sending,
+// or less than 0 if it says nothing. It returns what other relays should be
+// told, if the view turns out to have drifted.
+func (f *Fleet) Read(r *Rep, a *Ask, took clk.Span) (Drift, bool) {
+	t := a.attempt
+	if t == nil {
+		return Drift{}, false
+	}
+	var es []kvindex.Event
+	d, tell := Drift{}, false
+	if took >= 0 && len(a.Chain) > 0 && a.Tokens > 0 {
+		d, es, tell = f.judge(r, a.Promise, took)
+	}
+	if len(a.Chain) > 0 {
+		es = append(es, kvindex.Event{Kind: kvindex.BlockStored, Grade: kvindex.Inferred, Blocks: a.Chain})
+	}
+	t.Settle(evidence.Read, es...)
+	return d, tell
+}
+
+// Settle says what is known of an attempt that brought no answer. What was
+// never sent has no attempt.
+func (f *Fleet) Settle(a *Ask, o evidence.Outcome) {
+	if a.attempt != nil {
+		a.attempt.Settle(o)
+	}
+}
+
+// judge takes in how long after the sending an answer began. It returns the
+// removals that a drift means.
+func (f *Fleet) judge(r *Rep, p Promise, took clk.Span) (Drift, []kvindex.Event, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	ms := float64(took) / float64(clk.Millisecond)
 	if r.load.Waiting > 0 || r.pend > 0 {
-		return Drift{}, false
+		return Drift{}, nil, false
 	}
 	a := &r.audit
 	if p.Tokens*worthShare < p.Unread {
 		a.pace.see(float64(p.Unread), ms)
-		return Drift{}, false
+		return Drift{}, nil, false
 	}
 	base, per, spread, ok := a.pace.line()
 	lost := per * float64(p.Tokens)
 	if !ok || lost < plain*spread {
-		return Drift{}, false
+		return Drift{}, nil, false
 	}
 	if ms <= base+per*float64(p.Unread)+lost/2 {
 		promiseKept.Add(1)
 		a.proof = max(0, a.proof-proofBack)
 		full := f.capacity(r.Service)
-		r.kept.bound(min(full, r.kept.most+full/growShare))
-		return Drift{}, false
+		r.view.Bound(min(full, r.view.Capacity()+full/growShare))
+		return Drift{}, nil, false
 	}
 	promiseBroken.Add(1)
 	if h := p.At.Sub(p.Used); a.proof == 0 || h < a.horizon {
 		a.horizon = h
 	}
 	if a.proof++; a.proof < proofMost {
-		return Drift{}, false
+		return Drift{}, nil, false
 	}
 	d := Drift{r.ID, a.horizon}
 	a.proof = 0
-	f.mend(r, d.Horizon)
+	es := f.mend(r, d.Horizon)
 	driftFound.Add(1)
 	if a.told != 0 && clk.Since(a.told) < tellPause {
-		return d, false
+		return d, es, false
 	}
 	a.told = clk.Now()
-	return d, true
+	return d, es, true
 }
 
-func (f *Fleet) mend(r *Rep, h clk.Span) {
-	now := clk.Now()
-	for {
-		k, c, ok := r.kept.oldest()
-		if !ok || now.Sub(c.used) < h {
-			break
-		}
-		r.kept.remove(k)
-	}
-	r.kept.bound(max(f.capacity(r.Service)/shrinkMost, r.kept.weight))
-	note.State("record mended", "replica", r.ID, "unused for", h, "kept", r.kept.weight)
+func (f *Fleet) mend(r *Rep, h clk.Span) []kvindex.Event {
+	old := r.view.Unused(h)
+	var n int64
+	for _, b := range old {
+		n += b.Tokens
+	}
+	r.view.Bound(max(f.capacity(r.Service)/shrinkMost, r.view.Tokens()-n))
+	note.State("view mended", "replica", r.ID, "unused for", h, "removed", len(old))
+	if len(old) == 0 {
+		return nil
+	}
+	return []kvindex.Event{{Kind: kvindex.BlockRemoved, Grade: kvindex.Inferred, Blocks: old}}
 }
 
 // Mend takes in what another relay found, age ago.
 func (f *Fleet) Mend(d Drift, age clk.Span) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	r := f.reps[d.Replica]
 	if r == nil || d.Horizon < 0 || age < 0 {
+		f.mu.Unlock()
 		return
 	}
 	driftTold.Add(1)
 	r.audit.told = clk.Now()
-	f.mend(r, d.Horizon+age)
+	es := f.mend(r, d.Horizon+age)
+	f.mu.Unlock()
+	r.stream.Tell(es...)
 }
 
 // Weights takes in which weights an answer came from. What was kept for others
 // is of no use.
-func (f *Fleet) Weights(r *Rep, v string) {
+func (f *Fleet) Weights(r *Rep, a *Ask, v string) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	if v == r.audit.weights {
+	old := r.audit.weights
+	r.audit.weights = v
+	f.mu.Unlock()
+	if old == "" || v == old {
 		return
 	}
-	if r.audit.weights != "" {
-		weightsMoved.Add(1)
-		r.kept = newLRU[part](r.kept.most)
+	weightsMoved.Add(1)
+	e := kvindex.Event{Kind: kvindex.AllBlocksCleared, Grade: kvindex.Inferred}
+	if a != nil && a.attempt != nil {
+		a.attempt.Add(e)
+		return
 	}
-	r.audit.weights = v
+	r.stream.Tell(e)
 }
--- a/internal/pick/audit_test.go
+++ b/internal/pick/audit_test.go
@@ -8,32 +8,34 @@
 	"github.com/matryer/is"
 
 	"spoolswitch/internal/clk"
+	"spoolswitch/internal/kvindex"
+	"spoolswitch/internal/lru"
 	"spoolswitch/internal/word"
 )
 
 // engine is a replica that keeps parts, with a room of its own, and tells of
 // that only by how soon it answers.
 type engine struct {
-	kept *lru[int64]
+	kept *lru.Cache[int64]
 	rnd  *rand.Rand
 }
 
 func newEngine(room int64) *engine {
-	return &engine{newLRU[int64](room), rand.New(rand.NewPCG(1, 2))}
+	return &engine{lru.New[int64](room), rand.New(rand.NewPCG(1, 2))}
 }
 
 // read reads a prompt and tells how long that takes.
-func (e *engine) read(c Chain) clk.Span {
+func (e *engine) read(c kvindex.Chain) clk.Span {
 	var n int64
 	hit := true
 	for _, l := range c {
-		_, ok := e.kept.get(l.Hash)
+		_, ok := e.kept.Get(l.Hash)
 		if hit = hit && ok; !hit {
 			n += l.Tokens
 		}
 	}
 	for i := len(c) - 1; i >= 0; i-- {
-		e.kept.put(c[i].Hash, c[i].Tokens, c[i].Tokens)
+		e.kept.Put(c[i].Hash, c[i].Tokens, c[i].Tokens)
 	}
 	noise := 0.9 + 0.2*e.rnd.Float64()
 	return clk.Span(float64(n) * noise * float64(clk.Millisecond) / 100)
@@ -41,8 +43,8 @@
 
 // stale counts the promises of a record that its engine does not hold.
 func stale(r *Rep, e *engine) (n int) {
-	for h := range r.kept.at {
-		if _, ok := e.kept.get(h); !ok {
+	for _, b := range r.view.Unused(0) {
+		if _, ok := e.kept.Get(b.Hash); !ok {
 			n++
 		}
 	}
@@ -75,10 +77,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	w.f.Sent(r, a)
 	took := w.e[r.ID].read(c)
 	w.sim.Move(took + 10*clk.Millisecond)
 	w.f.Begun(r, a.Tokens)
-	if d, ok := w.f.Judge(r, a.Promise, took); ok {
+	if d, ok := w.f.Read(r, a, took); ok {
 		w.told = append(w.told, d)
 	}
 	w.f.Done(r, Fine)
@@ -92,14 +95,14 @@
 		w.turn(t, i%8)
 	}
 	is.Equal(len(w.told), 0)
-	is.Equal(w.f.reps["i-0"].kept.most, int64(10000))
+	is.Equal(w.f.reps["i-0"].view.Capacity(), int64(10000))
 }
 
 // A replica that keeps far less than it says, or loses what it kept, is found
 // out, and the record comes close to what is really kept.
 func TestDriftIsFoundAndMended(t *testing.T) {
 	for name, lose := range map[string]func(w *world){
-		"less room": func(w *world) { w.e["i-0"].kept.bound(2500) },
+		"less room": func(w *world) { w.e["i-0"].kept.Bound(2500) },
 		"all lost":  func(w *world) { w.e["i-0"] = newEngine(1500) },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -133,8 +136,10 @@
 	r := f.reps["i-0"]
 	never := func(uint64) bool { return false }
 	f.Mend(Drift{"i-0", 5 * clk.Second}, 0)
-	is.Equal(r.overlap(chain(t, "a:100,b:200"), never), int64(0))
-	is.Equal(r.overlap(chain(t, "c:100,d:200"), never), int64(300))
+	n, _ := r.overlap(chain(t, "a:100,b:200"), never)
+	is.Equal(n, int64(0))
+	n, _ = r.overlap(chain(t, "c:100,d:200"), never)
+	is.Equal(n, int64(300))
 	f.Mend(Drift{"i-9", clk.Second}, 0) // of a replica that is not known
 }
 
@@ -142,10 +147,10 @@
 	is := is.New(t)
 	f, _ := fleet(t, 1)
 	r := f.reps["i-0"]
-	f.Weights(r, "1")
+	f.Weights(r, nil, "1")
 	turn(t, f, "a:100,b:200", "1")
-	f.Weights(r, "1")
-	is.True(r.kept.weight > 0)
-	f.Weights(r, "2")
-	is.Equal(r.kept.weight, int64(0))
+	f.Weights(r, nil, "1")
+	is.True(r.view.Tokens() > 0)
+	f.Weights(r, nil, "2")
+	is.Equal(r.view.Tokens(), int64(0))
 }
--- a/internal/pick/choose.go
+++ b/internal/pick/choose.go
@@ -1,17 +1,17 @@
 package pick
 
 import (
-	"sort"
-
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
+	"spoolswitch/internal/evidence"
+	"spoolswitch/internal/kvindex"
 	"spoolswitch/internal/word"
 )
 
 // Ask is what a request wants of a replica.
 type Ask struct {
 	Service word.Service
-	Chain   Chain
+	Chain   kvindex.Chain
 	Sticky  bool
 	Tokens  int64
 	Draw    uint64
@@ -19,6 +19,8 @@
 
 	// Promise is filled by Choose.
 	Promise Promise
+
+	attempt *evidence.Attempt
 }
 
 func (a *Ask) not(id word.Replica) bool {
@@ -30,30 +32,30 @@
 	return false
 }
 
-func (f *Fleet) session(c Chain) Chain {
+func (f *Fleet) session(c kvindex.Chain) kvindex.Chain {
 	if len(c) == 0 {
 		return nil
 	}
-	if _, ok := f.seen.get(c.Last()); !ok {
-		f.seen.put(c.Last(), struct{}{}, 1)
+	if _, ok := f.seen.Get(c.Last()); !ok {
+		f.seen.Put(c.Last(), struct{}{}, 1)
 		c = c[:len(c)-1]
 	} else {
-		f.seen.put(c.Last(), struct{}{}, 1)
+		f.seen.Put(c.Last(), struct{}{}, 1)
 	}
 	for i := 0; i+1 < len(c); i++ {
-		k, ok := f.trunks.get(c[i].Hash)
+		k, ok := f.trunks.Get(c[i].Hash)
 		if !ok {
 			k = &fork{child: c[i+1].Hash}
 		} else if k.child != c[i+1].Hash {
 			k.many = true
 		}
-		f.trunks.put(c[i].Hash, k, 1)
+		f.trunks.Put(c[i].Hash, k, 1)
 	}
 	return c
 }
 
 func (f *Fleet) trunk(h uint64) bool {
-	k, ok := f.trunks.get(h)
+	k, ok := f.trunks.Get(h)
 	return ok && k.many
 }
 
@@ -67,23 +69,23 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := clk.Now()
-	var fit []*Rep
+	cold, conns := f.coldBound(a.Service), f.connShare(a.Service)
+	fit := false
+	able := f.able[:0]
 	for _, r := range f.services[a.Service] {
-		if f.open(r, a) {
-			fit = append(fit, r)
+		if !f.open(r, a) {
+			continue
 		}
-	}
-	if len(fit) == 0 {
-		return nil, code.New(code.NoReplica, "%s", a.Service)
-	}
-	share, conns := f.coldShare(a.Service), f.connShare(a.Service)
-	var able []*Rep
-	for _, r := range fit {
-		if r.up(now) && r.spare(now, share) && r.running < conns && !r.full(now) {
+		fit = true
+		if r.up(now) && f.spare(r, now, cold) && r.running < conns && !r.full(now) {
 			able = append(able, r)
 		}
 	}
-	var s Chain
+	f.able = able
+	if !fit {
+		return nil, code.New(code.NoReplica, "%s", a.Service)
+	}
+	var s kvindex.Chain
 	if a.Sticky {
 		s = f.session(a.Chain)
 	}
@@ -100,27 +102,40 @@
 	r.since++
 	r.pend += a.Tokens
 	r.sent = append(r.sent, now)
+	a.attempt = nil
 	a.Promise = r.promise(a.Chain, a.Tokens, now)
-	r.took(a.Chain, now)
+	if len(s) > 0 {
+		f.Desk.Index.Lookup(r.stream.Epoch, a.Chain, s.Tokens())
+	}
+	r.view.Speculate(a.Chain)
 	return r, nil
 }
 
-func (f *Fleet) bound(a *Ask, s Chain, able []*Rep, now clk.Tick) *Rep {
+// best is the first of an order of replicas that is never made whole.
+type best struct {
+	rep   *Rep
+	score int64
+	rank  uint64
+}
+
+func (b *best) see(r *Rep, score int64, rank uint64) {
+	if b.rep == nil || score > b.score || score == b.score && rank > b.rank {
+		b.rep, b.score, b.rank = r, score, rank
+	}
+}
+
+// bound places a turn of a session. Candidates are ordered by the overlap that
+// the index trusts, then by rendezvous. A replica whose view is in quarantine
+// has no overlap, and stands behind all others while it bears more than the
+// mean load.
+func (f *Fleet) bound(a *Ask, s kvindex.Chain, able []*Rep, now clk.Tick) *Rep {
 	key := s.Last()
-	order := make([]*Rep, len(able))
-	copy(order, able)
-	score := map[*Rep]int64{}
-	for _, r := range order {
-		score[r] = r.overlap(s, f.trunk)
-	}
-	sort.Slice(order, func(i, j int) bool {
-		x, y := order[i], order[j]
-		if score[x] != score[y] {
-			return score[x] > score[y]
-		}
-		return rank(key, x.ID) > rank(key, y.ID)
-	})
-	b, ok := f.sessions.get(key)
+	sum := 0
+	for _, r := range able {
+		sum += r.press(now)
+	}
+	most := 3*sum/len(able) + 10
+	b, ok := f.sessions.Get(key)
 	if ok && now.Sub(b.used) >= f.Idle {
 		ok = false
 		reaped.Add(1)
@@ -135,21 +150,35 @@
 		b = &binding{}
 	}
 	b.used, b.size = now, s.Tokens()
-	f.sessions.put(key, b, 1)
-	if ok {
-		for i, r := range order {
-			if r.ID == b.rep {
-				copy(order[1:i+1], order[:i])
-				order[0] = r
-				break
+	f.sessions.Put(key, b, 1)
+	var first, cool best
+	for _, r := range able {
+		p := r.press(now)
+		if ok && r.ID == b.rep {
+			if p <= most {
+				followed.Add(1)
+				return r
 			}
+			first = best{r, 1 << 62, 0}
+			continue
 		}
+		score, trusted := r.overlap(s, f.trunk)
+		if !trusted && p*len(able) > sum {
+			score = -1
+		}
+		first.see(r, score, r.rank(key))
+		if p <= most {
+			cool.see(r, score, r.rank(key))
+		}
+	}
+	r := cool.rep
+	if r == nil {
+		r = first.rep
 	}
-	r := f.cool(order, now)
 	switch {
 	case !ok:
 		bound.Add(1)
-		b.rep = order[0].ID
+		b.rep = first.rep.ID
 	case r.ID == b.rep:
 		followed.Add(1)
 	default:
@@ -158,20 +187,6 @@
 	return r
 }
 
-func (f *Fleet) cool(order []*Rep, now clk.Tick) *Rep {
-	sum := 0
-	for _, r := range order {
-		sum += r.press(now)
-	}
-	most := 3*sum/len(order) + 10
-	for _, r := range order {
-		if r.press(now) <= most {
-			return r
-		}
-	}
-	return order[0]
-}
-
 func (f *Fleet) least(a *Ask, able []*Rep, now clk.Tick) *Rep {
 	cost := func(r *Rep) float64 {
 		c := float64(r.press(now)) / float64(max(1, r.Slots))
@@ -183,7 +198,7 @@
 	best, low := able[0], 0.0
 	for i, r := range able {
 		c := cost(r)
-		if i == 0 || c < low || (c == low && rank(a.Draw, r.ID) > rank(a.Draw, best.ID)) {
+		if i == 0 || c < low || (c == low && r.rank(a.Draw) > best.rank(a.Draw)) {
 			best, low = r, c
 		}
 	}
--- a/internal/pick/choose_test.go
+++ b/internal/pick/choose_test.go
@@ -9,6 +9,7 @@
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
 	"spoolswitch/internal/conf"
+	"spoolswitch/internal/kvindex"
 	"spoolswitch/internal/list"
 	"spoolswitch/internal/word"
 )
@@ -33,9 +34,9 @@
 	return f, sim
 }
 
-func chain(t *testing.T, s string) Chain {
+func chain(t *testing.T, s string) kvindex.Chain {
 	t.Helper()
-	c, err := ReadChain("m", s)
+	c, err := kvindex.ReadChain("m", s)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -45,10 +46,13 @@
 // turn sends one turn of a session whose own part is named own, and ends it.
 func turn(t *testing.T, f *Fleet, prefix, own string) word.Replica {
 	t.Helper()
-	r, err := f.Choose(&Ask{Service: "s", Sticky: true, Chain: chain(t, prefix+","+own+":50"), Tokens: 50})
+	a := &Ask{Service: "s", Sticky: true, Chain: chain(t, prefix+","+own+":50"), Tokens: 50}
+	r, err := f.Choose(a)
 	if err != nil {
 		t.Fatal(err)
 	}
+	f.Sent(r, a)
+	f.Read(r, a, -1)
 	f.Done(r, Fine)
 	return r.ID
 }
@@ -210,6 +214,52 @@
 	}
 }
 
+// With more relays than a cold replica may get requests, some use it and the
+// bound holds for each of many replicas.
+func TestColdBoundOfMany(t *testing.T) {
+	is := is.New(t)
+	_, sim := fleet(t, 1)
+	const relays, reps = 370, 60
+	got := make([]int, reps)
+	for i := range relays {
+		f := NewFleet("z", clk.Second)
+		f.Self = word.Node(fmt.Sprintf("relay-%d", i))
+		f.Overrun, f.Slack = 1.5, 5
+		f.Configured(&conf.Table{Services: map[word.Service]*conf.Service{"s": {Name: "s", ColdPerS: 20}}})
+		f.Relays(relays)
+		rs := replicas(reps, "z")
+		for j := range rs {
+			rs[j].ColdMs = 5000
+		}
+		f.Listed(rs, 0)
+		for range 2 * reps {
+			a := &Ask{Service: "s"}
+			for {
+				r, err := f.Choose(a)
+				if err != nil {
+					break
+				}
+				got[index(r.ID)]++
+				f.Done(r, Fine)
+			}
+		}
+	}
+	used := 0
+	for _, n := range got {
+		is.True(n <= 35)
+		if n > 0 {
+			used++
+		}
+	}
+	is.True(used > reps*9/10)
+	sim.Move(clk.Second)
+}
+
+func index(id word.Replica) (n int) {
+	_, _ = fmt.Sscanf(string(id), "i-%d", &n)
+	return
+}
+
 func TestNobodyLeft(t *testing.T) {
 	is := is.New(t)
 	f, _ := fleet(t, 1)
@@ -248,7 +298,8 @@
 	}
 	_, tokens := f.Gauges()
 	is.True(tokens <= 10000)
-	is.True(f.reps["i-0"].overlap(chain(t, "a:100,b:200"), func(uint64) bool { return false }) == 300) // used last, kept
+	n, _ := f.reps["i-0"].overlap(chain(t, "a:100,b:200"), func(uint64) bool { return false })
+	is.Equal(n, int64(300)) // used last, kept
 }
 
 // Until it is told how many relays there are, a relay takes them for many.
--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -1,13 +1,18 @@
+// Package pick chooses the replica of a request: the session design.
 package pick
 
 import (
+	"math"
 	"sort"
 	"sync"
 
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/conf"
+	"spoolswitch/internal/evidence"
+	"spoolswitch/internal/kvindex"
 	"spoolswitch/internal/link"
 	"spoolswitch/internal/list"
+	"spoolswitch/internal/lru"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/word"
 )
@@ -18,6 +23,10 @@
 	Idle    clk.Span
 	Overrun float64
 	Slack   float64
+	// Desk holds the evidence of what replicas keep, and the index over it.
+	Desk *evidence.Desk
+	// Self names this relay.
+	Self word.Node
 
 	mu       sync.Mutex
 	reps     map[word.Replica]*Rep
@@ -25,10 +34,11 @@
 	confs    map[word.Service]*conf.Service
 	evac     map[word.Zone]bool
 	relays   int
-	sessions *lru[*binding]
-	seen     *lru[struct{}]
-	trunks   *lru[*fork]
+	sessions *lru.Cache[*binding]
+	seen     *lru.Cache[struct{}]
+	trunks   *lru.Cache[*fork]
 	listed   bool
+	able     []*Rep
 }
 
 type binding struct {
@@ -59,9 +69,9 @@
 
 // NewFleet makes an empty fleet.
 func NewFleet(z word.Zone, idle clk.Span) *Fleet {
-	return &Fleet{Zone: z, Idle: idle, relays: relaysMany, reps: map[word.Replica]*Rep{}, services: map[word.Service][]*Rep{},
-		confs: map[word.Service]*conf.Service{}, evac: map[word.Zone]bool{}, sessions: newLRU[*binding](sessionsMost),
-		seen: newLRU[struct{}](seenMost), trunks: newLRU[*fork](seenMost)}
+	return &Fleet{Zone: z, Idle: idle, relays: relaysMany, Desk: evidence.NewDesk(), reps: map[word.Replica]*Rep{}, services: map[word.Service][]*Rep{},
+		confs: map[word.Service]*conf.Service{}, evac: map[word.Zone]bool{}, sessions: lru.New[*binding](sessionsMost),
+		seen: lru.New[struct{}](seenMost), trunks: lru.New[*fork](seenMost)}
 }
 
 // Listed takes a new list in, read age ago.
@@ -77,7 +87,13 @@
 			if rep != nil {
 				shut = append(shut, rep)
 			}
-			rep = &Rep{Replica: r, Pool: &link.Pool{Addr: r.Addr}, kept: newLRU[part](f.capacity(r.Service))}
+			rep = &Rep{Replica: r, Pool: &link.Pool{Addr: r.Addr}, hash: hashed(string(r.ID))}
+			if old := f.reps[r.ID]; old != nil {
+				f.Desk.Close(old.stream.Epoch)
+			}
+			rep.stream = f.Desk.Open(kvindex.Epoch{Publisher: kvindex.Publisher{Service: r.Service, Addr: r.Addr}, Life: r.ID})
+			rep.view = rep.stream.View
+			rep.view.Bound(f.capacity(r.Service))
 			f.reps[r.ID] = rep
 		}
 		rep.State, rep.Slots, rep.Models, rep.Version = r.State, r.Slots, r.Models, r.Version
@@ -89,6 +105,7 @@
 		if !have[id] {
 			rep.gone = true
 			shut = append(shut, rep)
+			f.Desk.Close(rep.stream.Epoch)
 			delete(f.reps, id)
 		}
 	}
@@ -123,7 +140,7 @@
 	defer f.mu.Unlock()
 	f.confs = t.Services
 	for _, r := range f.reps {
-		r.kept.bound(f.capacity(r.Service))
+		r.view.Bound(f.capacity(r.Service))
 	}
 }
 
@@ -179,12 +196,28 @@
 	return f.listed
 }
 
-func (f *Fleet) coldShare(s word.Service) int {
+// coldBound is what all relays together may send to a cold replica in a second.
+func (f *Fleet) coldBound(s word.Service) float64 {
 	c := f.confs[s]
 	if c == nil || c.ColdPerS <= 0 {
-		return 1 << 30
+		return 1 << 40
+	}
+	return (c.ColdPerS*f.Overrun + f.Slack) * 0.9
+}
+
+// coldShare is this relay's part of the bound. Where there are more relays than
+// the bound has requests, so few draw one request each, by a hash of relay and
+// replica, that more than the bound is as good as impossible: the mean lies six
+// standard deviations below it.
+func (f *Fleet) coldShare(r *Rep, bound float64) int {
+	if n := int(bound / float64(f.relays)); n > 0 {
+		return n
+	}
+	root := (math.Sqrt(36+4*bound) - 6) / 2
+	if float64(mix(r.hash^hashed(string(f.Self)))>>11)/(1<<53) < root*root/float64(f.relays) {
+		return 1
 	}
-	return int((c.ColdPerS*f.Overrun + f.Slack) * 0.9 / float64(f.relays))
+	return 0
 }
 
 func (f *Fleet) connShare(s word.Service) int {
@@ -201,9 +234,9 @@
 	defer f.mu.Unlock()
 	f.reap(clk.Now())
 	for _, r := range f.reps {
-		tokens += r.kept.weight
+		tokens += r.view.Tokens()
 	}
-	return f.sessions.len(), tokens
+	return f.sessions.Len(), tokens
 }
 
 // Reap drops idle bindings.
@@ -215,11 +248,11 @@
 
 func (f *Fleet) reap(now clk.Tick) {
 	for {
-		k, b, ok := f.sessions.oldest()
+		k, b, ok := f.sessions.Oldest()
 		if !ok || now.Sub(b.used) < f.Idle {
 			return
 		}
-		f.sessions.remove(k)
+		f.sessions.Remove(k)
 		reaped.Add(1)
 	}
 }
--- a/internal/pick/health.go
+++ b/internal/pick/health.go
@@ -87,5 +87,4 @@
 	d := min(downFirst<<min(r.fails, 4), downMost)
 	r.fails++
 	r.down = now.Add(d)
-	r.kept = newLRU[part](r.kept.most)
 }
--- a/internal/pick/rep.go
+++ b/internal/pick/rep.go
@@ -1,7 +1,11 @@
 package pick
 
 import (
+	"hash/fnv"
+
 	"spoolswitch/internal/clk"
+	"spoolswitch/internal/evidence"
+	"spoolswitch/internal/kvindex"
 	"spoolswitch/internal/link"
 	"spoolswitch/internal/list"
 	"spoolswitch/internal/word"
@@ -28,15 +32,12 @@
 	downAt  clk.Tick
 	gone    bool
 	sent    []clk.Tick
-	kept    *lru[part]
+	stream  *evidence.Stream
+	view    *kvindex.View
+	hash    uint64
 	audit   audit
 }
 
-type part struct {
-	tokens int64
-	used   clk.Tick
-}
-
 const (
 	loadFresh = 1500 * clk.Millisecond
 	downFirst = 400 * clk.Millisecond
@@ -65,34 +66,42 @@
 
 func (r *Rep) isCold(now clk.Tick) bool { return now < r.cold }
 
-func (r *Rep) spare(now clk.Tick, share int) bool {
+func (f *Fleet) spare(r *Rep, now clk.Tick, bound float64) bool {
 	i := 0
 	for i < len(r.sent) && now.Sub(r.sent[i]) > coldSpan {
 		i++
 	}
 	r.sent = r.sent[i:]
-	return !r.isCold(now) || len(r.sent) < share
+	return !r.isCold(now) || len(r.sent) < f.coldShare(r, bound)
 }
 
-func (r *Rep) overlap(c Chain, trunk func(uint64) bool) int64 {
-	var n int64
-	for _, l := range c {
-		if _, ok := r.kept.get(l.Hash); !ok {
-			break
-		}
-		if !trunk(l.Hash) {
-			n += l.Tokens
+// overlap is how many tokens of a chain the index trusts the replica to keep.
+func (r *Rep) overlap(c kvindex.Chain, trunk func(uint64) bool) (n int64, trusted bool) {
+	k, trusted := r.view.Leading(c)
+	for _, b := range c[:k] {
+		if !trunk(b.Hash) {
+			n += b.Tokens
 		}
 	}
-	return n
+	return n, trusted
 }
 
-func (r *Rep) took(c Chain, now clk.Tick) {
-	for i := len(c) - 1; i >= 0; i-- {
-		l := c[i]
-		r.kept.put(l.Hash, part{l.Tokens, now}, max(1, l.Tokens))
-	}
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+func hashed(s string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(s))
+	return mix(h.Sum64())
 }
 
+// rank is the rendezvous rank of a replica for a key.
+func (r *Rep) rank(key uint64) uint64 { return mix(key ^ r.hash) }
+
 // Name is the replica's id.
 func (r *Rep) Name() word.Replica { return r.ID }
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -13,6 +13,7 @@
 	"spoolswitch/internal/boot"
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
+	"spoolswitch/internal/evidence"
 	"spoolswitch/internal/feed"
 	"spoolswitch/internal/keep"
 	"spoolswitch/internal/list"
@@ -49,6 +50,9 @@
 	}
 	f := pick.NewFleet(s.Zone, clk.Ms(s.Session.IdleS*1000))
 	f.Overrun, f.Slack = s.Bounds.ColdOverrun, s.Bounds.ColdSlack
+	f.Self = s.Node
+	f.Desk.Index.SpeculativeFirst = clk.Ms(s.Index.SpeculativeMs)
+	f.Desk.Bounds(evidence.Sizing{Steps: s.Index.Steps(), Total: s.ReplayMost()}, s.Index.Proofs)
 	v := &View{Fleet: f}
 	b := &pick.Budget{Ratio: s.Bounds.RetryBudgetRatio, Slack: s.Bounds.RetrySlack,
 		Window: clk.Ms(s.Bounds.RetryWindowS * 1000), Shares: f.Share}
@@ -117,6 +121,7 @@
 	d.mu.Lock()
 	d.s = s
 	d.mu.Unlock()
+	d.Relay.Fleet.Desk.Bounds(evidence.Sizing{Steps: s.Index.Steps(), Total: s.ReplayMost()}, s.Index.Proofs)
 	d.Relay.Fleet.Bounds(s.Bounds.ColdOverrun, s.Bounds.ColdSlack, clk.Ms(s.Session.IdleS*1000))
 	d.Relay.Budget.Bounds(s.Bounds.RetryBudgetRatio, s.Bounds.RetrySlack, clk.Ms(s.Bounds.RetryWindowS*1000))
 }
@@ -173,6 +178,17 @@
 	r := &keep.Report{Node: d.Tail.Self, Role: "relay", Zone: d.Tail.Zone, Sure: d.Tail.Fresh(cutAfter), Keeper: at, Feed: num,
 		Owners: places, Applied: v.Applied(), Counts: note.Map(), Gauges: map[string]float64{
 			"sessions": float64(sessions), "held_tokens": float64(tokens), "active": float64(d.Relay.Active()), "relays": float64(v.Fleet.Share())}}
+	x := v.Fleet.Desk.Index
+	r.Gauges["kv.quarantined"] = float64(x.Quarantined())
+	for q, name := range map[float64]string{0.5: "p50", 0.95: "p95", 0.99: "p99"} {
+		if d, ok := x.Latency.At(q); ok {
+			r.Gauges["kv.route-to-store-ms."+name] = float64(d / clk.Millisecond)
+		}
+	}
+	for _, s := range x.Status() {
+		old, _ := v.Fleet.Desk.Oldest(s.Epoch)
+		r.Streams = append(r.Streams, keep.Stream{Status: s, Oldest: old})
+	}
 	if t := v.Table(); t != nil {
 		r.Version = t.Version
 		for s := range t.Services {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -14,8 +14,10 @@
 
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/conf"
+	"spoolswitch/internal/evidence"
 	"spoolswitch/internal/head"
 	"spoolswitch/internal/keep"
+	"spoolswitch/internal/kvindex"
 	"spoolswitch/internal/link"
 	"spoolswitch/internal/list"
 	"spoolswitch/internal/pick"
@@ -608,3 +610,31 @@
 	is.NoErr(err)
 	is.Equal(a.Status, 200)
 }
+
+// All replicas are in quarantine: every request is still answered, once.
+func TestAllQuarantined(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, standin.Stream(2, 0), standin.Stream(2, 0))
+	for i := range 40 {
+		for j, r := range g.reps {
+			e := kvindex.Epoch{Publisher: kvindex.Publisher{Service: "s", Addr: r.Addr}, Life: word.Replica(fmt.Sprintf("i-%d", j))}
+			g.r.Fleet.Desk.Open(e).Sent().Settle(evidence.Unseen)
+		}
+		is.Equal(g.r.Fleet.Desk.Index.Quarantined(), len(g.reps))
+		r, err := g.ask("/stream/", fmt.Sprintf("id%d", i), fmt.Sprintf("Prompt-Prefix: a:10,%x:500,%x:40", i%6, 1000+i), "Token-Counts: 550,10")
+		is.NoErr(err)
+		is.True(r.Whole)
+		is.Equal(r.Body, events(1, 2))
+	}
+	seen := map[string]int{}
+	for _, r := range g.reps {
+		is.True(len(r.Got()) > 0) // none is left alone for it
+		for _, got := range r.Got() {
+			seen[got.ID]++
+		}
+	}
+	is.Equal(len(seen), 40)
+	for _, n := range seen {
+		is.Equal(n, 1)
+	}
+}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -10,6 +10,7 @@
 	"spoolswitch/internal/code"
 	"spoolswitch/internal/conf"
 	"spoolswitch/internal/head"
+	"spoolswitch/internal/kvindex"
 	"spoolswitch/internal/link"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/pick"
@@ -117,7 +118,7 @@
 		n.urgency = n.r.sizes.Urgency(n.ask.Service, in)
 	}
 	if rt.Affinity {
-		c, err := pick.ReadChain(string(n.Head.Field(head.Model)), string(n.Head.Field(head.Prefix)))
+		c, err := kvindex.ReadChain(string(n.Head.Field(head.Model)), string(n.Head.Field(head.Prefix)))
 		if err != nil {
 			return err
 		}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -7,6 +7,7 @@
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
 	"spoolswitch/internal/conf"
+	"spoolswitch/internal/evidence"
 	"spoolswitch/internal/head"
 	"spoolswitch/internal/link"
 	"spoolswitch/internal/note"
@@ -51,6 +52,7 @@
 		}
 		before := n.sends
 		v, o := n.try(rep)
+		n.r.Fleet.Settle(&n.ask, seen(o))
 		n.r.Fleet.Done(rep, o)
 		switch v {
 		case over:
@@ -82,6 +84,15 @@
 	}
 }
 
+// seen is what an outcome says of what the replica keeps, where its answer has
+// not said so.
+func seen(o pick.Outcome) evidence.Outcome {
+	if o == pick.Refused || o == pick.Stranger || o == pick.Unreached {
+		return evidence.NotRun
+	}
+	return evidence.Unseen
+}
+
 func (n *Request) pick() (*pick.Rep, error) {
 	h := n.r.queue
 	var err error = code.New(code.QueueFull, "%s", n.ask.Service)
@@ -161,6 +172,7 @@
 	}
 	n.sends++
 	sent := clk.Now()
+	n.r.Fleet.Sent(rep, &n.ask)
 	if err != nil {
 		rep.Pool.Drop(c)
 		return mayHave, pick.Broke
@@ -178,7 +190,7 @@
 		a.Framing = head.Framing{}
 	}
 	if v := a.Field(head.Weights); len(v) > 0 {
-		n.r.Fleet.Weights(rep, string(v))
+		n.r.Fleet.Weights(rep, &n.ask, string(v))
 	}
 	if a.None {
 		rep.Pool.Drop(c)
@@ -239,6 +251,9 @@
 		rep.Pool.Drop(c)
 		return n.broke(err)
 	}
+	if a.Status/100 == 2 {
+		n.r.Fleet.Read(rep, &n.ask, -1)
+	}
 	n.give(rep, c, a)
 	n.finish()
 	b := a.Append(make([]byte, 0, len(body)+512), len(body), n.last)
@@ -319,10 +334,7 @@
 }
 
 func (n *Request) judge(rep *pick.Rep, took clk.Span) {
-	if len(n.ask.Chain) == 0 || n.ask.Tokens == 0 {
-		return
-	}
-	if d, ok := n.r.Fleet.Judge(rep, n.ask.Promise, took); ok && n.r.Tell != nil {
+	if d, ok := n.r.Fleet.Read(rep, &n.ask, took); ok && n.r.Tell != nil {
 		n.r.Tell(d)
 	}
 }
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -10,6 +10,7 @@
 
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
+	"spoolswitch/internal/note"
 	"spoolswitch/internal/spawn"
 	"spoolswitch/internal/word"
 )
@@ -30,15 +31,37 @@
 	dec *gob.Decoder
 }
 
+// metered counts what goes between daemons.
+type metered struct{ net.Conn }
+
+var (
+	bytesIn  = note.Counter("wire.bytes-in")
+	bytesOut = note.Counter("wire.bytes-out")
+	sent     = note.Counter("wire.sent")
+)
+
+func (m metered) Read(b []byte) (int, error) {
+	n, err := m.Conn.Read(b)
+	bytesIn.Add(int64(n))
+	return n, err
+}
+
+func (m metered) Write(b []byte) (int, error) {
+	n, err := m.Conn.Write(b)
+	bytesOut.Add(int64(n))
+	return n, err
+}
+
 func newPipe[M any](c net.Conn) *pipe[M] {
-	w := bufio.NewWriterSize(c, 2048)
-	return &pipe[M]{c: c, w: w, enc: gob.NewEncoder(w), dec: gob.NewDecoder(bufio.NewReaderSize(c, 2048))}
+	w := bufio.NewWriterSize(metered{c}, 2048)
+	return &pipe[M]{c: c, w: w, enc: gob.NewEncoder(w), dec: gob.NewDecoder(bufio.NewReaderSize(metered{c}, 2048))}
 }
 
 func (p *pipe[M]) put(f *Frame[M]) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_ = p.c.SetWriteDeadline(clk.Now().Add(silent).Deadline())
+	sent.Add(1)
 	if err := p.enc.Encode(f); err != nil {
 		return err
 	}
