--- a/cmd/spoolctl/main.go
+++ b/cmd/spoolctl/main.go
@@ -69,6 +69,8 @@
 	}
 	s := asks("status", "Tell how all daemons are.")
 	s.Action(t.do(func() error { return t.status(trace.Wire, word.Addr(keeper), asJSON, *limit) }))
+	po := asks("pools", "Tell how replicas are divided into pools, what was counted, and the last moves.")
+	po.Action(t.do(func() error { return t.pools(trace.Wire, word.Addr(keeper), asJSON, *limit) }))
 	tr := asks("trace", "Follow one change through all daemons.")
 	version := tr.Flag("config-version", "A version of the configuration.").Int64()
 	zone := tr.Flag("evacuation", "A zone, for its evacuation.").String()
--- a/cmd/spoolctl/tool.go
+++ b/cmd/spoolctl/tool.go
@@ -14,6 +14,7 @@
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
 	"spoolswitch/internal/conf"
+	"spoolswitch/internal/keep"
 	"spoolswitch/internal/oper"
 	"spoolswitch/internal/trace"
 	"spoolswitch/internal/word"
@@ -171,6 +172,47 @@
 	return nil
 }
 
+func (t *tool) pools(ask trace.Ask, keeper word.Addr, asJSON bool, timeout clk.Span) error {
+	rs, _, err := trace.Fleet(ask, keeper, word.Plan, timeout)
+	if err != nil {
+		return err
+	}
+	plans := map[string]int{}
+	var held *keep.Report
+	for _, r := range rs {
+		switch {
+		case r.Role == "relay":
+			plans[fmt.Sprintf("%g", r.Gauges["pool.plan"])]++
+		case string(r.Holder) == string(r.Node):
+			held = r
+		}
+	}
+	if asJSON {
+		return printJSON(map[string]any{"holder": held, "relays": plans})
+	}
+	if held == nil || len(held.Pools) == 0 {
+		fmt.Println("all replicas are one pool")
+	} else {
+		fmt.Printf("planned by %s\n", held.Node)
+		for _, p := range held.Pools {
+			fmt.Printf("%s: plan %d, prefill pool of %d for requests from weight %d on, share %.2f; counted %d requests, %d prompt tokens, %d output tokens\n  why: %s\n  %v\n",
+				p.Service, p.Plan, len(p.Prefill), p.Heavy, p.Share, p.Requests, p.PromptTokens, p.OutTokens, p.Why, p.Prefill)
+		}
+		for _, m := range held.Moves {
+			fmt.Println("moved " + m)
+		}
+	}
+	var ps []string
+	for p := range plans {
+		ps = append(ps, p)
+	}
+	sort.Strings(ps)
+	for _, p := range ps {
+		fmt.Printf("plan %s is in force at %d relays\n", p, plans[p])
+	}
+	return nil
+}
+
 func sorted(m map[word.Key]word.Place) []string {
 	var out []string
 	for k := range m {
--- a/internal/boot/settings.go
+++ b/internal/boot/settings.go
@@ -75,6 +75,7 @@
 	Platform  Platform          `toml:"platform-api"`
 	Calendar  Calendar          `toml:"calendar"`
 	Index     Index             `toml:"kv-index"`
+	Pool      Pool              `toml:"pool"`
 	Session   Session           `toml:"session"`
 }
 
@@ -105,6 +106,19 @@
 // a sixty-fourth of the memory, at half a kilobyte each.
 func (s *Settings) ReplayMost() int { return int(s.Limits.MemoryMB << 20 / 64 / 512) }
 
+// Pool says whether replicas are divided into pools, and how they are moved:
+// by counts of a window of at least so many requests, when the split is off by
+// a part of the replicas (hysteresis), with a least part for each pool (floor)
+// and a most part that changes sides at once (moves).
+type Pool struct {
+	Enabled    bool    `toml:"enabled"`
+	WindowS    float64 `toml:"window-s" validate:"gte=1,lte=600"`
+	Hysteresis float64 `toml:"hysteresis" validate:"gt=0,lt=1"`
+	Floor      float64 `toml:"floor" validate:"gt=0,lte=0.5"`
+	Moves      float64 `toml:"moves" validate:"gt=0,lte=1"`
+	Least      int64   `toml:"least-requests" validate:"gte=1"`
+}
+
 // Session holds the defaults of the session design.
 type Session struct {
 	IdleS float64 `toml:"idle-timeout-s" validate:"gte=0"`
@@ -122,7 +136,8 @@
 
 // Parse reads and checks settings; every fault is in the errors.
 func Parse(b []byte) (*Settings, []error) {
-	s := &Settings{Index: Index{PerS: 50, OutageS: 12, CatchUpS: 3, Safety: 2, SpeculativeMs: 2000, Proofs: 3}}
+	s := &Settings{Index: Index{PerS: 50, OutageS: 12, CatchUpS: 3, Safety: 2, SpeculativeMs: 2000, Proofs: 3},
+		Pool: Pool{WindowS: 30, Hysteresis: 0.08, Floor: 0.1, Moves: 0.15, Least: 50}}
 	if err := toml.Unmarshal(b, s); err != nil {
 		return nil, []error{code.New(code.BadSettings, "%v", err)}
 	}
--- a/internal/boot/watch_test.go
+++ b/internal/boot/watch_test.go
@@ -41,6 +41,12 @@
 		_, errs = Parse([]byte(settings("a") + "[kv-index]\n" + x + "\n")) // 24,000 batches do not fit in 64 MB / 64
 		is.Equal(len(errs), 1)
 	}
+	for _, x := range []string{"window-s = 0", "hysteresis = 0", "floor = 0.6", "moves = 2", "least-requests = 0"} {
+		_, errs = Parse([]byte(settings("a") + "[pool]\n" + x + "\n"))
+		is.Equal(len(errs), 1)
+	}
+	s, errs = Parse([]byte(settings("a") + "[pool]\nenabled = true\n"))
+	is.True(len(errs) == 0 && s.Pool.Enabled && s.Pool.WindowS == 30)
 	_, errs = Parse([]byte(settings("a") + "[calendar]\nrewrite = \"often\"\n"))
 	is.Equal(len(errs), 1)
 	_, errs = Parse([]byte(settings("a") + "[calendar]\nrewrite = \"0 3 * * *\"\n"))
--- a/internal/check/house_test.go
+++ b/internal/check/house_test.go
@@ -18,7 +18,7 @@
 	{"match", "response", "disk", "head", "conf", "cal", "lru"},
 	{"wire", "boot", "kvindex"},
 	{"keep", "link", "evidence"},
-	{"feed", "list", "oper"},
+	{"feed", "list", "oper", "pool"},
 	{"pick", "trace"},
 	{"relay", "ctl"},
 	{"standin", "fleet", "proc"},
--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -72,16 +72,21 @@
 		opened.Set()
 	})
 	opened.Wait(2 * clk.Second)
+	pools := newPools(s, k, hub)
 	d.in = wire.Serve(li, func(m keep.Msg, push func(keep.Msg) error) (keep.Msg, bool) {
 		if m.Kind == keep.Trace {
 			r := k.Report(m.Key)
 			r.Feed, r.Relays, r.Counts = hub.Num(), hub.Relays(), note.Map()
+			pools.report(r)
 			return keep.Msg{OK: true, Report: r}, true
 		}
 		if m.Kind == keep.Follow {
 			hub.Follow(m, push)
 			return keep.Msg{}, false
 		}
+		if m.Kind == keep.Counts || m.Kind == keep.Fold {
+			return pools.duty.Counted(m), true
+		}
 		return k.Handle(m), true
 	})
 	d.srv = &Server{Keeper: k, Zones: s.Zones}
@@ -110,11 +115,17 @@
 		}
 	})
 	rd := &list.Reader{Addr: word.Addr(s.Platform.Address), Rate: list.Share(s.Platform.PerS, 0.5)}
-	duty := &list.Duty{Keeper: k, Read: rd.Read, Value: hub.Value, Drain: clk.Ms(s.Bounds.DrainMs)}
+	duty := &list.Duty{Duty: keep.Duty{Keeper: k, Key: word.ListDuty, Value: hub.Value}, Read: rd.Read, Drain: clk.Ms(s.Bounds.DrainMs)}
 	spawn.Every(list.Glance, func() bool {
 		duty.Step()
 		return !d.over.Load()
 	})
+	if s.Pool.Enabled {
+		spawn.Every(clk.Ms(s.Pool.WindowS*1000)/4, func() bool {
+			pools.duty.Step()
+			return !d.over.Load()
+		})
+	}
 	d.calendar(s.Calendar.Rewrite, acc)
 	note.State("keeper up", "node", self, "voting", acc.Voting())
 	return d, nil
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -163,7 +163,7 @@
 		}
 	}
 	for _, v := range h.items {
-		if v.it.Num > n && v.it.Key != word.Roster && v.it.Key != word.ListDuty {
+		if v.it.Num > n && v.it.Key != word.Roster && !v.it.Key.Duty() {
 			it := v.it
 			it.Age = clk.Since(v.since)
 			out = append(out, it)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -40,13 +40,17 @@
 	dirs    map[int]string
 	keepers map[int]*ctl.Daemon
 	relays  map[int]*relay.Daemon
+	// more is appended to everybody's settings.
+	more string
 }
 
 // fleets gives each fleet ports of its own.
 var fleets atomic.Int64
 
-func newFleet(t *testing.T, keepers, relays int) *fleet {
-	f := &fleet{t: t, base: 20000 + int(fleets.Add(1))*20, plat: standin.NewPlatform(1), dirs: map[int]string{},
+func newFleet(t *testing.T, keepers, relays int) *fleet { return newFleetOf(t, keepers, relays, "") }
+
+func newFleetOf(t *testing.T, keepers, relays int, more string) *fleet {
+	f := &fleet{t: t, more: more, base: 20000 + int(fleets.Add(1))*20, plat: standin.NewPlatform(1), dirs: map[int]string{},
 		keepers: map[int]*ctl.Daemon{}, relays: map[int]*relay.Daemon{}}
 	f.rep = standin.NewReplica("i-1", standin.Well)
 	other := standin.NewReplica("i-2", standin.Well)
@@ -103,7 +107,7 @@
 [platform-api]
 address = %q
 rate-per-s = 1000
-`, node, ip, f.base, f.base+9, f.base+10, initial, f.base+11, f.base+12, f.plat.Addr))
+`+f.more, node, ip, f.base, f.base+9, f.base+10, initial, f.base+11, f.base+12, f.plat.Addr))
 	for _, err := range errs {
 		f.t.Fatal(err)
 	}
--- a/internal/head/event.go
+++ b/internal/head/event.go
@@ -10,6 +10,8 @@
 	buf  []byte
 	Last int64
 	Seen bool
+	// N counts the events passed.
+	N int64
 }
 
 // Add adds bytes of the stream and returns those that end with a whole event
@@ -38,6 +40,7 @@
 		if ok {
 			e.Last, e.Seen = id, true
 		}
+		e.N++
 		out = append(out, ev...)
 	}
 	e.buf = append([]byte(nil), rest...)
@@ -46,7 +49,7 @@
 
 func (e *Events) split(b []byte) (out, rest []byte) {
 	rest = b
-	last, seen := e.Last, e.Seen
+	last, seen, count := e.Last, e.Seen, e.N
 	for {
 		n := end(rest)
 		if n == 0 {
@@ -55,10 +58,11 @@
 		if id, ok := ID(rest[:n]); ok {
 			last, seen = id, true
 		}
+		count++
 		rest = rest[n:]
 	}
 	if len(rest) == 0 {
-		e.Last, e.Seen = last, seen
+		e.Last, e.Seen, e.N = last, seen, count
 	}
 	return b[:len(b)-len(rest)], rest
 }
--- a/internal/keep/beat.go
+++ b/internal/keep/beat.go
@@ -152,13 +152,13 @@
 			}
 			if known.Less(mk.Known) {
 				known = mk.Known
-				if key == word.List {
+				if key.Shared() {
 					has = n
 				}
 			}
 		}
 		mine := k.Sink.Known()[key]
-		if key == word.List {
+		if key.Shared() {
 			if mine.Less(known) {
 				k.fetch(key, known, has)
 			}
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -140,6 +140,9 @@
 	return clk.Since(at) < d
 }
 
+// Heard tells whether another keeper was heard of within d.
+func (k *Keeper) Heard(n word.Node, d clk.Span) bool { return k.recent(n, d) }
+
 // Sure tells whether a majority confirmed this keeper within d.
 func (k *Keeper) Sure(d clk.Span) bool {
 	k.mu.Lock()
@@ -200,7 +203,7 @@
 		return k.digest()
 	case Fetch:
 		c := k.acc.Cell(m.Key)
-		if m.Key == word.List {
+		if m.Key.Shared() {
 			c.Val, c.At = k.Sink.Value(m.Key)
 		}
 		return Msg{OK: true, Key: m.Key, At: c.At, Val: c.Val}
--- a/internal/keep/lease.go
+++ b/internal/keep/lease.go
@@ -160,7 +160,7 @@
 		return false
 	}
 	t.held, t.at, t.val = true, at, best.Val
-	if key != word.ListDuty {
+	if !key.Duty() {
 		note.State("lease won", "key", key, "epoch", e)
 	}
 	return true
--- a/internal/keep/msg.go
+++ b/internal/keep/msg.go
@@ -26,6 +26,8 @@
 	Trace
 	Drift
 	Forward
+	Counts
+	Fold
 )
 
 // Mark is what one keeper has of one key.
@@ -110,8 +112,25 @@
 	Counts  map[string]int64
 	Gauges  map[string]float64
 	Streams []Stream
+	Pools   []Pool
+	Moves   []string
+	Holder  word.Node
 }
 
+// Pool is how the replicas of one service are divided, and what was counted last.
+type Pool struct {
+	Service                           word.Service
+	Plan                              uint64
+	Heavy                             int64
+	Prefill                           []word.Replica
+	Share                             float64
+	Why                               string
+	Requests, PromptTokens, OutTokens int64
+}
+
+// Fail answers with an error's code.
+func Fail(err error) Msg { return Msg{Code: code.Of(err), Text: err.Error()} }
+
 // Stream is how a relay's view of one replica stands, and the oldest batch that
 // could be replayed.
 type Stream struct {
--- a/internal/list/duty.go
+++ b/internal/list/duty.go
@@ -12,9 +12,8 @@
 
 // Duty is the duty of reading the list, done by one keeper at a time.
 type Duty struct {
-	Keeper *keep.Keeper
-	Read   func() ([]Replica, error)
-	Value  func(word.Key) ([]byte, word.Place)
+	keep.Duty
+	Read func() ([]Replica, error)
 	// Drain is the time after which nothing may be sent to a replica that the
 	// list shows as draining.
 	Drain clk.Span
@@ -58,13 +57,15 @@
 	if !k.Sure(d.gone()) {
 		return
 	}
-	mine, at := d.mine()
+	mine, at := d.Mine()
 	if !mine {
 		if !d.vacant(at) {
 			return
 		}
-		d.win()
-		if mine, at = d.mine(); !mine {
+		if d.Win() {
+			d.fails = 0
+		}
+		if mine, at = d.Mine(); !mine {
 			return
 		}
 	}
@@ -106,26 +107,6 @@
 	return clk.Since(d.since) >= d.wait
 }
 
-func (d *Duty) mine() (bool, word.Place) {
-	val, at := d.Value(word.ListDuty)
-	k := d.Keeper
-	return string(val) == string(k.Self) && at.Epoch.Node == k.Self && at.Epoch.Life == k.Life(), at
-}
-
-func (d *Duty) win() {
-	k := d.Keeper
-	a := k.Own(word.ListDuty, clk.Now().Add(clk.Second), func(cur []byte) ([]byte, keep.Msg) {
-		if string(cur) == string(k.Self) {
-			return nil, keep.Msg{OK: true}
-		}
-		return []byte(k.Self), keep.Msg{OK: true}
-	})
-	if a.OK {
-		d.fails = 0
-		note.State("list duty won", "node", k.Self)
-	}
-}
-
 func same(a, b []Replica, d clk.Span) bool {
 	if len(a) != len(b) {
 		return false
--- a/internal/list/duty_test.go
+++ b/internal/list/duty_test.go
@@ -43,7 +43,7 @@
 	}
 	k := keep.New("a", acc, w, w)
 	k.Round()
-	return &Duty{Keeper: k, Value: w.Value}, w, sim
+	return &Duty{Duty: keep.Duty{Keeper: k, Key: word.ListDuty, Value: w.Value}}, w, sim
 }
 
 // The list is told when it says something new, not each time that it is read.
--- a/internal/pick/audit.go
+++ b/internal/pick/audit.go
@@ -5,6 +5,7 @@
 	"spoolswitch/internal/evidence"
 	"spoolswitch/internal/kvindex"
 	"spoolswitch/internal/note"
+	"spoolswitch/internal/pool"
 	"spoolswitch/internal/word"
 )
 
@@ -24,7 +25,7 @@
 }
 
 type audit struct {
-	pace    pace
+	pace    pool.Line
 	proof   int
 	horizon clk.Span
 	weights string
@@ -38,6 +39,7 @@
 	proofBack  = 2
 	shrinkMost = 8
 	growShare  = 64
+	paceKeep   = 0.98
 	tellPause  = 5 * clk.Second
 )
 
@@ -99,10 +101,10 @@
 	}
 	a := &r.audit
 	if p.Tokens*worthShare < p.Unread {
-		a.pace.see(float64(p.Unread), ms)
+		a.pace.See(float64(p.Unread), ms, paceKeep)
 		return Drift{}, nil, false
 	}
-	base, per, spread, ok := a.pace.line()
+	base, per, spread, ok := a.pace.Fit()
 	lost := per * float64(p.Tokens)
 	if !ok || lost < plain*spread {
 		return Drift{}, nil, false
--- a/internal/pick/choose.go
+++ b/internal/pick/choose.go
@@ -14,8 +14,10 @@
 	Chain   kvindex.Chain
 	Sticky  bool
 	Tokens  int64
-	Draw    uint64
-	Not     []word.Replica
+	// Weight is filled by Choose: what tells a heavy request from the rest.
+	Weight int64
+	Draw   uint64
+	Not    []word.Replica
 
 	// Promise is filled by Choose.
 	Promise Promise
@@ -92,6 +94,10 @@
 	if len(able) == 0 {
 		return nil, code.New(code.QueueFull, "%s", a.Service)
 	}
+	a.Weight = a.Tokens
+	if len(s) > 0 {
+		a.Weight = s.Tokens()
+	}
 	var r *Rep
 	if len(s) > 0 {
 		r = f.bound(a, s, able, now)
@@ -115,17 +121,31 @@
 type best struct {
 	rep   *Rep
 	score int64
+	mine  bool
 	rank  uint64
 }
 
-func (b *best) see(r *Rep, score int64, rank uint64) {
-	if b.rep == nil || score > b.score || score == b.score && rank > b.rank {
-		b.rep, b.score, b.rank = r, score, rank
+func (b *best) see(r *Rep, score int64, mine bool, rank uint64) {
+	if b.rep != nil {
+		switch {
+		case score != b.score:
+			if score < b.score {
+				return
+			}
+		case mine != b.mine:
+			if !mine {
+				return
+			}
+		case rank <= b.rank:
+			return
+		}
 	}
+	b.rep, b.score, b.mine, b.rank = r, score, mine, rank
 }
 
 // bound places a turn of a session. Candidates are ordered by the overlap that
-// the index trusts, then by rendezvous. A replica whose view is in quarantine
+// the index trusts, then by the pool that the request belongs to, then by
+// rendezvous. A replica whose view is in quarantine
 // has no overlap, and stands behind all others while it bears more than the
 // mean load.
 func (f *Fleet) bound(a *Ask, s kvindex.Chain, able []*Rep, now clk.Tick) *Rep {
@@ -151,6 +171,7 @@
 	}
 	b.used, b.size = now, s.Tokens()
 	f.sessions.Put(key, b, 1)
+	heavy, pools := f.heavy(a)
 	var first, cool best
 	for _, r := range able {
 		p := r.press(now)
@@ -159,16 +180,17 @@
 				followed.Add(1)
 				return r
 			}
-			first = best{r, 1 << 62, 0}
+			first = best{r, 1 << 62, true, 0}
 			continue
 		}
 		score, trusted := r.overlap(s, f.trunk)
 		if !trusted && p*len(able) > sum {
 			score = -1
 		}
-		first.see(r, score, r.rank(key))
+		mine, rank := !pools || r.prefill == heavy, r.rank(key)
+		first.see(r, score, mine, rank)
 		if p <= most {
-			cool.see(r, score, r.rank(key))
+			cool.see(r, score, mine, rank)
 		}
 	}
 	r := cool.rep
@@ -187,12 +209,18 @@
 	return r
 }
 
+const poolApart = 0.5
+
 func (f *Fleet) least(a *Ask, able []*Rep, now clk.Tick) *Rep {
+	heavy, pools := f.heavy(a)
 	cost := func(r *Rep) float64 {
 		c := float64(r.press(now)) / float64(max(1, r.Slots))
 		if r.Zone != f.Zone {
 			c += 0.35
 		}
+		if pools && r.prefill != heavy {
+			c += poolApart
+		}
 		return c
 	}
 	best, low := able[0], 0.0
--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -14,6 +14,7 @@
 	"spoolswitch/internal/list"
 	"spoolswitch/internal/lru"
 	"spoolswitch/internal/note"
+	"spoolswitch/internal/pool"
 	"spoolswitch/internal/word"
 )
 
@@ -39,6 +40,7 @@
 	trunks   *lru.Cache[*fork]
 	listed   bool
 	able     []*Rep
+	plan     *pool.Plan
 }
 
 type binding struct {
@@ -110,6 +112,7 @@
 		}
 	}
 	f.sort()
+	f.sides()
 	f.listed = true
 	f.mu.Unlock()
 	for _, r := range shut {
@@ -117,6 +120,46 @@
 	}
 }
 
+// Planned takes a plan of the pools in.
+func (f *Fleet) Planned(p *pool.Plan) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.plan = p
+	f.sides()
+}
+
+// Plan is the plan in force, nil if all replicas are one pool.
+func (f *Fleet) Plan() *pool.Plan {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.plan
+}
+
+func (f *Fleet) sides() {
+	if f.plan == nil {
+		return
+	}
+	for s, rs := range f.services {
+		x := f.plan.Splits[s]
+		in := map[word.Replica]bool{}
+		for _, id := range x.Prefill {
+			in[id] = true
+		}
+		for _, r := range rs {
+			r.prefill = in[r.ID]
+		}
+	}
+}
+
+// heavy tells which pool a request belongs to; ok is false where there is one.
+func (f *Fleet) heavy(a *Ask) (heavy, ok bool) {
+	if f.plan == nil || a.Weight <= 0 {
+		return false, false
+	}
+	x, ok := f.plan.Splits[a.Service]
+	return a.Weight >= x.Heavy, ok
+}
+
 func (f *Fleet) sort() {
 	f.services = map[word.Service][]*Rep{}
 	for _, r := range f.reps {
--- a/internal/pick/rep.go
+++ b/internal/pick/rep.go
@@ -35,6 +35,7 @@
 	stream  *evidence.Stream
 	view    *kvindex.View
 	hash    uint64
+	prefill bool
 	audit   audit
 }
 
--- a/internal/pick/pace_test.go
+++ b/internal/pool/line_test.go
@@ -1,4 +1,4 @@
-package pick
+package pool
 
 import (
 	"math"
@@ -7,16 +7,16 @@
 	"github.com/matryer/is"
 )
 
-func TestPace(t *testing.T) {
+func TestLine(t *testing.T) {
 	is := is.New(t)
-	var p pace
-	_, _, _, ok := p.line()
+	var p Line
+	_, _, _, ok := p.Fit()
 	is.True(!ok)
 	for i := range 200 {
 		x := float64(100 + i%17*300)
-		p.see(x, 30+x*0.01+float64(i%2*4-2))
+		p.See(x, 30+x*0.01+float64(i%2*4-2), 0.98)
 	}
-	base, per, spread, ok := p.line()
+	base, per, spread, ok := p.Fit()
 	is.True(ok)
 	is.True(math.Abs(base-30) < 1)
 	is.True(math.Abs(per-0.01) < 0.001)
@@ -24,15 +24,15 @@
 }
 
 // Nothing can be told from sightings that are all alike, or of no slope.
-func TestPaceOfNothing(t *testing.T) {
+func TestLineOfNothing(t *testing.T) {
 	is := is.New(t)
-	var p, q pace
+	var p, q Line
 	for i := range 100 {
-		p.see(500, 30)
-		q.see(float64(i), 100-float64(i))
+		p.See(500, 30, 0.98)
+		q.See(float64(i), 100-float64(i), 0.98)
 	}
-	_, _, _, ok := p.line()
+	_, _, _, ok := p.Fit()
 	is.True(!ok)
-	_, _, _, ok = q.line()
+	_, _, _, ok = q.Fit()
 	is.True(!ok)
 }
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -28,6 +28,7 @@
 	app := kingpin.New(name, help+" Settings are read from the file that "+boot.Env+" names.")
 	app.Version(Release)
 	app.HelpFlag.Short('h')
+	pools := app.Flag("pool", "Divide replicas into prefill and decode pools, whatever the settings say.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	s, errs := boot.Load()
 	if len(errs) > 0 {
@@ -36,6 +37,7 @@
 		}
 		os.Exit(2)
 	}
+	s.Pool.Enabled = s.Pool.Enabled || *pools
 	d, err := start(s)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -19,6 +19,7 @@
 	"spoolswitch/internal/list"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/pick"
+	"spoolswitch/internal/pool"
 	"spoolswitch/internal/response"
 	"spoolswitch/internal/spawn"
 	"spoolswitch/internal/wire"
@@ -87,6 +88,9 @@
 		return keep.Msg{OK: true, Report: d.Report()}, true
 	})
 	d.Tail.Run()
+	if s.Pool.Enabled {
+		d.count(s)
+	}
 	spawn.Go(func() { d.Relay.Serve(lf) })
 	spawn.Go(func() { _ = d.readiness(lr) })
 	rd := &list.Reader{Addr: word.Addr(s.Platform.Address), Rate: list.Share(s.Platform.PerS, 1.0/32)}
@@ -100,6 +104,17 @@
 	return d, nil
 }
 
+func (d *Daemon) count(s *boot.Settings) {
+	m := pool.NewMeter(clk.Ms(s.Pool.WindowS * 1000))
+	d.Relay.Meter = m
+	life, num := rand.Uint64()|1, uint64(0)
+	spawn.Every(m.Step(), func() bool {
+		num++
+		d.Tail.Tell(keep.Msg{Kind: keep.Counts, From: s.Node, Life: life, Num: num, Count: 1, Val: m.Sum().Encode()})
+		return true
+	})
+}
+
 func (d *Daemon) seeds() []word.Addr {
 	s := d.settings()
 	var out []word.Addr
@@ -189,6 +204,9 @@
 		old, _ := v.Fleet.Desk.Oldest(s.Epoch)
 		r.Streams = append(r.Streams, keep.Stream{Status: s, Oldest: old})
 	}
+	if p := v.Fleet.Plan(); p != nil {
+		r.Gauges["pool.plan"] = float64(p.Num)
+	}
 	if t := v.Table(); t != nil {
 		r.Version = t.Version
 		for s := range t.Services {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -7,6 +7,7 @@
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/pick"
+	"spoolswitch/internal/pool"
 	"spoolswitch/internal/spawn"
 	"spoolswitch/internal/wire"
 )
@@ -21,6 +22,9 @@
 	// Tell has other relays told that a record has drifted.
 	Tell func(pick.Drift)
 
+	// Meter counts the lengths that pass through, if pools are planned.
+	Meter *pool.Meter
+
 	// BodiesMost bounds the bytes of clients' bodies that are held at once.
 	BodiesMost int64
 
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -42,6 +42,7 @@
 	conn *link.Conn
 	left bool
 
+	began  clk.Tick
 	first  bool
 	events head.Events
 	skip   int64
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -281,6 +281,7 @@
 		}
 	}
 	n.events.Cut()
+	defer n.written(n.events.N)
 	buf := make([]byte, 4096)
 	var out []byte
 	judged := false
@@ -290,6 +291,7 @@
 			ev := n.events.Add(buf[:m], skip)
 			if !judged && len(ev) > 0 {
 				judged = true
+				n.began = clk.Now()
 				n.judge(rep, clk.Since(sent))
 			}
 			out = out[:0]
@@ -333,7 +335,20 @@
 	}
 }
 
+func (n *Request) written(before int64) {
+	m, t := n.r.Meter, n.r.View.Table()
+	if m == nil || t == nil || n.began == 0 || n.events.N <= before+1 {
+		return
+	}
+	if s := t.Services[n.ask.Service]; s != nil && s.Engine != nil {
+		m.Written(n.ask.Service, n.ask.Weight, (n.events.N-before-1)*int64(max(1, s.Engine.StepSize)), clk.Since(n.began))
+	}
+}
+
 func (n *Request) judge(rep *pick.Rep, took clk.Span) {
+	if m := n.r.Meter; m != nil {
+		m.Read(n.ask.Service, n.ask.Weight, n.ask.Promise.Unread, took)
+	}
 	if d, ok := n.r.Fleet.Read(rep, &n.ask, took); ok && n.r.Tell != nil {
 		n.r.Tell(d)
 	}
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -14,6 +14,7 @@
 	"spoolswitch/internal/list"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/pick"
+	"spoolswitch/internal/pool"
 	"spoolswitch/internal/word"
 )
 
@@ -41,6 +42,15 @@
 		if rs, ok := list.Decode(it.Val); ok {
 			v.Fleet.Listed(rs, it.Age)
 		}
+	case it.Key == word.Plan:
+		p, err := pool.DecodePlan(it.Val)
+		if err != nil {
+			note.Counter("pool.plans-unreadable").Add(1)
+			note.Trouble("plan unreadable, kept the last", "err", err)
+			return
+		}
+		v.Fleet.Planned(p)
+		note.State("pools planned", "plan", p.Num, "services", len(p.Splits))
 	default:
 		if _, ok := it.Key.Drifted(); ok {
 			var d pick.Drift
--- a/internal/word/word.go
+++ b/internal/word/word.go
@@ -34,6 +34,10 @@
 	Roster Key = "roster"
 	// ListDuty is the key of the duty of polling the platform's list.
 	ListDuty Key = "duty/list"
+	// PoolDuty is the key of the duty of planning the pools.
+	PoolDuty Key = "duty/pool"
+	// Plan is the key under which the plan of the pools travels in the feed.
+	Plan Key = "plan"
 	// List is the key under which the list travels in the feed.
 	List Key = "list"
 
@@ -56,9 +60,16 @@
 // Kept tells whether values of the key are kept on disks.
 func (k Key) Kept() bool {
 	_, d := k.Drifted()
-	return k != List && !d
+	return !k.Shared() && !d
 }
 
+// Shared tells whether the key's value is what one keeper with a duty told, kept
+// by all in memory.
+func (k Key) Shared() bool { return k == List || k == Plan }
+
+// Duty tells whether the key is that of a duty.
+func (k Key) Duty() bool { return k == ListDuty || k == PoolDuty }
+
 // Evacuated tells which zone an evacuation key is about.
 func (k Key) Evacuated() (Zone, bool) {
 	s, ok := strings.CutPrefix(string(k), evac)
