The list is fed as what changed in it

Cause: every change of the list went to every relay whole, replicas x relays bytes. Replicas that are cold are always told of, since how cold they are counts from the reading.

--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -55,6 +55,12 @@
 		k.Founders = append(k.Founders, word.Node(s.Keeper(a)))
 	}
 	hub.Status = k
+	hub.Diff = func(key word.Key, old, fresh []byte) []byte {
+		if key != word.List {
+			return nil
+		}
+		return list.Diff(old, fresh)
+	}
 	hub.Apply = clk.Ms(s.Bounds.ConfigApplyMs)
 	d := &Daemon{Keeper: k, Hub: hub, net: wires}
 	li, err := wire.Listen(word.Addr(self))
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -24,7 +24,11 @@
 	since clk.Tick
 }
 
+// pastKept is how many earlier values changes can be told from.
+const pastKept = 8
+
 type follower struct {
+	has  map[word.Key]word.Place
 	name word.Node
 	addr word.Addr
 	mark *spawn.Mark
@@ -45,7 +49,12 @@
 	Status Status
 	// Apply is the time within which a change has to be in force everywhere.
 	Apply clk.Span
+	// Diff tells what changed from one value of a key to the next, nil if that
+	// cannot be told or is not worth it. Without it values are fed whole.
+	Diff func(key word.Key, old, fresh []byte) []byte
+
 	mu    sync.Mutex
+	past  map[word.Key][]keep.Item
 	num   uint64
 	sure  bool
 	items map[word.Key]kept
@@ -71,6 +80,13 @@
 	}
 	h.num++
 	it.Num = h.num
+	if h.Diff != nil && it.Key.Shared() {
+		if h.past == nil {
+			h.past = map[word.Key][]keep.Item{}
+		}
+		p := append(h.past[it.Key], it)
+		h.past[it.Key] = p[max(0, len(p)-pastKept):]
+	}
 	h.items[it.Key] = kept{it, clk.Now()}
 	for f := range h.who {
 		f.mark.Set()
@@ -153,7 +169,28 @@
 
 const briefFor = 10 * clk.Second
 
-func (h *Hub) since(n uint64) ([]keep.Item, uint64) {
+// change makes an item the change from what the follower has, where that is
+// known.
+func (h *Hub) change(f *follower, it keep.Item) keep.Item {
+	if h.Diff == nil || !it.Key.Shared() {
+		return it
+	}
+	if at, ok := f.has[it.Key]; ok {
+		for _, o := range h.past[it.Key] {
+			if o.At != at {
+				continue
+			}
+			if d := h.Diff(it.Key, o.Val, it.Val); d != nil {
+				it.Base, it.Val = at, d
+			}
+			break
+		}
+	}
+	f.has[it.Key] = it.At
+	return it
+}
+
+func (h *Hub) since(f *follower, n uint64) ([]keep.Item, uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var out []keep.Item
@@ -166,7 +203,7 @@
 		if v.it.Num > n && v.it.Key != word.Roster && !v.it.Key.Duty() {
 			it := v.it
 			it.Age = clk.Since(v.since)
-			out = append(out, it)
+			out = append(out, h.change(f, it))
 		}
 	}
 	sort.Slice(out, func(i, j int) bool {
@@ -180,7 +217,7 @@
 
 // Follow feeds one relay until it is gone.
 func (h *Hub) Follow(m keep.Msg, push func(keep.Msg) error) {
-	f := &follower{name: m.From, addr: m.Addr, mark: spawn.NewMark()}
+	f := &follower{has: map[word.Key]word.Place{}, name: m.From, addr: m.Addr, mark: spawn.NewMark()}
 	if m.Life == h.Status.Life() {
 		f.num = m.Num
 	}
@@ -199,7 +236,7 @@
 			Count: h.Status.Relays(), ListAge: h.Status.ListAge()}
 		if out.Fresh {
 			out.Snapshot = first && f.num == 0
-			out.Items, out.Num = h.since(f.num)
+			out.Items, out.Num = h.since(f, f.num)
 			if l := h.Status.KeeperZones(); len(l) != zones {
 				out.KeeperZones, zones = l, len(l)
 			}
@@ -221,4 +258,7 @@
 
 var _ keep.Sink = (*Hub)(nil)
 
-var newsTaken = note.Counter("feed.news")
+var (
+	newsTaken = note.Counter("feed.news")
+	newsGap   = note.Counter("feed.news-anew")
+)
--- a/internal/feed/hub_test.go
+++ b/internal/feed/hub_test.go
@@ -112,3 +112,39 @@
 type errEnded struct{}
 
 func (errEnded) Error() string { return "ended" }
+
+// Changes are told from what a follower has; one that has something else
+// follows anew and gets the whole.
+func TestChanges(t *testing.T) {
+	is := is.New(t)
+	h := NewHub()
+	h.Diff = func(_ word.Key, old, fresh []byte) []byte { return []byte(string(old) + ">" + string(fresh)) }
+	var took []string
+	tail := &Tail{Heard: func(int, clk.Span) {}, Take: func(it keep.Item) { took = append(took, string(it.Val)) }}
+	f := &follower{has: map[word.Key]word.Place{}}
+	push := func() bool {
+		its, n := h.since(f, f.num)
+		f.num = n
+		return tail.news("a", keep.Msg{Items: its, Num: n, Life: 1})
+	}
+	h.Publish(item(word.List, 1, 1, "a"))
+	h.Publish(item(word.Configuration, 1, 1, "c1"))
+	is.True(push())
+	h.Publish(item(word.List, 1, 2, "b"))
+	h.Publish(item(word.Configuration, 1, 2, "c2"))
+	is.True(push())
+	is.Equal(took, []string{"a", "c1", "a>b", "c2"}) // what is kept on disks is fed whole
+	for i := range 2 * pastKept {                    // a follower that fell far behind
+		h.Publish(item(word.List, 1, uint64(3+i), "x"))
+	}
+	is.True(push())
+	is.Equal(took[4], "x")
+	tail.Taken(item(word.List, 2, 1, "other")) // from another keeper
+	h.Publish(item(word.List, 2, 2, "y"))
+	is.True(!push())
+	_, num, _ := tail.Place()
+	is.Equal(num, uint64(0))
+	f = &follower{has: map[word.Key]word.Place{}}
+	is.True(push())
+	is.Equal(took[len(took)-1], "y")
+}
--- a/internal/feed/tail.go
+++ b/internal/feed/tail.go
@@ -68,20 +68,27 @@
 	return t.at, t.num, out
 }
 
-// Taken takes one item in; older ones than those had are left.
-func (t *Tail) Taken(it keep.Item) {
+// Taken takes one item in; older ones than those had are left. It tells false
+// if the item is a change from a value that this relay does not have.
+func (t *Tail) Taken(it keep.Item) bool {
 	t.mu.Lock()
 	if t.places == nil {
 		t.places = map[word.Key]word.Place{}
 	}
-	if have, ok := t.places[it.Key]; ok && !have.Less(it.At) {
+	have, ok := t.places[it.Key]
+	if ok && !have.Less(it.At) {
 		t.mu.Unlock()
-		return
+		return true
+	}
+	if !it.Base.Zero() && it.Base != have {
+		t.mu.Unlock()
+		return false
 	}
 	t.places[it.Key] = it.At
 	t.mu.Unlock()
 	newsTaken.Add(1)
 	t.Take(it)
+	return true
 }
 
 func (t *Tail) order() []word.Addr {
@@ -156,11 +163,12 @@
 	m := keep.Msg{Kind: keep.Follow, From: t.Self, Life: t.life, Num: t.num, Zone: t.Zone, Addr: t.Addr}
 	t.mu.Unlock()
 	end, err := p.Stream(m, firstWait, func(m keep.Msg, ok bool) {
+		whole := true
 		if ok && m.Fresh {
-			t.news(a, m)
+			whole = t.news(a, m)
 		}
 		mu.Lock()
-		if !ok {
+		if !ok || !whole {
 			lost = true
 		} else if m.Fresh {
 			last = clk.Now()
@@ -217,7 +225,7 @@
 	spawn.Go(func() { _, _ = p.Call(m, firstWait) })
 }
 
-func (t *Tail) news(a word.Addr, m keep.Msg) {
+func (t *Tail) news(a word.Addr, m keep.Msg) bool {
 	t.mu.Lock()
 	if m.Life != t.life {
 		t.life, t.num = m.Life, 0
@@ -228,11 +236,19 @@
 	t.at = a
 	t.mu.Unlock()
 	for _, it := range m.Items {
-		t.Taken(it)
+		if !t.Taken(it) {
+			// followed anew, the keeper tells all of it
+			newsGap.Add(1)
+			t.mu.Lock()
+			t.life, t.num = 0, 0
+			t.mu.Unlock()
+			return false
+		}
 	}
 	t.mu.Lock()
 	t.num = m.Num
 	t.fresh = clk.Now()
 	t.mu.Unlock()
 	t.Heard(m.Count, m.ListAge)
+	return true
 }
--- a/internal/keep/msg.go
+++ b/internal/keep/msg.go
@@ -44,6 +44,8 @@
 	Val []byte
 	Age clk.Span
 	Num uint64
+	// Base, if set, is the place of the value that Val is the change from.
+	Base word.Place
 }
 
 // Brief tells whether the item is news that only matters while it is new.
--- a/internal/list/duty.go
+++ b/internal/list/duty.go
@@ -112,19 +112,27 @@
 		return false
 	}
 	for i := range a {
-		x, y := a[i], b[i]
-		if x.ID != y.ID || x.Addr != y.Addr || x.State != y.State || x.Service != y.Service ||
-			x.Zone != y.Zone || x.Slots != y.Slots || x.Version != y.Version || len(x.Models) != len(y.Models) {
+		x, y := &a[i], &b[i]
+		if !alike(x, y) {
 			return false
 		}
-		for j := range x.Models {
-			if x.Models[j] != y.Models[j] {
-				return false
-			}
-		}
 		if y.ColdMs > max(0, x.ColdMs-float64(d/clk.Millisecond))+250 {
 			return false
 		}
 	}
 	return true
 }
+
+// alike tells whether two entries say the same, but for how cold it is.
+func alike(x, y *Replica) bool {
+	if x.ID != y.ID || x.Addr != y.Addr || x.State != y.State || x.Service != y.Service ||
+		x.Zone != y.Zone || x.Slots != y.Slots || x.Version != y.Version || x.Stage != y.Stage || len(x.Models) != len(y.Models) {
+		return false
+	}
+	for j := range x.Models {
+		if x.Models[j] != y.Models[j] {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/list/duty_test.go
+++ b/internal/list/duty_test.go
@@ -1,6 +1,7 @@
 package list
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -113,3 +114,39 @@
 	_, err = r.Read()
 	is.True(err != nil && strings.Contains(err.Error(), "share of the rate"))
 }
+
+// What changed, taken in by one that has the old list, makes the new one.
+func TestDiff(t *testing.T) {
+	is := is.New(t)
+	var a, b []Replica
+	for i := range 40 {
+		r := Replica{ID: word.Replica(fmt.Sprint("i-", i)), Service: "s", Addr: "10.0.0.1:80", Zone: "z", State: "in_service", Models: []Model{{"m", 1}}}
+		a = append(a, r)
+		switch i {
+		case 3:
+			continue
+		case 5:
+			r.State = "draining"
+		case 7:
+			r.Models = []Model{{"m", 2}}
+		case 9:
+			r.ColdMs = 2000
+		case 11:
+			a[i].ColdMs, r.ColdMs = 2000, 500 // cold again, long after the first time
+		}
+		b = append(b, r)
+	}
+	b = append(b, Replica{ID: "i-new"})
+	d, ok := DecodeDelta(Diff(Encode(a), Encode(b)))
+	is.True(ok)
+	is.Equal(d.Gone, []word.Replica{"i-3"})
+	var up []word.Replica
+	for _, r := range d.Up {
+		up = append(up, r.ID)
+	}
+	is.Equal(up, []word.Replica{"i-5", "i-7", "i-9", "i-11", "i-new"})
+	is.True(len(Diff(Encode(a), Encode(b))) < len(Encode(b))/2)
+	is.True(Diff(Encode(a), []byte("x")) == nil)
+	is.True(Diff(nil, Encode(a)) == nil)
+	is.True(Diff(Encode(nil), Encode(a)) == nil) // no smaller than the whole
+}
--- a/internal/pick/choose_test.go
+++ b/internal/pick/choose_test.go
@@ -352,3 +352,23 @@
 	_, err := f.Choose(&Ask{Service: "s"})
 	is.Equal(code.Of(err), code.QueueFull)
 }
+
+// A change of the list says no more of the others: one that was cold when it
+// was first listed does not turn cold again.
+func TestRelisted(t *testing.T) {
+	is := is.New(t)
+	f, sim := fleet(t, 0)
+	rs := replicas(3, "z")
+	rs[0].ColdMs = 2000
+	f.Listed(rs, 0)
+	was := f.reps["i-0"]
+	is.True(was.isCold(clk.Now()))
+	sim.Move(3 * clk.Second)
+	fresh := replicas(5, "z")[4]
+	fresh.ColdMs = 1000
+	f.Relisted(list.Delta{Up: []list.Replica{fresh}, Gone: []word.Replica{"i-1", "i-9"}}, 0)
+	is.True(f.reps["i-0"] == was && !was.isCold(clk.Now()))
+	is.True(f.reps["i-1"] == nil)
+	is.True(f.reps["i-4"].isCold(clk.Now()))
+	is.Equal(len(f.services["s"]), 3)
+}
--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -84,33 +84,60 @@
 	var shut []*Rep
 	for _, r := range rs {
 		have[r.ID] = true
-		rep := f.reps[r.ID]
-		if rep == nil || rep.Addr != r.Addr {
-			if rep != nil {
-				shut = append(shut, rep)
-			}
-			rep = &Rep{Replica: r, Pool: &link.Pool{Addr: r.Addr}, hash: hashed(string(r.ID))}
-			if old := f.reps[r.ID]; old != nil {
-				f.Desk.Close(old.stream.Epoch)
-			}
-			rep.stream = f.Desk.Open(kvindex.Epoch{Publisher: kvindex.Publisher{Service: r.Service, Addr: r.Addr}, Life: r.ID})
-			rep.view = rep.stream.View
-			rep.view.Bound(f.capacity(r.Service))
-			f.reps[r.ID] = rep
-		}
-		rep.State, rep.Slots, rep.Models, rep.Version = r.State, r.Slots, r.Models, r.Version
-		if d := clk.Ms(r.ColdMs) - age; r.ColdMs > 0 && d > 0 {
-			rep.cold = max(rep.cold, now.Add(d))
-		}
+		shut = f.enter(r, age, now, shut)
 	}
 	for id, rep := range f.reps {
 		if !have[id] {
-			rep.gone = true
-			shut = append(shut, rep)
-			f.Desk.Close(rep.stream.Epoch)
-			delete(f.reps, id)
+			shut = f.leave(rep, shut)
 		}
 	}
+	f.settled(shut)
+}
+
+// Relisted takes in what changed in the list.
+func (f *Fleet) Relisted(d list.Delta, age clk.Span) {
+	f.mu.Lock()
+	now := clk.Now()
+	var shut []*Rep
+	for _, r := range d.Up {
+		shut = f.enter(r, age, now, shut)
+	}
+	for _, id := range d.Gone {
+		if rep := f.reps[id]; rep != nil {
+			shut = f.leave(rep, shut)
+		}
+	}
+	f.settled(shut)
+}
+
+func (f *Fleet) enter(r list.Replica, age clk.Span, now clk.Tick, shut []*Rep) []*Rep {
+	rep := f.reps[r.ID]
+	if rep == nil || rep.Addr != r.Addr {
+		if rep != nil {
+			shut = f.leave(rep, shut)
+		}
+		rep = &Rep{Replica: r, Pool: &link.Pool{Addr: r.Addr}, hash: hashed(string(r.ID))}
+		rep.stream = f.Desk.Open(kvindex.Epoch{Publisher: kvindex.Publisher{Service: r.Service, Addr: r.Addr}, Life: r.ID})
+		rep.view = rep.stream.View
+		rep.view.Bound(f.capacity(r.Service))
+		f.reps[r.ID] = rep
+	}
+	rep.State, rep.Slots, rep.Models, rep.Version, rep.Stage = r.State, r.Slots, r.Models, r.Version, r.Stage
+	if d := clk.Ms(r.ColdMs) - age; r.ColdMs > 0 && d > 0 {
+		rep.cold = max(rep.cold, now.Add(d))
+	}
+	return shut
+}
+
+func (f *Fleet) leave(rep *Rep, shut []*Rep) []*Rep {
+	rep.gone = true
+	f.Desk.Close(rep.stream.Epoch)
+	delete(f.reps, rep.ID)
+	return append(shut, rep)
+}
+
+// settled ends the taking in of a list, and gives the lock back.
+func (f *Fleet) settled(shut []*Rep) {
 	f.sort()
 	f.sides()
 	f.listed = true
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -38,6 +38,10 @@
 	switch {
 	case it.Key == word.Configuration:
 		v.configure(it.Val)
+	case it.Key == word.List && !it.Base.Zero():
+		if d, ok := list.DecodeDelta(it.Val); ok {
+			v.Fleet.Relisted(d, it.Age)
+		}
 	case it.Key == word.List:
 		if rs, ok := list.Decode(it.Val); ok {
 			v.Fleet.Listed(rs, it.Age)
