--- a/internal/check/house_test.go
+++ b/internal/check/house_test.go
@@ -22,6 +22,7 @@
 	{"pick", "trace"},
 	{"relay", "ctl"},
 	{"standin", "fleet", "proc"},
+	{"scale"},
 }
 
 func layer(pkg string) int {
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -55,6 +55,7 @@
 
 	mu    sync.Mutex
 	past  map[word.Key][]keep.Item
+	steps map[step][]byte
 	num   uint64
 	sure  bool
 	items map[word.Key]kept
@@ -169,6 +170,22 @@
 
 const briefFor = 10 * clk.Second
 
+type step struct{ from, to word.Place }
+
+// diff tells a change, worked out once for all followers.
+func (h *Hub) diff(o, it keep.Item) []byte {
+	k := step{o.At, it.At}
+	if d, ok := h.steps[k]; ok {
+		return d
+	}
+	if len(h.steps) >= pastKept || h.steps == nil {
+		h.steps = map[step][]byte{}
+	}
+	d := h.Diff(it.Key, o.Val, it.Val)
+	h.steps[k] = d
+	return d
+}
+
 // change makes an item the change from what the follower has, where that is
 // known.
 func (h *Hub) change(f *follower, it keep.Item) keep.Item {
@@ -180,7 +197,7 @@
 			if o.At != at {
 				continue
 			}
-			if d := h.Diff(it.Key, o.Val, it.Val); d != nil {
+			if d := h.diff(o, it); d != nil {
 				it.Base, it.Val = at, d
 			}
 			break
--- a/internal/feed/hub_test.go
+++ b/internal/feed/hub_test.go
@@ -118,7 +118,11 @@
 func TestChanges(t *testing.T) {
 	is := is.New(t)
 	h := NewHub()
-	h.Diff = func(_ word.Key, old, fresh []byte) []byte { return []byte(string(old) + ">" + string(fresh)) }
+	diffs := 0
+	h.Diff = func(_ word.Key, old, fresh []byte) []byte {
+		diffs++
+		return []byte(string(old) + ">" + string(fresh))
+	}
 	var took []string
 	tail := &Tail{Heard: func(int, clk.Span) {}, Take: func(it keep.Item) { took = append(took, string(it.Val)) }}
 	f := &follower{has: map[word.Key]word.Place{}}
@@ -133,6 +137,12 @@
 	h.Publish(item(word.List, 1, 2, "b"))
 	h.Publish(item(word.Configuration, 1, 2, "c2"))
 	is.True(push())
+	for range 50 { // worked out once, however many follow
+		g := &follower{has: map[word.Key]word.Place{word.List: item(word.List, 1, 1, "").At}}
+		its, _ := h.since(g, 2)
+		is.Equal(string(its[0].Val), "a>b")
+	}
+	is.Equal(diffs, 1)
 	is.Equal(took, []string{"a", "c1", "a>b", "c2"}) // what is kept on disks is fed whole
 	for i := range 2 * pastKept {                    // a follower that fell far behind
 		h.Publish(item(word.List, 1, uint64(3+i), "x"))
--- a/internal/keep/beat.go
+++ b/internal/keep/beat.go
@@ -298,6 +298,14 @@
 		}
 		return true
 	}
+	k.mu.Lock()
+	waits := k.newcomer && r.Num != 0 && !r.Has(k.Self)
+	k.mu.Unlock()
+	if waits {
+		// nothing of it was ever counted: all there is to do is to ask
+		k.wantSeat(r)
+		return false
+	}
 	to := k.peers()
 	founders, _ := k.seeds()
 	for _, n := range founders {
--- a/internal/keep/join.go
+++ b/internal/keep/join.go
@@ -13,10 +13,20 @@
 	goneAfter = 3 * clk.Second
 	goneLong  = 10 * clk.Second
 	askedFor  = 2 * clk.Second
+	askPause  = 500 * clk.Millisecond
 	hereFor   = 1200 * clk.Millisecond
 )
 
 func (k *Keeper) wantSeat(r Roster) {
+	k.mu.Lock()
+	soon := k.wanted != 0 && clk.Since(k.wanted) < askPause
+	if !soon {
+		k.wanted = clk.Now()
+	}
+	k.mu.Unlock()
+	if soon {
+		return
+	}
 	for _, n := range r.All() {
 		if a, ok := k.Net.Ask(n, Msg{Kind: Join, From: k.Self, Zone: k.Zone}, askTimeout); ok && a.OK {
 			return
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -56,6 +56,7 @@
 	listAt  clk.Tick
 	asked   map[word.Node]asked
 	last    word.Node
+	wanted  clk.Tick
 	// newcomer says that this life of the keeper began before it had a seat, so
 	// that no promise of it can have been lost.
 	newcomer bool
--- a/internal/keep/seats_test.go
+++ b/internal/keep/seats_test.go
@@ -218,7 +218,8 @@
 	a.Net = cutter{end{c.n, "a1"}, &n}
 	for range 2 {
 		for _, j := range []word.Node{"a2", "b2", "c2"} {
-			c.ks[j].Regain() // asks for a seat
+			c.ks[j].wanted = 0 // a while later
+			c.ks[j].Regain()   // asks for a seat
 		}
 		a.seating.Lock() // the change has ended, or was given up
 		a.seating.Unlock()
--- /dev/null
+++ b/internal/scale/scale_test.go
@@ -0,0 +1,54 @@
+package scale
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"spoolswitch/internal/boot"
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
+	"spoolswitch/internal/ctl"
+)
+
+type inside struct{ *ctl.Daemon }
+
+func (inside) CPU() clk.Span { return 0 }
+func (inside) Memory() int64 { return 0 }
+
+func start(_, settings string) (Daemon, error) {
+	s, errs := boot.Parse([]byte(settings))
+	if len(errs) > 0 {
+		return nil, code.New(code.BadSettings, "%v", errs[0])
+	}
+	d, err := ctl.Start(s)
+	if err != nil {
+		return nil, err
+	}
+	return inside{d}, nil
+}
+
+// At two sizes: a relay gets each change once, and what it gets does not grow
+// with how many other relays there are, nor a change of one replica with how
+// many replicas there are.
+func TestSmallRun(t *testing.T) {
+	is := is.New(t)
+	var got []*Report
+	for _, s := range []Size{{Keepers: 3, Relays: 6, Replicas: 60, Routes: 10, Changes: 3}, {Keepers: 3, Relays: 24, Replicas: 240, Routes: 10, Changes: 3}} {
+		r, err := Run(s, start, func(int) string { return t.TempDir() })
+		is.NoErr(err)
+		is.Equal(r.ChangeItems, 1.0)
+		is.Equal(r.ListItems, 1.0)
+		got = append(got, r)
+	}
+	is.True(got[1].Snapshot < got[0].Snapshot*8)
+	is.True(got[1].Snapshot > got[0].Snapshot*1.5) // replicas are told whole once
+}
+
+// What a relay holds follows the sessions that it serves.
+func TestStateFollowsSessions(t *testing.T) {
+	is := is.New(t)
+	few, many := Measure(50, 500), Measure(50, 4000)
+	is.True(many.PerSession < 2*few.PerSession)
+	is.True(many.PerSession > 0)
+}
