Replicas that stand out are ejected by what requests bring; no share of the list's rate over it

A replica that fails or is slow three times as often as its service is left alone for 2 s, longer each time, a quarter of a service at most, and taken back by one request at a time. A relay cut off from all keepers reads the list at a share of the rate by how many relays there are: a 32nd each was 2.75 times the whole rate with 88.

--- a/internal/pick/audit.go
+++ b/internal/pick/audit.go
@@ -72,6 +72,11 @@
 	}
 	var es []kvindex.Event
 	d, tell := Drift{}, false
+	if took >= 0 {
+		f.mu.Lock()
+		f.timed(r, a.Promise, took)
+		f.mu.Unlock()
+	}
 	if took >= 0 && len(a.Chain) > 0 && a.Tokens > 0 {
 		d, es, tell = f.judge(r, a.Promise, took)
 	}
--- a/internal/pick/choose.go
+++ b/internal/pick/choose.go
@@ -73,17 +73,24 @@
 	now := clk.Now()
 	cold, conns := f.coldBound(a.Service), f.connShare(a.Service)
 	fit := false
-	able := f.able[:0]
+	able, spares := f.able[:0], f.spares[:0]
 	for _, r := range f.services[a.Service] {
 		if !f.open(r, a) {
 			continue
 		}
 		fit = true
 		if r.up(now) && f.spare(r, now, cold) && r.running < conns && !r.full(now) {
-			able = append(able, r)
+			if r.in(now) {
+				able = append(able, r)
+			} else {
+				spares = append(spares, r)
+			}
 		}
 	}
-	f.able = able
+	f.able, f.spares = able, spares
+	if len(able) == 0 {
+		able = spares // an ejected one rather than none
+	}
 	if !fit {
 		return nil, code.New(code.NoReplica, "%s", a.Service)
 	}
--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -41,6 +41,8 @@
 	listed   bool
 	able     []*Rep
 	plan     *pool.Plan
+	norms    map[word.Service]*norm
+	spares   []*Rep
 }
 
 type binding struct {
--- a/internal/pick/health.go
+++ b/internal/pick/health.go
@@ -20,10 +20,11 @@
 	Silent
 	Stranger
 	CutByClient
+	Failed
 )
 
 var outcomes = [...]*note.Count{note.Counter("send.fine"), note.Counter("send.turned"), note.Counter("send.unreached"),
-	note.Counter("send.broke"), note.Counter("send.silent"), note.Counter("send.stranger"), note.Counter("send.cut")}
+	note.Counter("send.broke"), note.Counter("send.silent"), note.Counter("send.stranger"), note.Counter("send.cut"), note.Counter("send.failed")}
 
 // Begun says that the first of an answer has come.
 func (f *Fleet) Begun(r *Rep, tokens int64) {
@@ -61,6 +62,9 @@
 	defer f.mu.Unlock()
 	now := clk.Now()
 	r.running--
+	if o == Unreached || o == Silent || o == Broke || o == Failed {
+		f.fared(r, now, 1, 0)
+	}
 	switch o {
 	case Fine:
 		if r.fails > 0 && r.downAt != 0 && now.Sub(r.downAt) > clk.Second {
--- a/internal/pick/rep.go
+++ b/internal/pick/rep.go
@@ -37,6 +37,7 @@
 	hash    uint64
 	prefill bool
 	audit   audit
+	outlier outlier
 }
 
 const (
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -146,6 +146,8 @@
 		return
 	}
 	clk.Sleep(clk.Span(rand.Int64N(int64(ownPause / 4))))
+	// the rate is shared by all that may be cut off as well
+	rd.Rate.SetLimit(list.Share(d.settings().Platform.PerS, 1/float64(max(32, d.Relay.Fleet.Share()))).Limit())
 	rs, err := rd.Read()
 	if err != nil {
 		note.Counter("list.failed").Add(1)
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -42,6 +42,7 @@
 	conn *link.Conn
 	left bool
 
+	sent   clk.Tick
 	began  clk.Tick
 	first  bool
 	events head.Events
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -53,6 +53,9 @@
 		before := n.sends
 		v, o := n.try(rep)
 		n.r.Fleet.Settle(&n.ask, seen(o))
+		if o == pick.CutByClient && n.sent != 0 && n.began < n.sent {
+			n.r.Fleet.Hung(rep, &n.ask, clk.Since(n.sent))
+		}
 		n.r.Fleet.Done(rep, o)
 		switch v {
 		case over:
@@ -172,6 +175,7 @@
 	}
 	n.sends++
 	sent := clk.Now()
+	n.sent = sent
 	n.r.Fleet.Sent(rep, &n.ask)
 	if err != nil {
 		rep.Pool.Drop(c)
@@ -260,6 +264,10 @@
 	if !n.k.write(append(b, body...)) {
 		n.last = true
 	}
+	n.began = clk.Now()
+	if a.Status >= 500 && a.Status != 504 {
+		return over, pick.Failed
+	}
 	return over, pick.Fine
 }
 
