--- a/internal/clk/clk.go
+++ b/internal/clk/clk.go
@@ -49,7 +49,7 @@
 // Ms turns a count of milliseconds into a span.
 func Ms(n float64) Span { return Span(n * float64(time.Millisecond)) }
 
-// Limit is t as the connection deadline the standard library wants.
+// Deadline is t as the connection deadline the standard library wants.
 func (t Tick) Deadline() time.Time { return time.Now().Add(Until(t)) }
 
 // NoDeadline clears a connection deadline.
--- a/internal/head/request.go
+++ b/internal/head/request.go
@@ -156,7 +156,7 @@
 // Set is a field that is put in place of what the client sent.
 type Set struct{ K, V string }
 
-// Append writes the head as it is sent on, for a body of n bytes.
+// Append writes the head as it is forwarded, for a body of n bytes.
 func (q *Request) Append(b []byte, n int, set ...Set) []byte {
 	b = append(b, q.Method...)
 	b = append(b, ' ')
--- a/internal/kvindex/chain.go
+++ b/internal/kvindex/chain.go
@@ -48,7 +48,7 @@
 	out := make(Chain, 0, len(ids))
 	for i, id := range ids {
 		h.Write([]byte("," + id))
-		out = append(out, Block{mix(h.Sum64()), tokens[i]})
+		out = append(out, Block{Mix(h.Sum64()), tokens[i]})
 	}
 	return out
 }
@@ -82,7 +82,8 @@
 	return s != ""
 }
 
-func mix(x uint64) uint64 {
+// Mix spreads the bits of a hash.
+func Mix(x uint64) uint64 {
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -286,7 +286,7 @@
 		return n
 	}
 	root := (math.Sqrt(36+4*bound) - 6) / 2
-	if float64(mix(r.hash^hashed(string(f.Self)))>>11)/(1<<53) < root*root/float64(f.relays) {
+	if float64(kvindex.Mix(r.hash^hashed(string(f.Self)))>>11)/(1<<53) < root*root/float64(f.relays) {
 		return 1
 	}
 	return 0
--- a/internal/pick/rep.go
+++ b/internal/pick/rep.go
@@ -88,22 +88,14 @@
 	return n, trusted
 }
 
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
 func hashed(s string) uint64 {
 	h := fnv.New64a()
 	h.Write([]byte(s))
-	return mix(h.Sum64())
+	return kvindex.Mix(h.Sum64())
 }
 
 // rank is the rendezvous rank of a replica for a key.
-func (r *Rep) rank(key uint64) uint64 { return mix(key ^ r.hash) }
+func (r *Rep) rank(key uint64) uint64 { return kvindex.Mix(key ^ r.hash) }
 
 // Name is the replica's id.
 func (r *Rep) Name() word.Replica { return r.ID }
