A world that runs all threads in the order and on the clock that one seed decides

Cause: a simulator of the control side needs the project's own code, not a model of it, under a schedule that can be had again. Change: spawn.World takes the place of threads, waits, draws and the steady clock while it runs; wire.Use that of the network; ctl.StartOn gets the disk, the platform's list and the serving of operators from its machine. Locks that are held across a wait are spawn.Mutex. What leaves a function no longer hangs on the order of a map. Conclusion: without a world the cost is one atomic load.

--- a/internal/clk/clk.go
+++ b/internal/clk/clk.go
@@ -24,12 +24,28 @@
 
 var start = time.Now()
 
-var fake atomic.Pointer[Sim]
+// Clock is a steady clock in place of the machine's.
+type Clock interface {
+	Now() Tick
+	Sleep(d Span)
+	// Moment is t as a connection deadline.
+	Moment(t Tick) Moment
+}
+
+type holder struct{ Clock }
+
+var other atomic.Pointer[holder]
+
+// Use puts c in place of the steady clock and returns the way back.
+func Use(c Clock) func() {
+	other.Store(&holder{c})
+	return func() { other.Store(nil) }
+}
 
 // Now reads the steady clock.
 func Now() Tick {
-	if s := fake.Load(); s != nil {
-		return s.Now()
+	if c := other.Load(); c != nil {
+		return c.Now()
 	}
 	return Tick(time.Since(start)) + 1
 }
@@ -50,7 +66,12 @@
 func Ms(n float64) Span { return Span(n * float64(time.Millisecond)) }
 
 // Deadline is t as the connection deadline the standard library wants.
-func (t Tick) Deadline() time.Time { return time.Now().Add(Until(t)) }
+func (t Tick) Deadline() time.Time {
+	if c := other.Load(); c != nil {
+		return c.Moment(t)
+	}
+	return time.Now().Add(Until(t))
+}
 
 // NoDeadline clears a connection deadline.
 func NoDeadline() time.Time { return time.Time{} }
@@ -70,4 +91,10 @@
 func Day() Moment { return time.Now() }
 
 // Sleep waits for d.
-func Sleep(d Span) { time.Sleep(d) }
+func Sleep(d Span) {
+	if c := other.Load(); c != nil {
+		c.Sleep(d)
+		return
+	}
+	time.Sleep(d)
+}
--- a/internal/clk/sim.go
+++ b/internal/clk/sim.go
@@ -1,6 +1,9 @@
 package clk
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // Sim is a steady clock moved by hand, for tests.
 type Sim struct{ at atomic.Int64 }
@@ -10,8 +13,7 @@
 	if s.at.Load() == 0 {
 		s.at.Store(1)
 	}
-	fake.Store(s)
-	return func() { fake.Store(nil) }
+	return Use(s)
 }
 
 // Now reads s.
@@ -19,3 +21,9 @@
 
 // Move moves s on by d.
 func (s *Sim) Move(d Span) { s.at.Add(int64(d)) }
+
+// Sleep waits for d of real time.
+func (s *Sim) Sleep(d Span) { time.Sleep(d) }
+
+// Moment is t as a real connection deadline.
+func (s *Sim) Moment(t Tick) Moment { return time.Now().Add(t.Sub(s.Now())) }
--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -35,9 +35,29 @@
 
 const watchPause = 1200 * clk.Millisecond
 
+// Machine is what a keeper has of the machine that it runs on.
+type Machine struct {
+	// Disk is where it keeps what it accepts; nil without a disk.
+	Disk disk.FS
+	// List reads the platform's list.
+	List func() ([]list.Replica, error)
+	// Serve answers the calls of operators at the listener until that is closed.
+	Serve func(s *Server, l net.Listener)
+}
+
 // Start starts a keeper from its settings.
 func Start(s *boot.Settings) (*Daemon, error) {
 	debug.SetMemoryLimit(s.Limits.MemoryMB << 20 * 7 / 10)
+	rd := &list.Reader{Addr: word.Addr(s.Platform.Address), Rate: list.Share(s.Platform.PerS, 0.5)}
+	m := Machine{List: rd.Read, Serve: (*Server).Serve}
+	if s.DataDir != "" {
+		m.Disk = disk.Dir(s.DataDir)
+	}
+	return StartOn(s, m)
+}
+
+// StartOn starts a keeper from its settings on a machine.
+func StartOn(s *boot.Settings, m Machine) (*Daemon, error) {
 	if s.Bindings.Control == "" {
 		return nil, code.New(code.BadSettings, "bindings.control-addr is missing")
 	}
@@ -49,7 +69,7 @@
 	k.Zone = s.Zone
 	k.Decider = Decide
 	k.Seats = keep.Seats(s.Tolerance.Machines, len(s.Zones))
-	k.Disk = s.DataDir != ""
+	k.Disk = m.Disk != nil
 	k.Label = label
 	for _, a := range s.Seeds {
 		k.Founders = append(k.Founders, word.Node(s.Keeper(a)))
@@ -74,7 +94,7 @@
 	d.lc = lc
 	opened := spawn.NewMark()
 	spawn.Go(func() {
-		d.open(s, acc)
+		d.open(s, m.Disk, acc)
 		opened.Set()
 	})
 	opened.Wait(2 * clk.Second)
@@ -96,7 +116,7 @@
 		return k.Handle(m), true
 	})
 	d.srv = &Server{Keeper: k, Zones: s.Zones}
-	d.srv.Serve(lc)
+	m.Serve(d.srv, lc)
 	spawn.Go(func() {
 		for !d.over.Load() {
 			if d.founder.Load() && !acc.Voting() {
@@ -120,8 +140,7 @@
 			clk.Sleep(keep.Beat)
 		}
 	})
-	rd := &list.Reader{Addr: word.Addr(s.Platform.Address), Rate: list.Share(s.Platform.PerS, 0.5)}
-	duty := &list.Duty{Duty: keep.Duty{Keeper: k, Key: word.ListDuty, Value: hub.Value}, Read: rd.Read, Drain: clk.Ms(s.Bounds.DrainMs)}
+	duty := &list.Duty{Duty: keep.Duty{Keeper: k, Key: word.ListDuty, Value: hub.Value}, Read: m.List, Drain: clk.Ms(s.Bounds.DrainMs)}
 	spawn.Every(list.Glance, func() bool {
 		duty.Step()
 		return !d.over.Load()
@@ -137,14 +156,14 @@
 	return d, nil
 }
 
-func (d *Daemon) open(s *boot.Settings, acc *keep.Acceptor) {
+func (d *Daemon) open(s *boot.Settings, fs disk.FS, acc *keep.Acceptor) {
 	for !d.over.Load() {
 		st, err := disk.Empty, error(nil)
-		if s.DataDir == "" {
+		if fs == nil {
 			note.State("no data-dir, forwards only where others have one")
 			acc.Use(keep.Volatile{})
 		} else {
-			st, err = acc.Open(disk.Dir(s.DataDir))
+			st, err = acc.Open(fs)
 		}
 		if err != nil {
 			note.Trouble("disk refused", "err", err)
@@ -158,7 +177,7 @@
 		switch {
 		case st == disk.Empty && s.Initial && seat:
 			d.founder.Store(true)
-		case s.DataDir == "":
+		case fs == nil:
 		case st != disk.Whole:
 			note.Trouble("disk without its records, not voting", "state", int(st))
 		}
--- a/internal/ctl/server.go
+++ b/internal/ctl/server.go
@@ -58,6 +58,9 @@
 		return response.OK(nil)
 	})
 
+// Handle answers one call.
+func (s *Server) Handle(x *fasthttp.RequestCtx) { s.handle(x) }
+
 // Serve answers calls that come in at l.
 func (s *Server) Serve(l net.Listener) {
 	s.srv = &fasthttp.Server{
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -3,6 +3,8 @@
 package feed
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -59,11 +61,11 @@
 	num   uint64
 	sure  bool
 	items map[word.Key]kept
-	who   map[*follower]bool
+	who   []*follower
 }
 
 // NewHub makes an empty hub.
-func NewHub() *Hub { return &Hub{items: map[word.Key]kept{}, who: map[*follower]bool{}} }
+func NewHub() *Hub { return &Hub{items: map[word.Key]kept{}} }
 
 func (h *Hub) freshFor() clk.Span {
 	if h.Apply > 0 {
@@ -89,7 +91,7 @@
 		h.past[it.Key] = p[max(0, len(p)-pastKept):]
 	}
 	h.items[it.Key] = kept{it, clk.Now()}
-	for f := range h.who {
+	for _, f := range h.who {
 		f.mark.Set()
 	}
 	return true
@@ -105,7 +107,7 @@
 		return
 	}
 	h.sure = now
-	for f := range h.who {
+	for _, f := range h.who {
 		f.mark.Set()
 	}
 }
@@ -141,7 +143,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var out []word.Node
-	for f := range h.who {
+	for _, f := range h.who {
 		out = append(out, f.name)
 	}
 	return out
@@ -152,7 +154,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	out := map[word.Node]word.Addr{}
-	for f := range h.who {
+	for _, f := range h.who {
 		out[f.name] = f.addr
 	}
 	return out
@@ -216,7 +218,8 @@
 			delete(h.items, k)
 		}
 	}
-	for _, v := range h.items {
+	for _, k := range slices.Sorted(maps.Keys(h.items)) {
+		v := h.items[k]
 		if v.it.Num > n && v.it.Key != word.Roster && !v.it.Key.Duty() {
 			it := v.it
 			it.Age = clk.Since(v.since)
@@ -239,11 +242,11 @@
 		f.num = m.Num
 	}
 	h.mu.Lock()
-	h.who[f] = true
+	h.who = append(h.who, f)
 	h.mu.Unlock()
 	defer func() {
 		h.mu.Lock()
-		delete(h.who, f)
+		h.who = slices.DeleteFunc(h.who, func(o *follower) bool { return o == f })
 		h.mu.Unlock()
 	}()
 	first := true
--- a/internal/keep/acceptor.go
+++ b/internal/keep/acceptor.go
@@ -169,7 +169,7 @@
 		return code.New(code.DiskRefused, "busy")
 	}
 	defer a.lane.Give()
-	for k, c := range cells {
+	for k, c := range sorted(cells) {
 		if have := a.Cell(k); !have.At.Less(c.At) && !have.Promised.Less(c.Promised) {
 			continue
 		}
@@ -290,7 +290,7 @@
 func (a *Acceptor) records(cells map[word.Key]Cell) [][]byte {
 	r := a.Roster()
 	ps := [][]byte{(&entry{Roster: &r, Voting: a.Voting()}).encode()}
-	for k, c := range cells {
+	for k, c := range sorted(cells) {
 		ps = append(ps, (&entry{Key: k, Cell: c}).encode())
 	}
 	return ps
--- a/internal/keep/beat.go
+++ b/internal/keep/beat.go
@@ -94,7 +94,7 @@
 		})
 	})
 	got[k.Self] = mine
-	for n, a := range got {
+	for n, a := range sorted(got) {
 		a.From = n
 		k.hear(a)
 		if a.Roster.Num > r.Num {
@@ -142,10 +142,10 @@
 			keys[key] = true
 		}
 	}
-	for key := range keys {
+	for key := range sorted(keys) {
 		var top, known word.Place
 		var has word.Node
-		for n, a := range got {
+		for n, a := range sorted(got) {
 			mk := a.Marks[key]
 			if voting(n) && top.Less(mk.At) {
 				top, has = mk.At, n
@@ -240,7 +240,7 @@
 		return r, nil, false
 	}
 	cells := map[word.Key]Cell{}
-	for n, a := range got {
+	for n, a := range sorted(got) {
 		if !a.OK || !r.Has(n) {
 			continue
 		}
--- a/internal/keep/duty.go
+++ b/internal/keep/duty.go
@@ -1,10 +1,9 @@
 package keep
 
 import (
-	"math/rand/v2"
-
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/note"
+	"spoolswitch/internal/spawn"
 	"spoolswitch/internal/word"
 )
 
@@ -40,7 +39,7 @@
 func (d *Duty) Vacant(at word.Place, alive func(word.Node) bool) bool {
 	if at != d.seen || d.since == 0 || alive(d.Holder()) {
 		d.seen, d.since = at, clk.Now()
-		d.wait = clk.Span(rand.Int64N(int64(dutyWait)))
+		d.wait = clk.Span(spawn.Int64N(int64(dutyWait)))
 		return false
 	}
 	return clk.Since(d.since) >= d.wait
--- a/internal/keep/join.go
+++ b/internal/keep/join.go
@@ -56,7 +56,7 @@
 	defer k.mu.Unlock()
 	k.asked[j] = asked{clk.Now(), z}
 	var out []word.Node
-	for n, a := range k.asked {
+	for n, a := range sorted(k.asked) {
 		if clk.Since(a.at) > askedFor {
 			delete(k.asked, n)
 			continue
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -1,13 +1,13 @@
 package keep
 
 import (
-	"math/rand/v2"
 	"slices"
 	"sync"
 
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
 	"spoolswitch/internal/note"
+	"spoolswitch/internal/spawn"
 	"spoolswitch/internal/word"
 )
 
@@ -64,7 +64,7 @@
 
 // New makes a keeper over an acceptor.
 func New(self word.Node, acc *Acceptor, net Net, sink Sink) *Keeper {
-	return &Keeper{Self: self, Disk: true, asked: map[word.Node]asked{}, acc: acc, Net: net, Sink: sink, life: rand.Uint64() | 1,
+	return &Keeper{Self: self, Disk: true, asked: map[word.Node]asked{}, acc: acc, Net: net, Sink: sink, life: spawn.Uint64() | 1,
 		leases: map[word.Key]*lease{}, tried: map[word.Key]word.Epoch{}, heard: map[word.Node]clk.Tick{},
 		odd: map[word.Key]doubt{}, others: map[word.Node]word.Zone{}, relays: map[word.Node]clk.Tick{},
 		local0: clk.Now()}
@@ -123,7 +123,7 @@
 			add(n)
 		}
 	}
-	for n, at := range k.heard {
+	for n, at := range sorted(k.heard) {
 		if clk.Since(at) < 10*clk.Second {
 			add(n)
 		}
--- a/internal/keep/lease.go
+++ b/internal/keep/lease.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"math/rand/v2"
 
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
@@ -48,7 +47,7 @@
 	defer t.turn.Give()
 	for clk.Until(deadline) > 0 {
 		if !t.held && !k.win(key, t, deadline) {
-			clk.Sleep(clk.Span(20+rand.IntN(60)) * clk.Millisecond)
+			clk.Sleep(clk.Span(20+spawn.IntN(60)) * clk.Millisecond)
 			continue
 		}
 		next, a := d(t.val)
@@ -80,7 +79,7 @@
 		k.heed(got)
 		return false
 	}
-	for n, a := range got {
+	for n, a := range sorted(got) {
 		if a.OK {
 			k.stepOf(n, key, at, "synced")
 		}
@@ -102,7 +101,7 @@
 }
 
 func (k *Keeper) heed(got map[word.Node]Msg) {
-	for _, a := range got {
+	for _, a := range sorted(got) {
 		if a.Roster.Num > k.acc.Roster().Num {
 			_ = k.acc.Adopt(a.Roster)
 		}
@@ -123,7 +122,7 @@
 	if !r.Majority(oks(got)) {
 		return best, false
 	}
-	for _, a := range got {
+	for _, a := range sorted(got) {
 		if a.OK && best.At.Less(a.At) {
 			best = a
 		}
@@ -150,7 +149,7 @@
 	if !won {
 		return false
 	}
-	for n, a := range got {
+	for n, a := range sorted(got) {
 		if a.OK {
 			k.stepOf(n, key, word.Place{Epoch: e}, "voted")
 		}
--- a/internal/keep/net.go
+++ b/internal/keep/net.go
@@ -45,7 +45,7 @@
 func (w *Wires) Close() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, p := range w.peers {
+	for _, p := range sorted(w.peers) {
 		p.Close()
 	}
 	w.shut = true
--- a/internal/list/delta.go
+++ b/internal/list/delta.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/gob"
+	"maps"
+	"slices"
 
 	"spoolswitch/internal/word"
 )
@@ -34,9 +36,7 @@
 		}
 		delete(had, r.ID)
 	}
-	for id := range had {
-		d.Gone = append(d.Gone, id)
-	}
+	d.Gone = slices.Sorted(maps.Keys(had))
 	var out bytes.Buffer
 	if gob.NewEncoder(&out).Encode(d) != nil || out.Len() >= len(fresh) {
 		return nil
--- a/internal/list/duty.go
+++ b/internal/list/duty.go
@@ -1,12 +1,10 @@
 package list
 
 import (
-	"math/rand/v2"
-	"sync"
-
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/keep"
 	"spoolswitch/internal/note"
+	"spoolswitch/internal/spawn"
 	"spoolswitch/internal/word"
 )
 
@@ -17,7 +15,7 @@
 	// Drain is the time after which nothing may be sent to a replica that the
 	// list shows as draining.
 	Drain clk.Span
-	mu    sync.Mutex
+	mu    spawn.Mutex
 	epoch word.Epoch
 	seq   uint64
 	last  []Replica
@@ -99,7 +97,7 @@
 func (d *Duty) vacant(at word.Place) bool {
 	if at != d.held || d.since == 0 {
 		d.held, d.since = at, clk.Now()
-		d.wait = clk.Span(rand.Int64N(int64(350 * clk.Millisecond)))
+		d.wait = clk.Span(spawn.Int64N(int64(350 * clk.Millisecond)))
 	}
 	if age := d.Keeper.ListAge(); age < clk.Second*3600 {
 		return age >= d.gone()+d.pause() && clk.Since(d.since) >= d.gone()+d.pause()
--- a/internal/note/note.go
+++ b/internal/note/note.go
@@ -67,11 +67,34 @@
 	return out
 }
 
+// Sink takes lines in place of the log.
+type Sink func(what string, kv []any)
+
+var other atomic.Pointer[Sink]
+
+// Use puts s in place of the log and returns the way back.
+func Use(s Sink) func() {
+	other.Store(&s)
+	return func() { other.Store(nil) }
+}
+
 // State logs a change of state.
-func State(what string, kv ...any) { out.Info(what, kv...) }
+func State(what string, kv ...any) {
+	if s := other.Load(); s != nil {
+		(*s)(what, kv)
+		return
+	}
+	out.Info(what, kv...)
+}
 
 // Trouble logs a change of state for the worse.
-func Trouble(what string, kv ...any) { out.Warn(what, kv...) }
+func Trouble(what string, kv ...any) {
+	if s := other.Load(); s != nil {
+		(*s)(what, kv)
+		return
+	}
+	out.Warn(what, kv...)
+}
 
 // Sum logs the counters in one line.
 func Sum() {
--- a/internal/spawn/spawn.go
+++ b/internal/spawn/spawn.go
@@ -14,7 +14,13 @@
 )
 
 // Go runs fn on a thread of its own.
-func Go(fn func()) { go fn() }
+func Go(fn func()) {
+	if w := world.Load(); w != nil {
+		w.spawn(fn)
+		return
+	}
+	go fn()
+}
 
 // Pool runs tasks on a bounded number of threads.
 type Pool struct{ p pond.Pool }
@@ -33,13 +39,21 @@
 func (p *Pool) Busy() int { return int(p.p.RunningWorkers()) }
 
 // Mark is set once and may be waited for.
-type Mark struct{ c chan struct{} }
+type Mark struct {
+	c    chan struct{}
+	set  bool
+	line []*thread
+}
 
 // NewMark makes a mark that is not set.
 func NewMark() *Mark { return &Mark{c: make(chan struct{}, 1)} }
 
 // Set sets the mark; more calls do nothing.
 func (m *Mark) Set() {
+	if w := world.Load(); w != nil {
+		w.set(m)
+		return
+	}
 	select {
 	case m.c <- struct{}{}:
 	default:
@@ -48,6 +62,9 @@
 
 // Wait waits until the mark is set and clears it; false after d without.
 func (m *Mark) Wait(d clk.Span) bool {
+	if w := world.Load(); w != nil {
+		return w.wait(m, d)
+	}
 	select {
 	case <-m.c:
 		return true
@@ -70,7 +87,7 @@
 func Every(d clk.Span, fn func() bool) {
 	Go(func() {
 		for fn() {
-			time.Sleep(d)
+			clk.Sleep(d)
 		}
 	})
 }
--- /dev/null
+++ b/internal/spawn/world.go
@@ -0,0 +1,431 @@
+package spawn
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"spoolswitch/internal/clk"
+)
+
+const (
+	forever   = clk.Span(1 << 62)
+	sameSteps = 1 << 20
+)
+
+var world atomic.Pointer[World]
+
+// World runs all threads of all processes one at a time, in an order and on a
+// clock that a seed decides. While one runs, Go, Every, Mark, Turn, Mutex, the
+// draws and the steady clock are its own.
+type World struct {
+	// Died is told when a thread panics; the world ends then.
+	Died func(p *Process, what any, stack string)
+
+	rnd    *rand.Rand
+	now    clk.Span
+	seq    uint64
+	steps  uint64
+	same   int
+	timers timers
+	ready  []*thread
+	reap   []*thread
+	cur    *thread
+	root   *Process
+	procs  []*Process
+	live   int
+	over   bool
+	end    chan struct{}
+}
+
+// Process is a process in a world: a steady clock of its own, and threads that
+// may be ended, or held for a time.
+type Process struct {
+	Name string
+	// PPM is how many millionths its steady clock runs fast.
+	PPM int64
+	// Lag bounds how late each of its threads goes on.
+	Lag clk.Span
+
+	w       *World
+	born    clk.Span
+	offset  clk.Tick
+	dead    bool
+	frozen  bool
+	held    []*thread
+	threads []*thread
+}
+
+type thread struct {
+	p     *Process
+	c     chan struct{}
+	gen   uint64
+	at    *Mark
+	woken bool
+}
+
+type timer struct {
+	at  clk.Span
+	seq uint64
+	fn  func()
+}
+
+type timers []timer
+
+func (t timers) Len() int { return len(t) }
+func (t timers) Less(i, j int) bool {
+	if t[i].at != t[j].at {
+		return t[i].at < t[j].at
+	}
+	return t[i].seq < t[j].seq
+}
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)   { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	o := *t
+	x := o[len(o)-1]
+	o[len(o)-1] = timer{}
+	*t = o[:len(o)-1]
+	return x
+}
+
+// NewWorld makes a world out of a seed.
+func NewWorld(seed uint64) *World {
+	w := &World{rnd: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), end: make(chan struct{}, 1)}
+	w.root = &Process{Name: "world", w: w}
+	return w
+}
+
+// Run runs fn as the world's own process, and all that it starts, until fn
+// returns, Stop is called, or nothing is left that could ever go on.
+func (w *World) Run(fn func()) {
+	back := clk.Use(w)
+	world.Store(w)
+	w.start(w.root, func() {
+		defer w.Stop()
+		fn()
+	})
+	w.pick()
+	<-w.end
+	world.Store(nil)
+	back()
+}
+
+// Stop ends all threads.
+func (w *World) Stop() {
+	if w.over {
+		return
+	}
+	w.over = true
+	for _, p := range w.procs {
+		p.Kill()
+	}
+	w.root.Kill()
+}
+
+// Time is the world's own time.
+func (w *World) Time() clk.Span { return w.now }
+
+// Steps counts how often a thread went on.
+func (w *World) Steps() uint64 { return w.steps }
+
+// Threads counts the threads there are.
+func (w *World) Threads() int { return w.live }
+
+// Seen is the process whose thread runs.
+func (w *World) Seen() *Process {
+	if w.cur == nil {
+		return w.root
+	}
+	return w.cur.p
+}
+
+// Process starts a process without a thread.
+func (w *World) Process(name string) *Process {
+	p := &Process{Name: name, w: w, born: w.now, offset: clk.Tick(w.rnd.Int64N(int64(clk.Millisecond))) + 1}
+	w.procs = append(w.procs, p)
+	return p
+}
+
+// After calls fn once d has passed. It must not wait.
+func (w *World) After(d clk.Span, fn func()) {
+	w.seq++
+	heap.Push(&w.timers, timer{w.now + max(d, 0), w.seq, fn})
+}
+
+// Go runs fn on a thread of the process.
+func (p *Process) Go(fn func()) { p.w.start(p, fn) }
+
+// Dead tells whether the process was ended.
+func (p *Process) Dead() bool { return p.dead }
+
+// Frozen tells whether the process stands still.
+func (p *Process) Frozen() bool { return p.frozen }
+
+// Threads counts the threads of the process.
+func (p *Process) Threads() int { return len(p.threads) }
+
+// Kill ends the process; what its threads defer reaches nobody.
+func (p *Process) Kill() {
+	if p.dead {
+		return
+	}
+	p.dead = true
+	p.held = nil
+	w := p.w
+	for i, t := range w.procs {
+		if t == p {
+			w.procs = append(w.procs[:i:i], w.procs[i+1:]...)
+			break
+		}
+	}
+	ready := w.ready[:0]
+	for _, t := range w.ready {
+		if t.p != p {
+			ready = append(ready, t)
+		}
+	}
+	w.ready = ready
+	for _, t := range p.threads {
+		t.gen++
+		t.leave()
+		if t != w.cur {
+			w.reap = append(w.reap, t)
+		}
+	}
+}
+
+// Freeze has all threads of the process stand still.
+func (p *Process) Freeze() {
+	if p.dead || p.frozen {
+		return
+	}
+	p.frozen = true
+	ready := p.w.ready[:0]
+	for _, t := range p.w.ready {
+		if t.p == p {
+			p.held = append(p.held, t)
+		} else {
+			ready = append(ready, t)
+		}
+	}
+	p.w.ready = ready
+}
+
+// Thaw has the process go on.
+func (p *Process) Thaw() {
+	if p.dead || !p.frozen {
+		return
+	}
+	p.frozen = false
+	p.w.ready = append(p.w.ready, p.held...)
+	p.held = nil
+}
+
+func (p *Process) tick(at clk.Span) clk.Tick {
+	d := at - p.born
+	return p.offset + clk.Tick(d) + clk.Tick(int64(d)/1_000_000*p.PPM)
+}
+
+// Now reads the steady clock of the process whose thread runs.
+func (w *World) Now() clk.Tick { return w.Seen().tick(w.now) }
+
+// Moment is t, of the process whose thread runs, as a connection deadline.
+func (w *World) Moment(t clk.Tick) clk.Moment {
+	return time.Unix(0, 0).Add(w.now + t.Sub(w.Now()))
+}
+
+// Left is how long it is until a connection deadline; false if there is none.
+func (w *World) Left(m clk.Moment) (clk.Span, bool) {
+	if m.IsZero() {
+		return 0, false
+	}
+	return m.Sub(time.Unix(0, 0)) - w.now, true
+}
+
+// Sleep has the thread that runs wait for d.
+func (w *World) Sleep(d clk.Span) {
+	w.park(max(d, 0))
+}
+
+func (w *World) spawn(fn func()) { w.start(w.Seen(), fn) }
+
+func (w *World) start(p *Process, fn func()) {
+	if p.dead || w.over {
+		return
+	}
+	t := &thread{p: p, c: make(chan struct{}, 1)}
+	p.threads = append(p.threads, t)
+	w.live++
+	go func() {
+		<-t.c
+		w.cur = t
+		defer w.leave(t)
+		if !p.dead {
+			fn()
+		}
+	}()
+	w.wake(t)
+}
+
+func (w *World) leave(t *thread) {
+	if v := recover(); v != nil {
+		if w.Died != nil {
+			w.Died(t.p, v, string(debug.Stack()))
+		}
+		w.Stop()
+	}
+	w.live--
+	w.cur = nil
+	for i, o := range t.p.threads {
+		if o == t {
+			t.p.threads = append(t.p.threads[:i], t.p.threads[i+1:]...)
+			break
+		}
+	}
+	w.pick()
+}
+
+func (t *thread) leave() {
+	if t.at == nil {
+		return
+	}
+	for i, o := range t.at.line {
+		if o == t {
+			t.at.line = append(t.at.line[:i:i], t.at.line[i+1:]...)
+			break
+		}
+	}
+	t.at = nil
+}
+
+// wake makes a thread ready to go on.
+func (w *World) wake(t *thread) {
+	t.gen++
+	t.leave()
+	if t.p.Lag > 0 {
+		gen := t.gen
+		w.After(clk.Span(w.rnd.Int64N(int64(t.p.Lag))), func() {
+			if t.gen == gen && !t.p.dead {
+				w.queue(t)
+			}
+		})
+		return
+	}
+	w.queue(t)
+}
+
+func (w *World) queue(t *thread) {
+	if t.p.frozen {
+		t.p.held = append(t.p.held, t)
+		return
+	}
+	w.ready = append(w.ready, t)
+}
+
+// pick hands the turn to the next thread.
+func (w *World) pick() {
+	w.cur = nil
+	for {
+		if len(w.reap) > 0 {
+			t := w.reap[0]
+			w.reap = w.reap[1:]
+			t.c <- struct{}{}
+			return
+		}
+		if w.over {
+			w.end <- struct{}{}
+			return
+		}
+		if len(w.ready) > 0 {
+			i := w.rnd.IntN(len(w.ready))
+			t := w.ready[i]
+			w.ready[i] = w.ready[len(w.ready)-1]
+			w.ready = w.ready[:len(w.ready)-1]
+			w.steps++
+			if w.same++; w.same > sameSteps {
+				w.fail("no time passes")
+				continue
+			}
+			t.c <- struct{}{}
+			return
+		}
+		if len(w.timers) == 0 {
+			w.fail("nothing is left to do")
+			continue
+		}
+		n := heap.Pop(&w.timers).(timer)
+		if n.at > w.now {
+			w.now, w.same = n.at, 0
+		}
+		n.fn()
+	}
+}
+
+func (w *World) fail(why string) {
+	if w.Died != nil {
+		w.Died(w.root, why, "")
+	}
+	w.Stop()
+}
+
+// park has the thread that runs wait until it is woken, for d at most; it tells
+// whether it was woken before that.
+func (w *World) park(d clk.Span) bool {
+	t := w.cur
+	if t == nil {
+		panic(fmt.Sprint("a timer may not wait", "\n", string(debug.Stack())))
+	}
+	if t.p.dead {
+		runtime.Goexit()
+	}
+	t.woken = false
+	if d < forever/2 {
+		gen := t.gen
+		d -= clk.Span(int64(d) / 1_000_000 * t.p.PPM)
+		w.After(d, func() {
+			if t.gen == gen && !t.p.dead {
+				w.wake(t)
+			}
+		})
+	}
+	w.pick()
+	<-t.c
+	w.cur = t
+	if t.p.dead {
+		runtime.Goexit()
+	}
+	return t.woken
+}
+
+func (w *World) set(m *Mark) {
+	if w.cur != nil && w.cur.p.dead {
+		return
+	}
+	if len(m.line) == 0 {
+		m.set = true
+		return
+	}
+	t := m.line[0]
+	w.wake(t)
+	t.woken = true
+}
+
+func (w *World) wait(m *Mark, d clk.Span) bool {
+	if m.set {
+		m.set = false
+		return true
+	}
+	if d <= 0 {
+		return false
+	}
+	if t := w.cur; t != nil {
+		m.line = append(m.line, t)
+		t.at = m
+	}
+	return w.park(d)
+}
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -5,7 +5,9 @@
 import (
 	"bufio"
 	"encoding/gob"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 
 	"spoolswitch/internal/clk"
@@ -25,7 +27,7 @@
 
 type pipe[M any] struct {
 	c   net.Conn
-	mu  sync.Mutex
+	mu  spawn.Mutex
 	w   *bufio.Writer
 	enc *gob.Encoder
 	dec *gob.Decoder
@@ -140,8 +142,8 @@
 	r.open = map[uint64]func(M, bool){}
 	r.mu.Unlock()
 	var none M
-	for _, fn := range open {
-		fn(none, false)
+	for _, id := range slices.Sorted(maps.Keys(open)) {
+		open[id](none, false)
 	}
 }
 
--- a/internal/wire/serve.go
+++ b/internal/wire/serve.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -29,8 +31,25 @@
 	})
 }
 
+// Fabric is a network in place of the machine's.
+type Fabric interface {
+	Dial(a word.Addr, timeout clk.Span) (net.Conn, error)
+	Listen(a word.Addr) (net.Listener, error)
+}
+
+var other atomic.Pointer[Fabric]
+
+// Use puts f in place of the machine's network and returns the way back.
+func Use(f Fabric) func() {
+	other.Store(&f)
+	return func() { other.Store(nil) }
+}
+
 // Dial connects to an address given by numbers.
 func Dial(a word.Addr, timeout clk.Span) (net.Conn, error) {
+	if f := other.Load(); f != nil {
+		return (*f).Dial(a, timeout)
+	}
 	d := net.Dialer{Timeout: max(timeout, clk.Millisecond), KeepAlive: -1}
 	c, err := d.DialContext(context.Background(), "tcp4", string(a))
 	if err != nil {
@@ -42,6 +61,9 @@
 
 // Listen listens on an address.
 func Listen(a word.Addr) (net.Listener, error) {
+	if f := other.Load(); f != nil {
+		return (*f).Listen(a)
+	}
 	lc := net.ListenConfig{KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) {
 			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
@@ -59,13 +81,13 @@
 	l    net.Listener
 	h    Handler[M]
 	mu   sync.Mutex
-	cs   map[net.Conn]bool
+	cs   []net.Conn
 	shut bool
 }
 
 // Serve answers the calls that come in at l.
 func Serve[M any](l net.Listener, h Handler[M]) *Server[M] {
-	s := &Server[M]{l: l, h: h, cs: map[net.Conn]bool{}}
+	s := &Server[M]{l: l, h: h}
 	spawn.Go(s.accept)
 	return s
 }
@@ -91,7 +113,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.shut = true
-	for c := range s.cs {
+	for _, c := range s.cs {
 		_ = c.Close()
 	}
 }
@@ -100,7 +122,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.shut {
-		s.cs[c] = true
+		s.cs = append(s.cs, c)
 	}
 	return !s.shut
 }
@@ -112,7 +134,7 @@
 	}
 	defer func() {
 		s.mu.Lock()
-		delete(s.cs, c)
+		s.cs = slices.DeleteFunc(s.cs, func(o net.Conn) bool { return o == c })
 		s.mu.Unlock()
 	}()
 	p := newPipe[M](c)
