--- a/internal/check/house_test.go
+++ b/internal/check/house_test.go
@@ -21,7 +21,7 @@
 	{"feed", "list", "oper", "pool"},
 	{"pick", "trace"},
 	{"relay", "ctl"},
-	{"standin", "fleet", "proc"},
+	{"standin", "fleet", "proc", "sim"},
 	{"scale"},
 }
 
--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -52,6 +52,9 @@
 	OldEpoch      Code = 502
 	BadCounts     Code = 511
 	BadPlan       Code = 512
+	BadSimFlags   Code = 601
+	BadSimPlan    Code = 602
+	SimBroken     Code = 603
 )
 
 var names = map[Code]string{
@@ -68,6 +71,7 @@
 	NotVoting: "not voting", ListRefused: "the platform refused the call", UnknownChange: "unknown change",
 	BadBatch: "malformed batch", OldEpoch: "batch of an epoch that is over",
 	BadCounts: "counts unreadable", BadPlan: "plan unreadable",
+	BadSimFlags: "flags at fault", BadSimPlan: "plan of a simulated day unreadable", SimBroken: "a simulated day is broken",
 }
 
 func (c Code) String() string { return names[c] }
--- /dev/null
+++ b/internal/sim/plan.go
@@ -0,0 +1,355 @@
+package sim
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
+)
+
+// Plan is all that is decided of a day before it is played.
+type Plan struct {
+	Seed uint64
+	// Point is the mix that the faults are from.
+	Point int
+	// Core and Diskless count the keepers with and without a disk.
+	Core, Diskless, Relays int
+	// Losses is how many keepers with a disk may be lost at once.
+	Losses  int
+	Seeds   []int
+	Patient bool
+	Routes  int
+	Faults  []Fault
+	Orders  []Order
+	// End is when the last fault is over, and the last order is sent.
+	End clk.Span
+}
+
+// Fault is one trouble.
+type Fault struct {
+	At, For clk.Span
+	Kind    string
+	// Nodes are the slots that it strikes, of keepers or of relays.
+	Nodes []int `json:",omitempty"`
+	// Way tells for cuts which ways are closed: both, out or in.
+	Way string `json:",omitempty"`
+	// All says that a cut parts from relays and operators as well.
+	All bool `json:",omitempty"`
+	// Call and N name the call of a disk that is refused.
+	Call string `json:",omitempty"`
+	N    int    `json:",omitempty"`
+	// Rate is the share that a trouble concerns.
+	Rate float64 `json:",omitempty"`
+	// Seeds are the slots named as seeds from then on.
+	Seeds []int `json:",omitempty"`
+	// Wiped are those of the nodes whose disk is lost.
+	Wiped []int `json:",omitempty"`
+}
+
+// Order is something that an operator sends.
+type Order struct {
+	At       clk.Span
+	Operator int
+	// Kind is replace, modify, invalid, again, on, off or read.
+	Kind string
+	// Num names the body; two orders of one number are the same.
+	Num  int
+	Zone string `json:",omitempty"`
+}
+
+const (
+	contact  = 3 * clk.Second
+	catchUp  = 4 * clk.Second
+	apply    = 2 * clk.Second
+	ackBound = 4 * clk.Second
+	recovery = 12 * clk.Second
+	seedLag  = 3 * clk.Second
+	calmEnd  = 14 * clk.Second
+	firstAt  = 10 * clk.Second
+	operator = 2
+)
+
+// Mix is a described set of faults.
+type Mix struct {
+	Point int
+	What  string
+	Kinds map[string]int
+}
+
+// Mixes are the mixes, by point; 0 is all together.
+func Mixes() []Mix {
+	ms := []Mix{
+		{1, "cuts both ways and one way, freezes, seeds that change, replaced machines, all killed, all without power",
+			map[string]int{"cut": 8, "freeze": 4, "seeds": 5, "replace": 2, "kill-all": 2, "blackout": 2, "reset": 1, "relay-cut": 2, "slow-disk": 1, "kill": 1, "cut-freeze": 2}},
+		{2, "orders that race, answers lost, orders sent again after owners moved, restarts, a lost disk",
+			map[string]int{"answers-lost": 6, "kill": 5, "freeze": 4, "reset": 3, "cut": 3, "wipe": 2, "restart": 3, "slow-node": 2, "kill-all": 1}},
+		{3, "seats that change, with a further loss at every step",
+			map[string]int{"replace": 6, "wipe": 4, "kill": 3, "blackout": 2, "cut": 3, "restart": 2, "grow": 3, "leave": 2, "freeze": 2, "kill-all": 1}},
+		{4, "hundreds of changes with a member away, logs rewritten, disks full, slow, stalled or refusing, all without power",
+			map[string]int{"away": 4, "rewrite": 5, "refuse": 5, "full-disk": 3, "slow-disk": 3, "stall-disk": 3, "blackout": 3, "power": 4, "kill-all": 1, "wipe": 1, "slow-link": 1}},
+	}
+	all := Mix{0, "all together", map[string]int{}}
+	for _, m := range ms {
+		for k, n := range m.Kinds {
+			all.Kinds[k] += n
+		}
+	}
+	return append([]Mix{all}, ms...)
+}
+
+// Points counts the mixes.
+const Points = 5
+
+type maker struct {
+	r    *rand.Rand
+	p    *Plan
+	busy []span
+	all  []span
+}
+
+type span struct {
+	from, to clk.Span
+	slot     int
+}
+
+func (m *maker) span(lo, hi clk.Span) clk.Span { return lo + clk.Span(m.r.Int64N(int64(hi-lo)+1)) }
+
+func (m *maker) pick(kinds map[string]int) string {
+	names := []string{}
+	sum := 0
+	for k, n := range kinds {
+		names = append(names, k)
+		sum += n
+	}
+	slices.Sort(names)
+	n := m.r.IntN(sum)
+	for _, k := range names {
+		if n -= kinds[k]; n < 0 {
+			return k
+		}
+	}
+	return names[0]
+}
+
+// lost counts the slots that count as lost at some moment of a span.
+func (m *maker) fits(from, to clk.Span, slots []int) bool {
+	for _, s := range m.all {
+		if from < s.to && s.from < to {
+			return false
+		}
+	}
+	times := []clk.Span{from}
+	for _, s := range m.busy {
+		if s.from > from && s.from < to {
+			times = append(times, s.from)
+		}
+	}
+	for _, t := range times {
+		n := len(slots)
+		for _, s := range m.busy {
+			if s.from <= t && t < s.to {
+				if slices.Contains(slots, s.slot) {
+					return false
+				}
+				n++
+			}
+		}
+		if n > m.p.Losses {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *maker) some(most int) []int {
+	n := 1 + m.r.IntN(max(1, most))
+	return m.r.Perm(m.p.Core)[:min(n, m.p.Core)]
+}
+
+func (m *maker) keepers() int { return m.p.Core + m.p.Diskless }
+
+func (m *maker) seeds() []int {
+	s := m.r.Perm(m.keepers())
+	return s[:min(3, len(s))]
+}
+
+func (m *maker) fault(at clk.Span, kind string) (Fault, bool) {
+	f := Fault{At: at, Kind: kind}
+	switch kind {
+	case "cut", "cut-freeze":
+		f.Nodes, f.For = m.some(m.p.Losses), m.span(clk.Second, 24*clk.Second)
+		f.Way, f.All = []string{"both", "both", "out", "in"}[m.r.IntN(4)], m.r.IntN(2) == 0
+	case "freeze", "slow-node":
+		f.Nodes, f.For = m.some(m.p.Losses), m.span(clk.Second/2, 6*clk.Second)
+	case "kill", "power", "restart", "wipe", "replace":
+		f.Nodes, f.For = m.some(m.p.Losses), m.span(clk.Second/5, 5*clk.Second)
+	case "away":
+		f.Nodes, f.For = m.some(m.p.Losses), m.span(8*clk.Second, 20*clk.Second)
+	case "leave":
+		f.Nodes, f.For = m.some(1), m.span(6*clk.Second, 14*clk.Second)
+	case "kill-all", "blackout":
+		f.For = m.span(clk.Second/5, 2*clk.Second)
+		for i := range m.keepers() {
+			f.Nodes = append(f.Nodes, i)
+		}
+		if kind == "blackout" && m.r.IntN(2) == 0 {
+			f.Wiped = m.some(m.p.Losses)
+		}
+	case "seeds":
+		f.Seeds = m.seeds()
+		f.Nodes = m.r.Perm(m.keepers())[:1+m.r.IntN(m.keepers())]
+	case "reset":
+		f.Nodes = m.r.Perm(m.keepers())[:1]
+		f.Nodes, f.For = m.some(m.p.Losses), clk.Millisecond
+	case "relay-cut":
+		f.Nodes, f.For = []int{m.r.IntN(m.p.Relays)}, m.span(clk.Second, 8*clk.Second)
+	case "slow-disk", "stall-disk", "full-disk":
+		f.Nodes, f.For = m.some(m.p.Losses), m.span(clk.Second/2, 5*clk.Second)
+	case "refuse":
+		f.Nodes, f.For, f.N = m.some(m.p.Losses), clk.Second*2, 1+m.r.IntN(4)
+		f.Call = []string{"write", "sync", "truncate", "rename", "sync-dir", "open"}[m.r.IntN(6)]
+	case "rewrite":
+		f.Nodes, f.For = m.some(m.p.Losses), m.span(0, 30*clk.Millisecond)
+		if m.r.IntN(2) == 0 {
+			f.Call, f.N = []string{"write", "sync", "truncate", "rename", "sync-dir", "open"}[m.r.IntN(6)], 1+m.r.IntN(2)
+		}
+	case "answers-lost":
+		f.For, f.Rate = m.span(2*clk.Second, 8*clk.Second), 0.9
+	case "slow-link":
+		f.Nodes, f.For = m.some(m.p.Losses), m.span(clk.Second, 4*clk.Second)
+	case "grow":
+		f.N = 1
+	}
+	till := at + f.For + catchUp
+	switch kind {
+	case "kill-all", "blackout":
+		if !m.fits(at-catchUp/2, till+2*clk.Second, nil) {
+			return f, false
+		}
+		for _, s := range m.busy {
+			if s.to > at && s.from < till {
+				return f, false
+			}
+		}
+		m.all = append(m.all, span{at, till + 2*clk.Second, 0})
+	case "seeds", "grow", "relay-cut", "answers-lost":
+	default:
+		if !m.fits(at, till, f.Nodes) {
+			return f, false
+		}
+		for _, n := range f.Nodes {
+			m.busy = append(m.busy, span{at, till, n})
+		}
+	}
+	return f, true
+}
+
+// Make makes the plan of a seed.
+func Make(seed uint64, point int) *Plan {
+	r := rand.New(rand.NewPCG(seed, uint64(point)+77))
+	p := &Plan{Seed: seed, Point: point, Relays: 2 + r.IntN(2), Patient: r.IntN(2) == 0, Routes: 3}
+	p.Core = []int{3, 3, 5, 6, 7}[r.IntN(5)]
+	p.Losses = map[int]int{3: 1, 5: 1 + r.IntN(2), 6: 2, 7: 2 + r.IntN(2)}[p.Core]
+	if r.IntN(2) == 0 {
+		p.Diskless = 1 + r.IntN(3)
+	}
+	m := &maker{r: r, p: p}
+	p.Seeds = m.seeds()
+	if !slices.ContainsFunc(p.Seeds, func(i int) bool { return i < p.Core }) {
+		p.Seeds[0] = 0
+	}
+	mix := Mixes()[point]
+	till := firstAt + m.span(15*clk.Second, 30*clk.Second)
+	n := 3 + r.IntN(6)
+	for tries := 0; len(p.Faults) < n && tries < 60; tries++ {
+		at := m.span(firstAt, till)
+		if f, ok := m.fault(at, m.pick(mix.Kinds)); ok {
+			p.Faults = append(p.Faults, f)
+			p.End = max(p.End, f.At+f.For)
+		}
+	}
+	if r.IntN(3) == 0 {
+		at := p.End + catchUp + m.span(clk.Second, 4*clk.Second)
+		if f, ok := m.fault(at, []string{"kill-all", "blackout"}[r.IntN(2)]); ok {
+			p.Faults = append(p.Faults, f)
+			p.End = f.At + f.For
+		}
+	}
+	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
+	p.End = max(p.End, till) + clk.Second
+	m.orders()
+	return p
+}
+
+var zones = []string{"za", "zb", "zc"}
+
+func (m *maker) orders() {
+	p, r := m.p, m.r
+	pause := 700 * clk.Millisecond
+	if p.Point == 4 {
+		pause = 120 * clk.Millisecond
+		if r.IntN(3) == 0 {
+			p.Routes = 120
+		}
+	}
+	num := 1
+	var times []clk.Span
+	for _, f := range p.Faults {
+		times = append(times, f.At-m.span(0, 40*clk.Millisecond), f.At+m.span(0, clk.Second), f.At+f.For+m.span(0, clk.Second/2))
+	}
+	for at := 4 * clk.Second; at < p.End; at += m.span(pause/4, pause*2) {
+		times = append(times, at)
+	}
+	slices.Sort(times)
+	for _, at := range times {
+		num++
+		o := Order{At: at, Operator: r.IntN(operator), Num: num}
+		switch n := r.IntN(100); {
+		case n < 32:
+			o.Kind = "replace"
+		case n < 54:
+			o.Kind = "modify"
+		case n < 58:
+			o.Kind = "invalid"
+		case n < 66:
+			o.Kind = "again"
+			o.Num = r.IntN(num) + 1
+		case n < 76:
+			o.Kind = "read"
+		default:
+			o.Kind, o.Zone = []string{"on", "off"}[r.IntN(2)], zones[r.IntN(2)]
+		}
+		p.Orders = append(p.Orders, o)
+		if (o.Kind == "replace" || o.Kind == "modify") && r.IntN(5) == 0 {
+			t := o
+			t.At += m.span(0, 2*clk.Millisecond)
+			t.Operator = 1 - t.Operator
+			if r.IntN(3) > 0 {
+				num++
+				t.Num = num
+			}
+			p.Orders = append(p.Orders, t)
+		}
+	}
+}
+
+// ReadPlan reads a plan that was written as JSON.
+func ReadPlan(b []byte) (*Plan, error) {
+	p := &Plan{}
+	if err := json.Unmarshal(b, p); err != nil {
+		return nil, code.New(code.BadSimPlan, "%v", err)
+	}
+	if p.Core < 1 || p.Core > 99 || p.Diskless < 0 || p.Diskless > 99 || p.Relays < 1 || p.Relays > 99 || len(p.Seeds) == 0 || p.Point < 0 || p.Point >= Points {
+		return nil, code.New(code.BadSimPlan, "sizes")
+	}
+	for _, f := range p.Faults {
+		for _, n := range slices.Concat(f.Nodes, f.Seeds, f.Wiped) {
+			if n < 0 || n >= p.Core+p.Diskless {
+				return nil, code.New(code.BadSimPlan, "%s strikes %d", f.Kind, n)
+			}
+		}
+	}
+	return p, nil
+}
--- a/internal/spawn/world.go
+++ b/internal/spawn/world.go
@@ -25,6 +25,9 @@
 type World struct {
 	// Died is told when a thread panics; the world ends then.
 	Died func(p *Process, what any, stack string)
+	// MostThreads and MostSteps end the world when they are passed; 0 is never.
+	MostThreads int
+	MostSteps   uint64
 
 	rnd    *rand.Rand
 	now    clk.Span
@@ -157,6 +160,15 @@
 	heap.Push(&w.timers, timer{w.now + max(d, 0), w.seq, fn})
 }
 
+// As runs fn, which must not wait, as if a thread of the process did.
+func (p *Process) As(fn func()) {
+	w := p.w
+	cur := w.cur
+	w.cur = &thread{p: p}
+	fn()
+	w.cur = cur
+}
+
 // Go runs fn on a thread of the process.
 func (p *Process) Go(fn func()) { p.w.start(p, fn) }
 
@@ -347,7 +359,14 @@
 			w.ready[i] = w.ready[len(w.ready)-1]
 			w.ready = w.ready[:len(w.ready)-1]
 			w.steps++
-			if w.same++; w.same > sameSteps {
+			switch w.same++; {
+			case w.MostThreads > 0 && w.live > w.MostThreads:
+				w.fail("too many threads")
+				continue
+			case w.MostSteps > 0 && w.steps > w.MostSteps:
+				w.fail("too many steps")
+				continue
+			case w.same > sameSteps:
 				w.fail("no time passes")
 				continue
 			}
