Who has a roster brings it to the seeds of its settings; orders end at a seat

Cause: seeds may be keepers without a disk. After all are killed these know only each other, those with disks never called them, and relays know only the seeds; orders went round among keepers without a seat until their memory ran out.

Change: keepers exchange rosters by gossip with the seeds that their settings name now, at once after a start or a change, each 1.2 s with one not met, each 3 s after; those without a seat ask a seat and those that asked them as well. The feed tells relays the seats even where it cannot feed. An order is forwarded to a seat only, with the time that its asker waits; a keeper that knows no seat refuses it at once, and 64 orders are in hand at most. keep.Watch is gone: its test now learns the roster by the first order.

The new tests of fleet were seen to fail without the gossip and without the seats in the feed.

--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -33,8 +33,6 @@
 	founder atomic.Bool
 }
 
-const watchPause = 1200 * clk.Millisecond
-
 // Start starts a keeper from its settings.
 func Start(s *boot.Settings) (*Daemon, error) {
 	debug.SetMemoryLimit(s.Limits.MemoryMB << 20 * 7 / 10)
@@ -106,9 +104,9 @@
 			} else if acc.Ready() && (k.Disk || acc.Roster().Has(k.Self)) {
 				k.Regain()
 			}
-			if !k.Disk && !acc.Voting() && !d.founder.Load() {
-				k.Watch()
-				clk.Sleep(watchPause)
+			k.Gossip()
+			if !k.Rounds() && !d.founder.Load() {
+				clk.Sleep(keep.Beat / 4)
 				continue
 			}
 			k.Round()
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -3,11 +3,13 @@
 package feed
 
 import (
+	"maps"
 	"sort"
 	"strings"
 	"sync"
 
 	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
 	"spoolswitch/internal/keep"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/spawn"
@@ -42,6 +44,10 @@
 	Relays() int
 	ListAge() clk.Span
 	KeeperZones() map[word.Node]word.Zone
+	// SeatZones tells the zone of each seat of the roster that the keeper goes
+	// by, with its number, and Rounds whether it can ever become sure.
+	SeatZones() (uint64, map[word.Node]word.Zone)
+	Rounds() bool
 }
 
 // Hub is the keeper's end of the feed.
@@ -248,6 +254,7 @@
 	}()
 	first := true
 	zones := -1
+	var seats map[word.Node]word.Zone
 	for {
 		out := keep.Msg{Kind: keep.Follow, Life: h.Status.Life(), Fresh: h.Status.Sure(h.freshFor()),
 			Count: h.Status.Relays(), ListAge: h.Status.ListAge()}
@@ -257,6 +264,11 @@
 			if l := h.Status.KeeperZones(); len(l) != zones {
 				out.KeeperZones, zones = l, len(l)
 			}
+		} else if !h.Status.Rounds() {
+			out.Code = code.NotVoting
+		}
+		if num, l := h.Status.SeatZones(); !maps.Equal(l, seats) {
+			out.Roster.Num, out.SeatZones, seats = num, l, l
 		}
 		for _, it := range out.Items {
 			name := strings.Split(string(it.Key), "/")[0]
--- a/internal/feed/hub_test.go
+++ b/internal/feed/hub_test.go
@@ -15,6 +15,10 @@
 type status struct {
 	life uint64
 	sure bool
+	// seats are those that the keeper knows, seatless says that it has none.
+	seats    map[word.Node]word.Zone
+	seatless bool
+	num      uint64
 }
 
 func (s *status) Life() uint64                         { return s.life }
@@ -22,6 +26,10 @@
 func (s *status) Relays() int                          { return 3 }
 func (s *status) ListAge() clk.Span                    { return 0 }
 func (s *status) KeeperZones() map[word.Node]word.Zone { return nil }
+func (s *status) SeatZones() (uint64, map[word.Node]word.Zone) {
+	return s.num, s.seats
+}
+func (s *status) Rounds() bool { return !s.seatless }
 
 func item(k word.Key, round, seq uint64, v string) keep.Item {
 	return keep.Item{Key: k, At: word.Place{Epoch: word.Epoch{Round: round, Node: "a"}, Seq: seq}, Val: []byte(v)}
--- a/internal/feed/tail.go
+++ b/internal/feed/tail.go
@@ -2,10 +2,13 @@
 
 import (
 	"hash/fnv"
+	"maps"
+	"slices"
 	"sort"
 	"sync"
 
 	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
 	"spoolswitch/internal/keep"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/spawn"
@@ -34,6 +37,9 @@
 	mu     sync.Mutex
 	places map[word.Key]word.Place
 	zones  map[word.Node]word.Zone
+	// seats are those of the newest roster that anybody told of, by its number.
+	seats  map[word.Node]word.Zone
+	roster uint64
 	fresh  clk.Tick
 	life   uint64
 	num    uint64
@@ -105,6 +111,9 @@
 	for n := range t.zones {
 		add(word.Addr(n))
 	}
+	for n := range t.seats {
+		add(word.Addr(n))
+	}
 	for _, a := range t.Seeds() {
 		add(a)
 	}
@@ -112,7 +121,7 @@
 		h := fnv.New64a()
 		h.Write([]byte(string(t.Self) + "|" + string(a)))
 		r := h.Sum64() >> 2
-		if t.zones[word.Node(a)] != t.Zone {
+		if t.zone(a) != t.Zone {
 			r |= 1 << 62
 		}
 		if at, ok := t.bad[a]; ok && clk.Since(at) < avoid {
@@ -124,14 +133,22 @@
 	return out
 }
 
+func (t *Tail) zone(a word.Addr) word.Zone {
+	if z, ok := t.zones[word.Node(a)]; ok {
+		return z
+	}
+	return t.seats[word.Node(a)]
+}
+
+// home tells whether a keeper is of the own zone, or none that is answers.
 func (t *Tail) home(a word.Addr) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.zones[word.Node(a)] == t.Zone {
 		return true
 	}
-	for _, z := range t.zones {
-		if z == t.Zone {
+	for n, z := range t.zones {
+		if at, ok := t.bad[word.Addr(n)]; z == t.Zone && !(ok && clk.Since(at) < avoid) {
 			return false
 		}
 	}
@@ -142,16 +159,25 @@
 func (t *Tail) Run() {
 	spawn.Go(func() {
 		for {
-			for _, a := range t.order() {
-				if t.follow(a) {
-					break
-				}
-			}
+			t.pass()
 			clk.Sleep(50 * clk.Millisecond)
 		}
 	})
 }
 
+// pass tries the keepers that are known, each once, until one was followed; what
+// one of them tells of others counts at once.
+func (t *Tail) pass() {
+	tried := map[word.Addr]bool{}
+	for {
+		to := slices.DeleteFunc(t.order(), func(a word.Addr) bool { return tried[a] })
+		if len(to) == 0 || t.follow(to[0]) {
+			return
+		}
+		tried[to[0]] = true
+	}
+}
+
 func (t *Tail) follow(a word.Addr) bool {
 	p := wire.NewPeer[keep.Msg](a)
 	defer p.Close()
@@ -164,6 +190,9 @@
 	t.mu.Unlock()
 	end, err := p.Stream(m, firstWait, func(m keep.Msg, ok bool) {
 		whole := true
+		if ok {
+			t.told(m)
+		}
 		if ok && m.Fresh {
 			whole = t.news(a, m)
 		}
@@ -172,7 +201,7 @@
 			lost = true
 		} else if m.Fresh {
 			last = clk.Now()
-		} else if last != 0 {
+		} else if last != 0 || m.Code == code.NotVoting {
 			lost = true
 		}
 		mu.Unlock()
@@ -204,6 +233,7 @@
 			if t.bad == nil {
 				t.bad = map[word.Addr]clk.Tick{}
 			}
+			maps.DeleteFunc(t.bad, func(_ word.Addr, at clk.Tick) bool { return clk.Since(at) >= avoid })
 			t.bad[a] = clk.Now()
 			t.mu.Unlock()
 			if was {
@@ -225,6 +255,14 @@
 	spawn.Go(func() { _, _ = p.Call(m, firstWait) })
 }
 
+func (t *Tail) told(m keep.Msg) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(m.SeatZones) > 0 && m.Roster.Num >= t.roster {
+		t.seats, t.roster = m.SeatZones, m.Roster.Num
+	}
+}
+
 func (t *Tail) news(a word.Addr, m keep.Msg) bool {
 	t.mu.Lock()
 	if m.Life != t.life {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -42,6 +42,8 @@
 	relays  map[int]*relay.Daemon
 	// more is appended to everybody's settings.
 	more string
+	// seeds are the keepers that settings name.
+	seeds []int
 }
 
 // fleets gives each fleet ports of its own.
@@ -50,7 +52,7 @@
 func newFleet(t *testing.T, keepers, relays int) *fleet { return newFleetOf(t, keepers, relays, "") }
 
 func newFleetOf(t *testing.T, keepers, relays int, more string) *fleet {
-	f := &fleet{t: t, more: more, base: 20000 + int(fleets.Add(1))*20, plat: standin.NewPlatform(1), dirs: map[int]string{},
+	f := &fleet{t: t, more: more, seeds: []int{1, 2, 3}, base: 20000 + int(fleets.Add(1))*20, plat: standin.NewPlatform(1), dirs: map[int]string{},
 		keepers: map[int]*ctl.Daemon{}, relays: map[int]*relay.Daemon{}}
 	f.rep = standin.NewReplica("i-1", standin.Well)
 	other := standin.NewReplica("i-2", standin.Well)
@@ -77,13 +79,17 @@
 }
 
 func (f *fleet) settings(ip, node string, initial bool) *boot.Settings {
+	var seeds []string
+	for _, i := range f.seeds {
+		seeds = append(seeds, fmt.Sprintf("\"127.0.0.%d:%d\"", i, f.base+10))
+	}
 	s, errs := boot.Parse(fmt.Appendf(nil, `
 node-name = %q
 ip = %q
 zone = "z1"
 internal-ports = [%d, %d]
-seed-nodes = ["127.0.0.1:%[5]d", "127.0.0.2:%[5]d", "127.0.0.3:%[5]d"]
-initial-start = %v
+seed-nodes = [%[10]s]
+initial-start = %[6]v
 unknown-field = 1
 [zones]
 z1 = "r"
@@ -107,7 +113,7 @@
 [platform-api]
 address = %q
 rate-per-s = 1000
-`+f.more, node, ip, f.base, f.base+9, f.base+10, initial, f.base+11, f.base+12, f.plat.Addr))
+`+f.more, node, ip, f.base, f.base+9, f.base+10, initial, f.base+11, f.base+12, f.plat.Addr, strings.Join(seeds, ",")))
 	for _, err := range errs {
 		f.t.Fatal(err)
 	}
@@ -115,9 +121,7 @@
 }
 
 func (f *fleet) startKeeper(i int, initial bool) {
-	s := f.settings(fmt.Sprintf("127.0.0.%d", i), fmt.Sprintf("keeper-%d", i), initial)
-	s.DataDir = f.dirs[i]
-	d, err := ctl.Start(s)
+	d, err := ctl.Start(f.keeperSettings(i, initial))
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -132,7 +136,7 @@
 }
 
 func (f *fleet) startRelay(i int) {
-	d, err := relay.Start(f.settings(fmt.Sprintf("127.0.0.%d", 10+i), fmt.Sprintf("relay-%d", i), true))
+	d, err := relay.Start(f.relaySettings(i))
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/keep/found.go
+++ b/internal/keep/found.go
@@ -46,13 +46,10 @@
 	return true
 }
 
+// seatsNear are the seats of the roster that orders may be forwarded to, the one
+// that answered last first.
 func (k *Keeper) seatsNear() []word.Node {
-	out := k.acc.Roster().All()
-	if len(out) == 0 {
-		out, _ = k.seeds()
-		out = slices.Clone(out)
-	}
-	out = slices.DeleteFunc(out, func(n word.Node) bool { return n == k.Self })
+	out := slices.DeleteFunc(k.acc.Roster().All(), func(n word.Node) bool { return n == k.Self })
 	k.mu.Lock()
 	last := k.last
 	k.mu.Unlock()
@@ -79,30 +76,73 @@
 	k.last = n
 }
 
-// Watch keeps a keeper without a seat up to date of who has one. It asks one
-// of them, and is no peer of theirs.
-func (k *Keeper) Watch() {
-	for _, n := range k.seatsNear() {
-		a, ok := k.Net.Ask(n, Msg{Kind: Digest}, askTimeout)
-		if !ok || a.Roster.Num == 0 {
-			continue
-		}
-		k.answered(n)
-		_ = k.acc.Adopt(a.Roster)
-		return
-	}
-}
-
+// forward hands an order to a seat, which hands it to nobody without one. A
+// keeper that knows no seat refuses it.
 func (k *Keeper) forward(key word.Key, o *Order, deadline clk.Tick) Msg {
-	for _, n := range k.seatsNear() {
-		if clk.Until(deadline) <= 0 {
+	if k.acc.Roster().Num == 0 && !k.pull() {
+		return Msg{Code: code.NotVoting, Text: "no seat is known here"}
+	}
+	tried := map[word.Node]bool{}
+	for clk.Until(deadline) > 0 {
+		to := slices.DeleteFunc(k.seatsNear(), func(n word.Node) bool { return tried[n] })
+		if len(to) == 0 {
 			break
 		}
-		a, ok := k.Net.Ask(n, Msg{Kind: Forward, Key: key, Order: o}, min(askTimeout, clk.Until(deadline)))
-		if ok && a.Code != code.NoMajority && a.Code != code.NotVoting {
+		n := to[0]
+		tried[n] = true
+		timeout := min(askTimeout, clk.Until(deadline))
+		a, ok := k.Net.Ask(n, Msg{Kind: Forward, Key: key, Order: o, Left: timeout}, timeout)
+		if !ok {
+			continue
+		}
+		if a.Code != code.NoMajority && a.Code != code.NotVoting && a.Code != code.QueueFull {
 			k.answered(n)
 			return a
 		}
+		k.take(Msg{Roster: a.Roster})
 	}
 	return Msg{Code: code.NoMajority}
 }
+
+// within is the deadline of an order that was handed over with so much time
+// left, and may have no more than most.
+func within(left, most clk.Span) clk.Tick {
+	if left > 0 {
+		most = min(most, left)
+	}
+	return clk.Now().Add(most)
+}
+
+// OrdersMost is how many orders of other daemons a keeper has in hand at once.
+const OrdersMost = 64
+
+func (k *Keeper) admit() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.orders >= OrdersMost {
+		return false
+	}
+	k.orders++
+	return true
+}
+
+func (k *Keeper) done() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.orders--
+}
+
+// ordered carries out an order that another daemon has taken from a client.
+func (k *Keeper) ordered(m Msg) Msg {
+	if !k.acc.Voting() {
+		return Msg{Code: code.NotVoting, Roster: k.acc.Roster()}
+	}
+	if !k.admit() {
+		return Msg{Code: code.QueueFull, Text: "too many orders in hand"}
+	}
+	defer k.done()
+	if m.Kind == Forward {
+		return k.Change(m.Key, m.Order, within(m.Left, forwardTimeout*2))
+	}
+	return k.Own(m.Key, within(m.Left, forwardTimeout), k.Decider(m.Key, m.Order))
+}
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -57,6 +57,14 @@
 	asked   map[word.Node]asked
 	last    word.Node
 	wanted  clk.Tick
+	// contacts and callers are those that rosters are exchanged with; seat0
+	// counts the seats through, and seededAt is when the seeds last changed.
+	contacts map[word.Node]contact
+	callers  []word.Node
+	seat0    int
+	seededAt clk.Tick
+	pulling  sync.Mutex
+	orders   int
 	// newcomer says that this life of the keeper began before it had a seat, so
 	// that no promise of it can have been lost.
 	newcomer bool
@@ -67,13 +75,17 @@
 	return &Keeper{Self: self, Disk: true, asked: map[word.Node]asked{}, acc: acc, Net: net, Sink: sink, life: rand.Uint64() | 1,
 		leases: map[word.Key]*lease{}, tried: map[word.Key]word.Epoch{}, heard: map[word.Node]clk.Tick{},
 		odd: map[word.Key]doubt{}, others: map[word.Node]word.Zone{}, relays: map[word.Node]clk.Tick{},
-		local0: clk.Now()}
+		contacts: map[word.Node]contact{}, local0: clk.Now(), seededAt: clk.Now()}
 }
 
 // Seeded takes in where keepers may be found, and how many seats there may be.
 func (k *Keeper) Seeded(ns []word.Node, seats int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if !slices.Equal(ns, k.Founders) {
+		k.seededAt = clk.Now()
+		clear(k.contacts)
+	}
 	k.Founders, k.Seats = ns, seats
 }
 
@@ -161,12 +173,13 @@
 
 // Change has an order carried out by the owner of its key, here or elsewhere.
 func (k *Keeper) Change(key word.Key, o *Order, deadline clk.Tick) Msg {
-	if !k.Disk && !k.acc.Voting() {
+	if !k.acc.Voting() {
 		return k.forward(key, o, deadline)
 	}
 	if n := k.owner(key); n != "" && n != k.Self && k.recent(n, 1500*clk.Millisecond) {
-		a, ok := k.Net.Ask(n, Msg{Kind: Change, From: k.Self, Key: key, Order: o}, min(forwardTimeout, clk.Until(deadline)))
-		if ok && a.Code != code.NoMajority && a.Code != code.NotVoting {
+		left := min(forwardTimeout, clk.Until(deadline))
+		a, ok := k.Net.Ask(n, Msg{Kind: Change, From: k.Self, Key: key, Order: o, Left: left}, left)
+		if ok && a.Code != code.NoMajority && a.Code != code.NotVoting && a.Code != code.QueueFull {
 			return a
 		}
 	}
@@ -190,6 +203,9 @@
 
 // Handle answers a message of another daemon.
 func (k *Keeper) Handle(m Msg) Msg {
+	if m.Kind == Gossip {
+		return k.gossiped(m)
+	}
 	k.hear(m)
 	switch m.Kind {
 	case Vote, Accept, Hold:
@@ -219,10 +235,8 @@
 		return Msg{OK: true}
 	case Join:
 		return k.join(m.From, m.Zone)
-	case Forward:
-		return k.Change(m.Key, m.Order, clk.Now().Add(forwardTimeout*2))
-	case Change:
-		return k.Own(m.Key, clk.Now().Add(forwardTimeout), k.Decider(m.Key, m.Order))
+	case Forward, Change:
+		return k.ordered(m)
 	}
 	return Msg{Code: code.NoCall}
 }
@@ -231,9 +245,11 @@
 	if m.From == "" {
 		return
 	}
+	r := k.acc.Roster()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.heard[m.From] = clk.Now()
+	k.trim(r)
 	if m.Zone != "" {
 		k.others[m.From] = m.Zone
 	}
--- a/internal/keep/msg.go
+++ b/internal/keep/msg.go
@@ -28,6 +28,7 @@
 	Forward
 	Counts
 	Fold
+	Gossip
 )
 
 // Mark is what one keeper has of one key.
@@ -92,8 +93,11 @@
 	Disk        bool
 	Zone        word.Zone
 	KeeperZones map[word.Node]word.Zone
+	SeatZones   map[word.Node]word.Zone
 	Addr        word.Addr
 	Report      *Report
+	// Left is how long the asker of an order waits for its answer.
+	Left clk.Span
 }
 
 // Report is what a daemon tells of itself when it is asked for a trace.
--- a/internal/keep/seats_test.go
+++ b/internal/keep/seats_test.go
@@ -81,7 +81,6 @@
 	v, ok := c.get("d")
 	is.True(ok)
 	is.Equal(v, "1")
-	d.Watch()
 	is.Equal(d.Acceptor().Roster().Seat, three.Seat)
 	e := word.Epoch{Round: 99, Node: "x", Life: 1}
 	is.Equal(d.Handle(Msg{Kind: Vote, Key: kk, Epoch: e, Roster: three}).Code, code.NotVoting)
