A long event is looked through once; TestEndlessEvent no longer hangs on the pace

Cause: the scan for the end of an event began anew with every read, so an event of one megabyte cost 128 megabytes of looking; under the race detector that took over the route's three seconds and the relay answered 504 (deadline) in place of 502 (an event too long). Change: the scan goes on where it ended, and the part held is copied only when an event left it. The test's route has ten minutes, so only the bound on the length can end it; it asks for the single arrival as well. Seen failing: head.TestLongEvent with the scan begun anew; TestEndlessEvent under -race before (504 after 3.0 s), passes in 0.3 s now.

--- a/internal/head/event.go
+++ b/internal/head/event.go
@@ -8,6 +8,7 @@
 // Events cuts a stream into whole events.
 type Events struct {
 	buf  []byte
+	from int
 	Last int64
 	Seen bool
 	// N counts the events passed.
@@ -27,12 +28,12 @@
 	var out []byte
 	rest := e.buf
 	for {
-		n := end(rest)
+		n := end(rest, e.from)
 		if n == 0 {
 			break
 		}
 		ev := rest[:n]
-		rest = rest[n:]
+		rest, e.from = rest[n:], 0
 		id, ok := ID(ev)
 		if ok && id <= skip {
 			continue
@@ -43,7 +44,10 @@
 		e.N++
 		out = append(out, ev...)
 	}
-	e.buf = append([]byte(nil), rest...)
+	if len(rest) < len(e.buf) {
+		e.buf = append([]byte(nil), rest...)
+	}
+	e.from = max(0, len(e.buf)-2)
 	return out
 }
 
@@ -51,7 +55,7 @@
 	rest = b
 	last, seen, count := e.Last, e.Seen, e.N
 	for {
-		n := end(rest)
+		n := end(rest, 0)
 		if n == 0 {
 			break
 		}
@@ -74,10 +78,10 @@
 func (e *Events) Held() int { return len(e.buf) }
 
 // Cut forgets a part of an event that will not be whole any more.
-func (e *Events) Cut() { e.buf = nil }
+func (e *Events) Cut() { e.buf, e.from = nil, 0 }
 
-func end(b []byte) int {
-	for i := 0; i < len(b); i++ {
+func end(b []byte, from int) int {
+	for i := from; i < len(b); i++ {
 		if b[i] != '\n' {
 			continue
 		}
--- a/internal/head/head_test.go
+++ b/internal/head/head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -98,6 +99,23 @@
 	is.Equal(e.Last, int64(6))
 }
 
+// What was looked through without an end of an event is not looked through again.
+func TestLongEvent(t *testing.T) {
+	is := is.New(t)
+	var e Events
+	for range 256 {
+		is.Equal(len(e.Add(bytes.Repeat([]byte("x"), 4096), -1)), 0)
+		is.True(e.from >= e.Held()-2)
+	}
+	is.Equal(e.Held(), 1<<20)
+	for _, s := range []string{"\n", "\r", "\n"} {
+		is.True(e.Left())
+		e.Add([]byte(s), -1)
+	}
+	is.True(!e.Left())
+	is.Equal(e.N, int64(1))
+}
+
 func FuzzRequest(f *testing.F) {
 	f.Add("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc")
 	f.Add("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n")
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -573,7 +573,8 @@
 	until(t, "room", func() bool { return g.r.reserve(10) })
 }
 
-// A replica that sends one event without an end is left.
+// A replica that sends one event without an end is left, long before the
+// request's deadline.
 func TestEndlessEvent(t *testing.T) {
 	is := is.New(t)
 	g := newRig(t, func(w net.Conn, g standin.Got) bool {
@@ -584,9 +585,11 @@
 			}
 		}
 	})
-	r, err := g.ask("/stream/", "id1")
+	g.configure(2, `{"name":"long","authority":"h.example","path-prefix":"/long/","route-class":"streaming","timeout-ms":600000,"target-ms":400,"service":"s","max-attempts":3}`)
+	r, err := g.ask("/long/", "id1")
 	is.NoErr(err)
 	is.Equal(r.Status, 502)
+	is.Equal(g.arrivals(), 1)
 }
 
 // A client that goes once it has its answer does not cut the connection that
