A call between daemons has the first word of its wire and no later one

Change: the wait is a small type, call: the first word counts, later ones and those after the caller gave up change nothing.

--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -182,24 +182,15 @@
 
 // Call sends m and waits for the answer.
 func (r *Peer[M]) Call(m M, timeout clk.Span) (M, error) {
-	var a M
-	var got bool
-	var mu sync.Mutex
-	k := spawn.NewMark()
+	c := newCall[M]()
 	at := clk.Now().Add(timeout)
-	end, err := r.Stream(m, timeout, func(m M, ok bool) {
-		mu.Lock()
-		a, got = m, ok
-		mu.Unlock()
-		k.Set()
-	})
+	end, err := r.Stream(m, timeout, c.hear)
 	if err != nil {
-		return a, err
+		var none M
+		return none, err
 	}
 	defer end()
-	k.Wait(clk.Until(at))
-	mu.Lock()
-	defer mu.Unlock()
+	a, got := c.wait(clk.Until(at))
 	if !got {
 		return a, code.New(code.PeerLost, "%s", r.Addr)
 	}
