--- a/internal/keep/gossip.go
+++ b/internal/keep/gossip.go
@@ -152,14 +152,14 @@
 	defer k.pulling.Unlock()
 	seeds, _ := k.seeds()
 	to := slices.DeleteFunc(slices.Clone(seeds), func(n word.Node) bool { return n == k.Self })
-	for _, a := range k.askAll(to, k.gossip(), pullTimeout, func(g map[word.Node]Msg) bool {
+	for _, a := range sorted(k.askAll(to, k.gossip(), pullTimeout, func(g map[word.Node]Msg) bool {
 		for _, a := range g {
 			if a.Roster.Num > 0 {
 				return true
 			}
 		}
 		return false
-	}) {
+	})) {
 		k.take(a)
 	}
 	return k.acc.Roster().Num > 0
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -5,7 +5,9 @@
 import (
 	"bufio"
 	"encoding/gob"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 
 	"spoolswitch/internal/clk"
@@ -25,7 +27,7 @@
 
 type pipe[M any] struct {
 	c   net.Conn
-	mu  sync.Mutex
+	mu  spawn.Mutex
 	w   *bufio.Writer
 	enc *gob.Encoder
 	dec *gob.Decoder
@@ -140,8 +142,8 @@
 	r.open = map[uint64]func(M, bool){}
 	r.mu.Unlock()
 	var none M
-	for _, fn := range open {
-		fn(none, false)
+	for _, id := range slices.Sorted(maps.Keys(open)) {
+		open[id](none, false)
 	}
 }
 
@@ -182,24 +184,15 @@
 
 // Call sends m and waits for the answer.
 func (r *Peer[M]) Call(m M, timeout clk.Span) (M, error) {
-	var a M
-	var got bool
-	var mu sync.Mutex
-	k := spawn.NewMark()
+	c := newCall[M]()
 	at := clk.Now().Add(timeout)
-	end, err := r.Stream(m, timeout, func(m M, ok bool) {
-		mu.Lock()
-		a, got = m, ok
-		mu.Unlock()
-		k.Set()
-	})
+	end, err := r.Stream(m, timeout, c.hear)
 	if err != nil {
-		return a, err
+		var none M
+		return none, err
 	}
 	defer end()
-	k.Wait(clk.Until(at))
-	mu.Lock()
-	defer mu.Unlock()
+	a, got := c.wait(clk.Until(at))
 	if !got {
 		return a, code.New(code.PeerLost, "%s", r.Addr)
 	}
