Log: after a rename it goes on with the new file, and owes the folder's sync

Found on the way, by a disk in tests whose every call may fail in each of its ways or be the last before the power goes, with each thing not synced kept, torn or lost by itself: - a start after a kill went by records that no sync covered, or whose sync had failed; power lost later took them away again; - of two names that a loss of power left to one file, the next rewrite cut the log; - a rename that was refused although it had been done; - a corrupt log was cut to its good part at once, so that a second start found it whole and voted from it; - a full disk was asked to rewrite at each append, with half a new log taking room.

Change: the log takes the new file over with the rename and appends nothing until the folder is synced; Open writes the last record anew, syncs file and folder; a rewrite begins with a file of its own; a rewrite that fails leaves its room and waits for 1 MiB of growth; a corrupt log stays until the acceptor has rewritten it as one that does not vote; keep.new is taken where keep.log has lost its name; a folder that is made is synced in its parent; an acceptor votes only once its disk is open.

--- a/internal/disk/log.go
+++ b/internal/disk/log.go
@@ -47,20 +47,35 @@
 	Read(name string) ([]byte, error)
 	Open(name string) (File, error)
 	Rename(from, to string) error
+	Remove(name string) error
 	SyncDir() error
 }
 
-// Log is the open log.
+// Log is the open log. At any moment at most its last record is not synced.
 type Log struct {
-	fs   FS
-	f    File
-	at   int64
-	hurt bool
+	fs    FS
+	f     File
+	at    int64
+	hurt  bool
+	owed  bool
+	lost  bool
+	after int64
 }
 
-// Open reads the log and opens it for more; each record goes to fn.
+// Open reads the log and opens it for more; each record goes to fn. What was
+// read is on the disk, under its name, before Open returns. A corrupt log is
+// left as it is, and takes no record until it has been rewritten.
 func Open(fs FS, fn func([]byte)) (*Log, State, error) {
 	b, err := fs.Read(name)
+	if os.IsNotExist(err) {
+		if b, err = renamed(fs); err != nil {
+			return nil, Corrupt, err
+		}
+		err = nil
+		if b == nil {
+			err = os.ErrNotExist
+		}
+	}
 	if err != nil && !os.IsNotExist(err) {
 		return nil, Corrupt, code.New(code.DiskRefused, "%v", err)
 	}
@@ -68,7 +83,7 @@
 	if os.IsNotExist(err) {
 		state = Empty
 	}
-	at, bad := scan(b, fn)
+	at, last, bad := scan(b, fn)
 	if bad {
 		state = Corrupt
 	}
@@ -79,31 +94,74 @@
 	if err != nil {
 		return nil, state, code.New(code.DiskRefused, "%v", err)
 	}
-	l := &Log{fs: fs, f: f, at: at}
-	if int64(len(b)) > at {
-		if err := f.Truncate(at); err != nil {
-			return nil, state, code.New(code.DiskRefused, "%v", err)
-		}
+	l := &Log{fs: fs, f: f, at: at, lost: bad}
+	if bad {
+		return l, state, nil
+	}
+	if err := l.settle(b, last); err != nil {
+		_ = f.Close()
+		return nil, state, code.New(code.DiskRefused, "%v", err)
 	}
 	return l, state, nil
 }
 
-func scan(b []byte, fn func([]byte)) (int64, bool) {
-	var at int64
+// renamed takes the rewritten log, whole since it was synced before it was
+// renamed, if neither the old name nor the new one outlived a loss of power.
+func renamed(fs FS) ([]byte, error) {
+	b, err := fs.Read(fresh)
+	if os.IsNotExist(err) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, code.New(code.DiskRefused, "%v", err)
+	}
+	at, _, bad := scan(b, func([]byte) {})
+	if bad || at == 0 || at != int64(len(b)) {
+		return nil, nil
+	}
+	if err := fs.Rename(fresh, name); err != nil {
+		return nil, code.New(code.DiskRefused, "%v", err)
+	}
+	return b, nil
+}
+
+// settle brings the last record, which a killed process may have written
+// without a sync or with one that failed, to the disk anew.
+func (l *Log) settle(b []byte, last int64) error {
+	if int64(len(b)) > l.at {
+		if err := l.f.Truncate(l.at); err != nil {
+			return err
+		}
+	}
+	if l.at > 0 {
+		if _, err := l.f.WriteAt(b[last:l.at], last); err != nil {
+			return err
+		}
+	}
+	if err := l.f.Sync(); err != nil {
+		return err
+	}
+	return l.fs.SyncDir()
+}
+
+// scan tells where the records end, where the last one begins, and whether
+// more are behind a bad one.
+func scan(b []byte, fn func([]byte)) (at, last int64, bad bool) {
 	for {
 		p, ok := record(b[at:])
 		if !ok {
 			break
 		}
 		fn(p)
+		last = at
 		at += head + int64(len(p))
 	}
 	for i := at + 1; i+head < int64(len(b)); i++ {
 		if p, ok := record(b[i:]); ok && len(p) > 0 {
-			return at, true
+			return at, last, true
 		}
 	}
-	return at, false
+	return at, last, false
 }
 
 func record(b []byte) ([]byte, bool) {
@@ -126,8 +184,16 @@
 }
 
 // Append adds a record and syncs it. After an error the record is not part of
-// the log.
+// the log, but may be found as its last at the next start.
 func (l *Log) Append(p []byte) error {
+	if l.lost {
+		return code.New(code.DiskRefused, "corrupt, or no file is known to have the name")
+	}
+	if l.owed {
+		if err := l.named(); err != nil {
+			return err
+		}
+	}
 	if l.hurt {
 		if err := l.mend(); err != nil {
 			return err
@@ -144,6 +210,14 @@
 	return nil
 }
 
+func (l *Log) named() error {
+	if err := l.fs.SyncDir(); err != nil {
+		return code.New(code.DiskRefused, "%v", err)
+	}
+	l.owed = false
+	return nil
+}
+
 func (l *Log) refuse(err error) error {
 	l.hurt = true
 	_ = l.mend()
@@ -159,37 +233,47 @@
 }
 
 // Long tells whether the log should be rewritten, given the size of what it
-// has to hold.
-func (l *Log) Long(live int64) bool { return l.at > long && l.at > 4*live }
+// has to hold. After a rewrite that failed it has to grow first.
+func (l *Log) Long(live int64) bool { return l.at > long && l.at > 4*live && l.at > l.after }
 
-// Rewrite puts a new log with just these records in place of the old one.
+// Rewrite puts a new log with just these records in place of the old one. With
+// an error the old one stays, or the new one does whose folder is not synced
+// yet; either way only what was synced under its name is acknowledged later.
 func (l *Log) Rewrite(ps [][]byte) error {
-	f, err := l.fs.Open(fresh)
-	if err != nil {
-		return code.New(code.DiskRefused, "%v", err)
-	}
+	l.after = l.at + long
 	var b []byte
 	for _, p := range ps {
 		b = append(b, frame(p)...)
 	}
-	if err = f.Truncate(0); err == nil {
-		if _, err = f.WriteAt(b, 0); err == nil {
-			err = f.Sync()
-		}
+	// after a loss of power both names may stand for one file, the log
+	if err := l.fs.Remove(fresh); err != nil && !os.IsNotExist(err) {
+		return code.New(code.DiskRefused, "%v", err)
 	}
-	if err == nil {
-		err = l.fs.Rename(fresh, name)
+	f, err := l.fs.Open(fresh)
+	if err != nil {
+		return code.New(code.DiskRefused, "%v", err)
 	}
-	if err == nil {
-		err = l.fs.SyncDir()
+	if _, err = f.WriteAt(b, 0); err == nil {
+		err = f.Sync()
 	}
 	if err != nil {
 		_ = f.Close()
+		_ = l.fs.Remove(fresh) // its room is the log's
 		return code.New(code.DiskRefused, "%v", err)
 	}
+	if err := l.fs.Rename(fresh, name); err != nil {
+		if _, gone := l.fs.Read(fresh); !os.IsNotExist(gone) {
+			l.lost = l.lost || gone != nil
+			_ = f.Close()
+			if gone == nil {
+				_ = l.fs.Remove(fresh)
+			}
+			return code.New(code.DiskRefused, "%v", err)
+		}
+	}
 	_ = l.f.Close()
-	l.f, l.at, l.hurt = f, int64(len(b)), false
-	return nil
+	l.f, l.at, l.hurt, l.lost, l.owed, l.after = f, int64(len(b)), false, false, true, 0
+	return l.named()
 }
 
 // Dir is a folder as a disk.
@@ -200,7 +284,7 @@
 
 // Open opens a file for writing and makes it if it is not there.
 func (d Dir) Open(n string) (File, error) {
-	if err := os.MkdirAll(string(d), 0o755); err != nil {
+	if err := d.make(); err != nil {
 		return nil, err
 	}
 	f, err := os.OpenFile(filepath.Join(string(d), n), os.O_RDWR|os.O_CREATE, 0o644)
@@ -214,11 +298,31 @@
 	return f, nil
 }
 
+// make makes the folder; its name is synced as well.
+func (d Dir) make() error {
+	if _, err := os.Stat(string(d)); !os.IsNotExist(err) {
+		return err
+	}
+	if up := Dir(filepath.Dir(string(d))); up != d {
+		if err := up.make(); err != nil {
+			return err
+		}
+		if err := os.Mkdir(string(d), 0o755); err != nil && !os.IsExist(err) {
+			return err
+		}
+		return up.SyncDir()
+	}
+	return os.MkdirAll(string(d), 0o755)
+}
+
 // Rename renames a file.
 func (d Dir) Rename(a, b string) error {
 	return os.Rename(filepath.Join(string(d), a), filepath.Join(string(d), b))
 }
 
+// Remove removes a file.
+func (d Dir) Remove(n string) error { return os.Remove(filepath.Join(string(d), n)) }
+
 // SyncDir syncs the folder.
 func (d Dir) SyncDir() error {
 	f, err := os.Open(string(d))
--- a/internal/disk/log_test.go
+++ b/internal/disk/log_test.go
@@ -46,6 +46,11 @@
 	return nil
 }
 
+func (d *ram) Remove(n string) error {
+	delete(d.files, n)
+	return nil
+}
+
 func (d *ram) SyncDir() error { return nil }
 
 // lose takes the power: of what was not synced the first keep bytes stay.
@@ -194,7 +199,7 @@
 	f.Add([]byte{1, 0, 0, 0, 0, 0, 0, 0, 9})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		n := int64(0)
-		at, _ := scan(b, func(p []byte) { n += head + int64(len(p)) })
+		at, _, _ := scan(b, func(p []byte) { n += head + int64(len(p)) })
 		if at != n || at > int64(len(b)) {
 			t.Fatalf("read %d, stands at %d of %d", n, at, len(b))
 		}
--- a/internal/keep/acceptor.go
+++ b/internal/keep/acceptor.go
@@ -101,26 +101,31 @@
 // Rewrite has nothing to rewrite.
 func (Volatile) Rewrite([][]byte) error { return nil }
 
-// Open opens the disk and takes its records in.
+// Open opens the disk and takes its records in. Of a corrupt log it keeps what
+// was read, as that of a keeper that does not vote, in one rewrite: a start
+// later must not find a whole log that says otherwise.
 func (a *Acceptor) Open(fs disk.FS) (disk.State, error) {
 	l, s, err := disk.Open(fs, a.Replay)
 	if err != nil {
 		return s, err
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.st = l
 	if s == disk.Corrupt {
+		a.mu.Lock()
 		a.voting = false
+		a.mu.Unlock()
+		if err := l.Rewrite(a.records(a.Cells())); err != nil {
+			return s, err
+		}
 	}
+	a.Use(l)
 	return s, nil
 }
 
-// Voting tells whether the acceptor may vote.
+// Voting tells whether the acceptor may vote: not before its disk is open.
 func (a *Acceptor) Voting() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.voting
+	return a.voting && a.st != nil
 }
 
 // Roster is the roster that the acceptor goes by.
--- a/internal/keep/acceptor_test.go
+++ b/internal/keep/acceptor_test.go
@@ -3,11 +3,14 @@
 import (
 	"errors"
 	"fmt"
+	"os"
+	"path/filepath"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"spoolswitch/internal/check"
+	"spoolswitch/internal/disk"
 	"spoolswitch/internal/word"
 )
 
@@ -290,3 +293,29 @@
 	is.True(!a.Accept("k", word.Place{Epoch: e, Seq: 1}, []byte("v"), three).OK)
 	is.True(a.Cell("k").At.Zero())
 }
+
+// A corrupt log is no vote at a second start either, which finds its good part.
+func TestCorruptTwice(t *testing.T) {
+	is := is.New(t)
+	d := disk.Dir(t.TempDir())
+	a := NewAcceptor()
+	_, err := a.Open(d)
+	is.NoErr(err)
+	is.NoErr(a.Found(three, nil))
+	for n := range 3 {
+		is.True(a.Accept("k", word.Place{Epoch: word.Epoch{Round: uint64(n + 1)}, Seq: 1}, []byte("value"), three).OK)
+	}
+	f := filepath.Join(string(d), "keep.log")
+	b, err := os.ReadFile(f)
+	is.NoErr(err)
+	b[len(b)*2/3] ^= 1
+	is.NoErr(os.WriteFile(f, b, 0o644))
+	for _, want := range []disk.State{disk.Corrupt, disk.Whole} {
+		a = NewAcceptor()
+		st, err := a.Open(d)
+		is.NoErr(err)
+		is.Equal(st, want)
+		is.True(!a.Voting())
+		is.Equal(a.Roster(), three) // its good part is kept
+	}
+}
