--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -42,6 +42,7 @@
 	NoMajority    Code = 311
 	Nothing       Code = 312
 	BadItem       Code = 313
+	TooOld        Code = 314
 	DiskRefused   Code = 401
 	DiskCorrupt   Code = 402
 	PeerLost      Code = 403
@@ -63,7 +64,7 @@
 	BadMethod: "method not allowed", NoCall: "no such call", Unreadable: "unreadable", NoService: "unknown service",
 	SamePlace: "two routes share a place", NoWeight: "weights add up to 0", NoTimeout: "timeout-ms is 0",
 	OldVersion: "version not above the current", OtherVersion: "another version is current",
-	NoZone: "unknown zone", NoMajority: "no majority", Nothing: "nothing there yet", BadItem: "item at fault",
+	NoZone: "unknown zone", NoMajority: "no majority", Nothing: "nothing there yet", BadItem: "item at fault", TooOld: "older than what is remembered",
 	DiskRefused: "the disk refused it", DiskCorrupt: "a record is corrupt", PeerLost: "a daemon did not answer",
 	NotVoting: "not voting", ListRefused: "the platform refused the call", UnknownChange: "unknown change",
 	BadBatch: "malformed batch", OldEpoch: "batch of an epoch that is over",
--- a/internal/conf/state.go
+++ b/internal/conf/state.go
@@ -2,39 +2,45 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
 	"encoding/gob"
-	"hash/fnv"
+	"slices"
 
 	"spoolswitch/internal/code"
 	"spoolswitch/internal/word"
 )
 
+// Digest tells orders apart: SHA-256 over their kind, base and body.
+type Digest [sha256.Size]byte
+
 // Taken remembers one change that was taken, so that a client who sends it
 // again is told so.
 type Taken struct {
-	Version word.Version
-	Base    word.Version
-	Sum     uint64
+	Base   word.Version
+	Digest Digest
 }
 
 // State is the value of the configuration's register.
 type State struct {
 	Version word.Version
 	JSON    []byte
-	Taken   []Taken
+	// Taken are the newest changes, oldest first: at most 512, 20 KiB in all.
+	Taken []Taken
+	// Oldest is the base from which on every change is in Taken.
+	Oldest word.Version
 }
 
-const takenKept = 256
+const takenKept = 512
 
 // stored is a state as any release has written it: the first called a version
-// an edition.
+// an edition, and those before Digests kept sums that could collide.
 type stored struct {
-	Version, Edition word.Version
-	JSON             []byte
-	Taken            []struct {
-		Version, Edition, Base word.Version
-		Sum                    uint64
-	}
+	Version, Edition, Oldest word.Version
+	JSON                     []byte
+	Bases                    []word.Version
+	Digests                  []byte
+	Taken                    []struct{ Base word.Version }
 }
 
 // Decode reads a state; no bytes are the state before the first change.
@@ -47,22 +53,43 @@
 	if err := gob.NewDecoder(bytes.NewReader(b)).Decode(&d); err != nil {
 		return nil, code.New(code.DiskCorrupt, "%v", err)
 	}
-	s.Version, s.JSON = max(d.Version, d.Edition), d.JSON
-	for _, t := range d.Taken {
-		s.Taken = append(s.Taken, Taken{max(t.Version, t.Edition), t.Base, t.Sum})
+	if len(d.Digests) != len(d.Bases)*sha256.Size {
+		return nil, code.New(code.DiskCorrupt, "%d bases, %d bytes of digests", len(d.Bases), len(d.Digests))
+	}
+	s.Version, s.JSON, s.Oldest = max(d.Version, d.Edition), d.JSON, d.Oldest
+	for i, base := range d.Bases {
+		s.Taken = append(s.Taken, Taken{base, Digest(d.Digests[i*sha256.Size:])})
+	}
+	if len(d.Taken) > 0 {
+		s.Oldest = s.Version
 	}
 	return s, nil
 }
 
 // Encode is the state as bytes.
 func (s *State) Encode() []byte {
+	d := stored{Version: s.Version, JSON: s.JSON, Oldest: s.Oldest}
+	for _, t := range s.Taken {
+		d.Bases = append(d.Bases, t.Base)
+		d.Digests = append(d.Digests, t.Digest[:]...)
+	}
 	var b bytes.Buffer
-	if gob.NewEncoder(&b).Encode(s) != nil {
+	if gob.NewEncoder(&b).Encode(d) != nil {
 		return nil
 	}
 	return b.Bytes()
 }
 
+// Brief is an encoded state without its memory of changes, as relays need it;
+// what cannot be read stays as it is.
+func Brief(b []byte) []byte {
+	s, err := Decode(b)
+	if err != nil || s.Version == 0 {
+		return b
+	}
+	return (&State{Version: s.Version, JSON: s.JSON, Oldest: s.Version}).Encode()
+}
+
 // Order is a change of the configuration that an operator asks for.
 type Order struct {
 	Modify bool
@@ -70,13 +97,15 @@
 	Body   []byte
 }
 
-func (o *Order) sum() uint64 {
-	h := fnv.New64a()
+func (o *Order) digest() Digest {
+	h := sha256.New()
+	kind := byte(0)
 	if o.Modify {
-		h.Write([]byte{1})
+		kind = 1
 	}
+	h.Write(binary.BigEndian.AppendUint64([]byte{kind}, uint64(o.Base)))
 	h.Write(o.Body)
-	return h.Sum64()
+	return Digest(h.Sum(nil))
 }
 
 // Version reads the version that the order would bring, 0 if it has none.
@@ -89,36 +118,37 @@
 }
 
 // Apply makes the next state out of s, or tells why there is none. A nil state
-// without an error says that the very order was taken before.
+// without an error says that the very order was taken before. Of one on a base
+// older than all that is remembered nobody can tell.
 func (s *State) Apply(o *Order) (*State, error) {
-	sum := o.sum()
-	for _, t := range s.Taken {
-		if t.Sum == sum && t.Base == o.Base {
-			return nil, nil
-		}
+	sum := o.digest()
+	if slices.ContainsFunc(s.Taken, func(t Taken) bool { return t.Digest == sum }) {
+		return nil, nil
 	}
 	var d *Doc
 	var errs []error
 	if o.Modify {
-		if o.Base != s.Version {
-			return nil, code.New(code.OtherVersion, "%d is current, not %d", s.Version, o.Base)
-		}
-		if s.Version == 0 {
-			return nil, code.New(code.Nothing, "no configuration to modify")
-		}
-		var cur *Doc
-		if cur, errs = Read(s.JSON); cur == nil {
-			return nil, errs[0]
+		if err := whole(o.Body); err != nil {
+			return nil, code.New(code.Unreadable, "%v", err)
 		}
-		d, errs = cur.Modify(o.Body)
-	} else {
-		d, errs = Read(o.Body)
-	}
-	if len(errs) > 0 {
+	} else if d, errs = Read(o.Body); len(errs) > 0 {
 		return nil, errs[0]
 	}
-	if o.Base != s.Version {
+	switch {
+	case o.Base < s.Oldest:
+		return nil, code.New(code.TooOld, "%d is current, changes are remembered from %d on, not %d", s.Version, s.Oldest, o.Base)
+	case o.Base != s.Version:
 		return nil, code.New(code.OtherVersion, "%d is current, not %d", s.Version, o.Base)
+	case o.Modify && s.Version == 0:
+		return nil, code.New(code.Nothing, "no configuration to modify")
+	case o.Modify:
+		cur, errs := Read(s.JSON)
+		if cur == nil {
+			return nil, errs[0]
+		}
+		if d, errs = cur.Modify(o.Body); len(errs) > 0 {
+			return nil, errs[0]
+		}
 	}
 	if d.Version <= s.Version {
 		return nil, code.New(code.OldVersion, "%d is current, %d was sent", s.Version, d.Version)
@@ -127,10 +157,11 @@
 	if o.Modify {
 		b = d.JSON()
 	}
-	n := &State{Version: d.Version, JSON: append([]byte(nil), b...)}
-	n.Taken = append(append(n.Taken, s.Taken...), Taken{d.Version, o.Base, sum})
-	if len(n.Taken) > takenKept {
-		n.Taken = n.Taken[len(n.Taken)-takenKept:]
+	n := &State{Version: d.Version, JSON: append([]byte(nil), b...), Oldest: s.Oldest}
+	n.Taken = append(append(n.Taken, s.Taken...), Taken{o.Base, sum})
+	if over := len(n.Taken) - takenKept; over > 0 {
+		n.Taken = n.Taken[over:]
+		n.Oldest = n.Taken[0].Base
 	}
 	return n, nil
 }
--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -61,6 +61,12 @@
 		}
 		return list.Diff(old, fresh)
 	}
+	hub.Trim = func(key word.Key, val []byte) []byte {
+		if key != word.Configuration {
+			return val
+		}
+		return conf.Brief(val)
+	}
 	hub.Apply = clk.Ms(s.Bounds.ConfigApplyMs)
 	d := &Daemon{Keeper: k, Hub: hub, net: wires}
 	li, err := wire.Listen(word.Addr(self))
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -22,6 +22,8 @@
 type kept struct {
 	it    keep.Item
 	since clk.Tick
+	// fed is what followers get of the value
+	fed []byte
 }
 
 // pastKept is how many earlier values changes can be told from.
@@ -52,6 +54,9 @@
 	// Diff tells what changed from one value of a key to the next, nil if that
 	// cannot be told or is not worth it. Without it values are fed whole.
 	Diff func(key word.Key, old, fresh []byte) []byte
+	// Trim leaves out of a value what only keepers need. Without it followers get
+	// values as they are.
+	Trim func(key word.Key, val []byte) []byte
 
 	mu    sync.Mutex
 	past  map[word.Key][]keep.Item
@@ -88,7 +93,11 @@
 		p := append(h.past[it.Key], it)
 		h.past[it.Key] = p[max(0, len(p)-pastKept):]
 	}
-	h.items[it.Key] = kept{it, clk.Now()}
+	v := kept{it, clk.Now(), it.Val}
+	if h.Trim != nil {
+		v.fed = h.Trim(it.Key, it.Val)
+	}
+	h.items[it.Key] = v
 	for f := range h.who {
 		f.mark.Set()
 	}
@@ -219,7 +228,7 @@
 	for _, v := range h.items {
 		if v.it.Num > n && v.it.Key != word.Roster && !v.it.Key.Duty() {
 			it := v.it
-			it.Age = clk.Since(v.since)
+			it.Val, it.Age = v.fed, clk.Since(v.since)
 			out = append(out, h.change(f, it))
 		}
 	}
--- a/internal/feed/hub_test.go
+++ b/internal/feed/hub_test.go
@@ -77,7 +77,13 @@
 	st := &status{life: 7}
 	h := NewHub()
 	h.Status = st
-	h.Publish(item(word.Configuration, 1, 1, "conf"))
+	h.Trim = func(k word.Key, v []byte) []byte {
+		if k != word.Configuration {
+			return v
+		}
+		return v[:4]
+	}
+	h.Publish(item(word.Configuration, 1, 1, "conf, and what only keepers need"))
 	h.Publish(item(word.List, 1, 1, "list"))
 	h.Publish(item(word.Evacuation("z"), 1, 1, "on"))
 	h.Publish(item(word.Roster, 1, 1, "not for relays"))
@@ -104,6 +110,9 @@
 		keys = append(keys, it.Key)
 	}
 	is.Equal(keys, []word.Key{word.Evacuation("z"), word.List, word.Configuration})
+	is.Equal(string(msgs[1].Items[2].Val), "conf")
+	v, _ := h.Value(word.Configuration)
+	is.Equal(string(v), "conf, and what only keepers need")
 	is.Equal(msgs[1].Num, h.Num())
 }
 
