--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -3,6 +3,8 @@
 package feed
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -64,11 +66,11 @@
 	num   uint64
 	sure  bool
 	items map[word.Key]kept
-	who   map[*follower]bool
+	who   []*follower
 }
 
 // NewHub makes an empty hub.
-func NewHub() *Hub { return &Hub{items: map[word.Key]kept{}, who: map[*follower]bool{}} }
+func NewHub() *Hub { return &Hub{items: map[word.Key]kept{}} }
 
 func (h *Hub) freshFor() clk.Span {
 	if h.Apply > 0 {
@@ -98,7 +100,7 @@
 		v.fed = h.Trim(it.Key, it.Val)
 	}
 	h.items[it.Key] = v
-	for f := range h.who {
+	for _, f := range h.who {
 		f.mark.Set()
 	}
 	return true
@@ -114,7 +116,7 @@
 		return
 	}
 	h.sure = now
-	for f := range h.who {
+	for _, f := range h.who {
 		f.mark.Set()
 	}
 }
@@ -150,7 +152,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var out []word.Node
-	for f := range h.who {
+	for _, f := range h.who {
 		out = append(out, f.name)
 	}
 	return out
@@ -161,7 +163,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	out := map[word.Node]word.Addr{}
-	for f := range h.who {
+	for _, f := range h.who {
 		out[f.name] = f.addr
 	}
 	return out
@@ -225,7 +227,8 @@
 			delete(h.items, k)
 		}
 	}
-	for _, v := range h.items {
+	for _, k := range slices.Sorted(maps.Keys(h.items)) {
+		v := h.items[k]
 		if v.it.Num > n && v.it.Key != word.Roster && !v.it.Key.Duty() {
 			it := v.it
 			it.Val, it.Age = v.fed, clk.Since(v.since)
@@ -248,11 +251,11 @@
 		f.num = m.Num
 	}
 	h.mu.Lock()
-	h.who[f] = true
+	h.who = append(h.who, f)
 	h.mu.Unlock()
 	defer func() {
 		h.mu.Lock()
-		delete(h.who, f)
+		h.who = slices.DeleteFunc(h.who, func(o *follower) bool { return o == f })
 		h.mu.Unlock()
 	}()
 	first := true
