An order that is late changes nothing: evacuations are bound to a place, pauses are noticed

One that lay in the socket of a frozen owner, or of a frozen taker, was carried out at the thaw: an initiate won over a terminate that had been acknowledged meanwhile. (The base fences configurations.)

Change: an evacuation that goes to another daemon is bound to the place that its taker confirmed with a majority; at another place it changes nothing (315) and the taker asks again while its client waits. Each acknowledged evacuation gets a place of its own, also one that changes nothing, or a late order bound to the place before it would still win. The time that the sender waits travels along. A process notices that it stood still for half a second, at the first thing that it does after: an operator's order on a connection accepted before that or within 300 ms after it gets 503, 316 and the connection's end; one of another daemon read within 300 ms is left to the taker's own ballot. An order whose client has closed its connection is not carried out.

--- a/internal/clk/clk.go
+++ b/internal/clk/clk.go
@@ -73,6 +73,15 @@
 	return time.Now().Add(Until(t))
 }
 
+// Of is the moment m, which the machine's clock told, on the steady clock; now
+// if another clock is in its place.
+func Of(m Moment) Tick {
+	if other.Load() != nil {
+		return Now()
+	}
+	return Tick(m.Sub(start)) + 1
+}
+
 // NoDeadline clears a connection deadline.
 func NoDeadline() time.Time { return time.Time{} }
 
--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -43,6 +43,8 @@
 	Nothing       Code = 312
 	BadItem       Code = 313
 	TooOld        Code = 314
+	Moved         Code = 315
+	Unvouched     Code = 316
 	DiskRefused   Code = 401
 	DiskCorrupt   Code = 402
 	PeerLost      Code = 403
@@ -65,6 +67,7 @@
 	SamePlace: "two routes share a place", NoWeight: "weights add up to 0", NoTimeout: "timeout-ms is 0",
 	OldVersion: "version not above the current", OtherVersion: "another version is current",
 	NoZone: "unknown zone", NoMajority: "no majority", Nothing: "nothing there yet", BadItem: "item at fault", TooOld: "older than what is remembered",
+	Moved: "the place has moved", Unvouched: "may be an old order",
 	DiskRefused: "the disk refused it", DiskCorrupt: "a record is corrupt", PeerLost: "a daemon did not answer",
 	NotVoting: "not voting", ListRefused: "the platform refused the call", UnknownChange: "unknown change",
 	BadBatch: "malformed batch", OldEpoch: "batch of an epoch that is over",
--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -71,6 +71,7 @@
 	k.Seats = keep.Seats(s.Tolerance.Machines, len(s.Zones))
 	k.Disk = m.Disk != nil
 	k.Label = label
+	k.Pauses = &keep.Pauses{}
 	for _, a := range s.Seeds {
 		k.Founders = append(k.Founders, word.Node(s.Keeper(a)))
 	}
@@ -157,6 +158,10 @@
 			return !d.over.Load()
 		})
 	}
+	spawn.Every(keep.PauseBeat, func() bool {
+		k.Pauses.Beat()
+		return !d.over.Load()
+	})
 	d.calendar(s.Calendar.Rewrite, acc)
 	note.State("keeper up", "node", self, "voting", acc.Voting())
 	return d, nil
--- a/internal/ctl/server.go
+++ b/internal/ctl/server.go
@@ -16,6 +16,7 @@
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/response"
 	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/wire"
 	"spoolswitch/internal/word"
 )
 
@@ -45,11 +46,11 @@
 	Add("GET", "/-/configuration/retrieve", func(s *Server, _ *fasthttp.RequestCtx, _ []string) response.Response {
 		return s.retrieve()
 	}).
-	Add("POST", "/-/evacuation/*/initiate", func(s *Server, _ *fasthttp.RequestCtx, p []string) response.Response {
-		return s.evacuate(p[0], true)
+	Add("POST", "/-/evacuation/*/initiate", func(s *Server, x *fasthttp.RequestCtx, p []string) response.Response {
+		return s.evacuate(x, p[0], true)
 	}).
-	Add("POST", "/-/evacuation/*/terminate", func(s *Server, _ *fasthttp.RequestCtx, p []string) response.Response {
-		return s.evacuate(p[0], false)
+	Add("POST", "/-/evacuation/*/terminate", func(s *Server, x *fasthttp.RequestCtx, p []string) response.Response {
+		return s.evacuate(x, p[0], false)
 	}).
 	Add("GET", "/-/ready", func(s *Server, _ *fasthttp.RequestCtx, _ []string) response.Response {
 		if !s.Keeper.Sure(2 * clk.Second) {
@@ -123,7 +124,17 @@
 		return response.Of(code.BadFields, "Base-Version is missing or no number")
 	}
 	o := &keep.Order{Modify: modify, Base: word.Version(b), Body: bytes.Clone(x.PostBody())}
-	return of(s.Keeper.Change(word.Configuration, o, clk.Now().Add(opTimeout)))
+	return s.order(x, word.Configuration, o)
+}
+
+// order has an order carried out for a client that surely waits for it: it was
+// sent after the last pause of this process, and the connection is open.
+func (s *Server) order(x *fasthttp.RequestCtx, key word.Key, o *keep.Order) response.Response {
+	deadline := clk.Now().Add(opTimeout)
+	if !s.Keeper.Pauses.Vouched(clk.Of(x.ConnTime())) || wire.Gone(x.Conn()) {
+		return response.Of(code.Unvouched, "").Later(comeAgain).Last()
+	}
+	return of(s.Keeper.Change(key, o, deadline))
 }
 
 func (s *Server) retrieve() response.Response {
@@ -141,12 +152,12 @@
 	return response.OK(st.JSON)
 }
 
-func (s *Server) evacuate(zone string, on bool) response.Response {
+func (s *Server) evacuate(x *fasthttp.RequestCtx, zone string, on bool) response.Response {
 	s.mu.Lock()
 	_, ok := s.Zones[zone]
 	s.mu.Unlock()
 	if !ok {
 		return response.Of(code.NoZone, zone)
 	}
-	return of(s.Keeper.Change(word.Evacuation(word.Zone(zone)), &keep.Order{On: on}, clk.Now().Add(opTimeout)))
+	return s.order(x, word.Evacuation(word.Zone(zone)), &keep.Order{On: on})
 }
--- a/internal/keep/found.go
+++ b/internal/keep/found.go
@@ -98,8 +98,9 @@
 		if clk.Until(deadline) <= 0 {
 			break
 		}
-		a, ok := k.Net.Ask(n, Msg{Kind: Forward, Key: key, Order: o}, min(askTimeout, clk.Until(deadline)))
-		if ok && a.Code != code.NoMajority && a.Code != code.NotVoting {
+		left := clk.Until(deadline)
+		a, ok := k.Net.Ask(n, Msg{Kind: Forward, Key: key, Order: o, Left: left}, min(askTimeout, left))
+		if ok && (a.clear() || a.Code == code.Moved) {
 			k.answered(n)
 			return a
 		}
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -1,6 +1,7 @@
 package keep
 
 import (
+	"bytes"
 	"slices"
 	"sync"
 
@@ -33,6 +34,8 @@
 	Decider func(key word.Key, o *Order) Decide
 	// Label names what a value is, for the trace.
 	Label func(key word.Key, val []byte) string
+	// Pauses, if set, tell which orders of other daemons may be too old.
+	Pauses *Pauses
 
 	seating sync.Mutex
 	joint   struct {
@@ -159,18 +162,91 @@
 	return n
 }
 
-// Change has an order carried out by the owner of its key, here or elsewhere.
+// Change has an order carried out by the owner of its key, here or elsewhere,
+// for a client that waits until the deadline. What goes to another daemon may
+// be read there at any later time, and is bound so that it changes nothing
+// then: a configuration by its base, an evacuation by the place that a majority
+// confirmed to this taker.
 func (k *Keeper) Change(key word.Key, o *Order, deadline clk.Tick) Msg {
 	if !k.Disk && !k.acc.Voting() {
-		return k.forward(key, o, deadline)
+		return k.bound(key, o, deadline, func(o *Order) (Msg, bool) {
+			a := k.forward(key, o, deadline)
+			return a, a.clear()
+		})
 	}
 	if n := k.owner(key); n != "" && n != k.Self && k.recent(n, 1500*clk.Millisecond) {
-		a, ok := k.Net.Ask(n, Msg{Kind: Change, From: k.Self, Key: key, Order: o}, min(forwardTimeout, clk.Until(deadline)))
-		if ok && a.Code != code.NoMajority && a.Code != code.NotVoting {
+		a := k.bound(key, o, deadline, func(o *Order) (Msg, bool) {
+			left := clk.Until(deadline)
+			a, ok := k.Net.Ask(n, Msg{Kind: Change, From: k.Self, Key: key, Order: o, Left: left}, min(forwardTimeout, left))
+			if !ok {
+				a.Code = code.NoMajority
+			}
+			return a, a.clear()
+		})
+		if a.clear() {
 			return a
 		}
 	}
-	return k.Own(key, deadline, k.Decider(key, o))
+	return k.carry(key, o, deadline)
+}
+
+// clear tells whether a is an answer that another daemon need not be asked for.
+func (m *Msg) clear() bool {
+	return m.Code != code.NoMajority && m.Code != code.NotVoting && m.Code != code.Unvouched && m.Code != code.Moved
+}
+
+// bound sends an order, once the place that it is bound to has been asked for,
+// and once more for each time that the place has moved meanwhile.
+func (k *Keeper) bound(key word.Key, o *Order, deadline clk.Tick, send func(*Order) (Msg, bool)) Msg {
+	for clk.Until(deadline) > 0 {
+		b := *o
+		if unbound(key, o) {
+			q, ok := send(&Order{Query: true})
+			if !ok || !q.OK {
+				return Msg{Code: code.NoMajority}
+			}
+			b.If = q.At
+		}
+		a, ok := send(&b)
+		if ok || a.Code != code.Moved || !o.If.Zero() {
+			return a
+		}
+	}
+	return Msg{Code: code.NoMajority}
+}
+
+func unbound(key word.Key, o *Order) bool {
+	_, evac := key.Evacuated()
+	return evac && o != nil && !o.Query && o.If.Zero()
+}
+
+// carry carries an order out as the owner of its key. An acknowledged
+// evacuation gets a place of its own also where it changes nothing, so that no
+// order bound to an earlier place comes after it.
+func (k *Keeper) carry(key word.Key, o *Order, deadline clk.Tick) Msg {
+	d := k.Decider(key, o)
+	_, evac := key.Evacuated()
+	return k.own(key, deadline, func(at word.Place, cur []byte) ([]byte, Msg, bool) {
+		next, a := d(cur)
+		if next != nil && !o.If.Zero() && o.If != at && !bytes.Equal(next, cur) {
+			return nil, Msg{Code: code.Moved}, false
+		}
+		return next, a, evac && next != nil
+	})
+}
+
+// late tells whether an order that another daemon sent may be older than this
+// process knows.
+func (k *Keeper) late(m Msg) bool {
+	return m.Order != nil && !m.Order.Query && !k.Pauses.Vouched(clk.Now())
+}
+
+// until is the deadline of a message's work: its sender's, d at most.
+func (m *Msg) until(d clk.Span) clk.Tick {
+	if m.Left > 0 {
+		d = min(d, m.Left)
+	}
+	return clk.Now().Add(d)
 }
 
 func (k *Keeper) local(m Msg) Msg {
@@ -219,10 +295,19 @@
 		return Msg{OK: true}
 	case Join:
 		return k.join(m.From, m.Zone)
-	case Forward:
-		return k.Change(m.Key, m.Order, clk.Now().Add(forwardTimeout*2))
-	case Change:
-		return k.Own(m.Key, clk.Now().Add(forwardTimeout), k.Decider(m.Key, m.Order))
+	case Forward, Change:
+		deadline := m.until(forwardTimeout)
+		switch {
+		case m.Order == nil:
+			return Msg{Code: code.NoCall}
+		case k.late(m):
+			return Msg{Code: code.Unvouched}
+		case unbound(m.Key, m.Order):
+			return Msg{Code: code.Moved}
+		case m.Kind == Forward:
+			return k.Change(m.Key, m.Order, m.until(forwardTimeout*2))
+		}
+		return k.carry(m.Key, m.Order, deadline)
 	}
 	return Msg{Code: code.NoCall}
 }
--- a/internal/keep/keeper_test.go
+++ b/internal/keep/keeper_test.go
@@ -271,6 +271,9 @@
 	is.True(c.put("a", 0, "1").OK)
 	c.n.part("c", "a", "b")
 	is.True(c.put("a", 1, "22").OK)
+	for v, _ := c.si["b"].Value(kk); string(v) != "22"; v, _ = c.si["b"].Value(kk) {
+		clk.Sleep(clk.Millisecond) // the acknowledgement does not wait for the telling
+	}
 	c.ks["c"].Round()
 	is.True(!c.ks["c"].Sure(clk.Second)) // alone it is not sure
 	c.n.join()
--- a/internal/keep/lease.go
+++ b/internal/keep/lease.go
@@ -40,6 +40,15 @@
 // Own runs d as the owner of the key: it wins a lease if it has none, and
 // answers once the change, or that there is none, stands with a majority.
 func (k *Keeper) Own(key word.Key, deadline clk.Tick, d Decide) Msg {
+	return k.own(key, deadline, func(_ word.Place, cur []byte) ([]byte, Msg, bool) {
+		next, a := d(cur)
+		return next, a, false
+	})
+}
+
+// own is Own for a decision that also goes by the value's place. With anew a
+// next value like the current one gets a place of its own.
+func (k *Keeper) own(key word.Key, deadline clk.Tick, d func(at word.Place, cur []byte) (next []byte, a Msg, anew bool)) Msg {
 	t := k.lease(key)
 	if !t.turn.Take(clk.Until(deadline)) {
 		return Msg{Code: code.NoMajority}
@@ -50,9 +59,10 @@
 			clk.Sleep(clk.Span(20+spawn.IntN(60)) * clk.Millisecond)
 			continue
 		}
-		next, a := d(t.val)
-		if next == nil || bytes.Equal(next, t.val) {
+		next, a, anew := d(t.at, t.val)
+		if next == nil || !anew && bytes.Equal(next, t.val) {
 			if k.holds(key, t, deadline) {
+				a.At = t.at
 				return a
 			}
 			t.held = false
--- a/internal/keep/msg.go
+++ b/internal/keep/msg.go
@@ -63,6 +63,8 @@
 	Query   bool
 	Joiners []word.Node
 	Gone    word.Node
+	// If, if set, is the place that the value must have for the order to change it.
+	If word.Place
 }
 
 // Msg is a message between daemons; which fields count depends on Kind.
@@ -78,8 +80,10 @@
 	Code   code.Code
 	Text   string
 	Order  *Order
-	Marks  map[word.Key]Mark
-	Cells  map[word.Key]Cell
+	// Left is how long the sender waits, from the sending on.
+	Left  clk.Span
+	Marks map[word.Key]Mark
+	Cells map[word.Key]Cell
 
 	Life        uint64
 	Num         uint64
--- /dev/null
+++ b/internal/keep/pause.go
@@ -0,0 +1,45 @@
+package keep
+
+import (
+	"sync"
+
+	"spoolswitch/internal/clk"
+)
+
+const (
+	// PauseBeat is how often a running process shows that it runs.
+	PauseBeat = 200 * clk.Millisecond
+	paused    = 500 * clk.Millisecond
+	backlog   = 300 * clk.Millisecond
+)
+
+// Pauses knows when this process last stood still: what it reads first after
+// that may have been sent long before.
+type Pauses struct {
+	mu    sync.Mutex
+	beat  clk.Tick
+	ended clk.Tick
+}
+
+// Beat shows that the process runs.
+func (p *Pauses) Beat() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := clk.Now()
+	if p.beat != 0 && now.Sub(p.beat) > paused {
+		p.ended = now
+	}
+	p.beat = now
+}
+
+// Vouched tells whether what came in at t, or on a connection that was accepted
+// at t, was sent after the last pause. No Pauses vouch for all.
+func (p *Pauses) Vouched(t clk.Tick) bool {
+	if p == nil {
+		return true
+	}
+	p.Beat()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended == 0 || t > p.ended.Add(backlog)
+}
--- a/internal/response/response.go
+++ b/internal/response/response.go
@@ -28,7 +28,7 @@
 	code.PastDeadline: 504, code.ReplicaBroke: 502, code.Leaving: 503, code.BadFields: 400, code.BadMethod: 405,
 	code.NoCall: 404, code.Unreadable: 400, code.NoService: 400, code.SamePlace: 400, code.NoWeight: 400,
 	code.NoTimeout: 400, code.OldVersion: 400, code.OtherVersion: 412, code.NoZone: 404, code.NoMajority: 503,
-	code.Nothing: 404, code.BadItem: 400, code.TooOld: 503, code.DiskRefused: 503, code.NotVoting: 503, code.PeerLost: 503,
+	code.Nothing: 404, code.BadItem: 400, code.TooOld: 503, code.Moved: 503, code.Unvouched: 503, code.DiskRefused: 503, code.NotVoting: 503, code.PeerLost: 503,
 	code.UnknownChange: 404,
 }
 
--- a/internal/wire/serve.go
+++ b/internal/wire/serve.go
@@ -31,6 +31,26 @@
 	})
 }
 
+// Gone tells whether the other end of a connection has closed it, as far as is
+// known without reading on.
+func Gone(c net.Conn) bool {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	rc, err := t.SyscallConn()
+	if err != nil {
+		return true
+	}
+	gone := false
+	err = rc.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		gone = err == nil && n == 0 || err != nil && err != unix.EAGAIN && err != unix.EINTR
+	})
+	return gone || err != nil
+}
+
 // Fabric is a network in place of the machine's.
 type Fabric interface {
 	Dial(a word.Addr, timeout clk.Span) (net.Conn, error)
