--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -69,6 +69,7 @@
 	k.Seats = keep.Seats(s.Tolerance.Machines, len(s.Zones))
 	k.Disk = m.Disk != nil
 	k.Label = label
+	k.Pauses = &keep.Pauses{}
 	for _, a := range s.Seeds {
 		k.Founders = append(k.Founders, word.Node(s.Keeper(a)))
 	}
@@ -79,6 +80,12 @@
 		}
 		return list.Diff(old, fresh)
 	}
+	hub.Trim = func(key word.Key, val []byte) []byte {
+		if key != word.Configuration {
+			return val
+		}
+		return conf.Brief(val)
+	}
 	hub.Apply = clk.Ms(s.Bounds.ConfigApplyMs)
 	d := &Daemon{Keeper: k, Hub: hub, net: wires}
 	li, err := wire.Listen(word.Addr(self))
@@ -149,6 +156,10 @@
 			return !d.over.Load()
 		})
 	}
+	spawn.Every(keep.PauseBeat, func() bool {
+		k.Pauses.Beat()
+		return !d.over.Load()
+	})
 	d.calendar(s.Calendar.Rewrite, acc)
 	note.State("keeper up", "node", self, "voting", acc.Voting())
 	return d, nil
