--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -11,7 +11,6 @@
 	"runtime"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -44,13 +43,26 @@
 	more string
 }
 
-// fleets gives each fleet ports of its own.
-var fleets atomic.Int64
+var guards []net.Listener
+
+// ports gives a fleet twenty ports that no other fleet has, in other runs on the
+// machine neither: who holds the guard's address holds them. It is kept to the
+// end of the run, for daemons of an earlier fleet may still call.
+func ports(t *testing.T) int {
+	for base := 10000; base < 32000; base += 20 {
+		if g, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.250:%d", base)); err == nil {
+			guards = append(guards, g)
+			return base
+		}
+	}
+	t.Fatal("no ports")
+	return 0
+}
 
 func newFleet(t *testing.T, keepers, relays int) *fleet { return newFleetOf(t, keepers, relays, "") }
 
 func newFleetOf(t *testing.T, keepers, relays int, more string) *fleet {
-	f := &fleet{t: t, more: more, base: 20000 + int(fleets.Add(1))*20, plat: standin.NewPlatform(1), dirs: map[int]string{},
+	f := &fleet{t: t, more: more, base: ports(t), plat: standin.NewPlatform(1), dirs: map[int]string{},
 		keepers: map[int]*ctl.Daemon{}, relays: map[int]*relay.Daemon{}}
 	f.rep = standin.NewReplica("i-1", standin.Well)
 	other := standin.NewReplica("i-2", standin.Well)
