One table decides what an ending proves; seven faults of answers mended

Cause: what an answer, a cut or a silence proves was decided in five places. Change: internal/relay/ending.go holds the table of endings (proof, whether the request is over, whether the connection is used again, what it says of the replica); the connection is given back or dropped in one place. Found on the way: - 408, 429 and 503 without Not-Executed went to clients of requests that may not be repeated: a promise that the replica did not make. Now 502 without its seal. - a 2xx of a streaming route to a HEAD, or with 204, was followed by chunks; our own answers to a HEAD had bodies; a HEAD's length was told as 0. - a connection could serve a try of the same id twice, so that a doubled answer to the first fitted the second; and tries without an id were told apart by nothing. - a stream that had passed pieces without ids was resumed from its beginning. - a send with under a tenth of the aim left was made, which is no offer. - the connection's deadline may come before the clock says so: that counted as a break of the replica (502) in place of the deadline (504). - a client that left during the sending marked the replica as down.

--- a/internal/head/response.go
+++ b/internal/head/response.go
@@ -18,6 +18,8 @@
 	Status int
 	Close  bool
 	Alive  clk.Span
+	bare   bool
+	told   int64
 	codec  fasthttp.ResponseHeader
 	oneHop [][]byte
 }
@@ -90,8 +92,18 @@
 	return nil
 }
 
+// Bodiless says that no body follows, whatever the head tells of its length:
+// the answer to a HEAD.
+func (a *Response) Bodiless() {
+	a.bare, a.told = true, a.Length
+	if a.None || a.Chunked {
+		a.told = -1
+	}
+	a.Framing = Framing{}
+}
+
 // Append writes the head as the client gets it; n is the length of the body,
-// or -1 for chunks.
+// or -1 for chunks. Where there is no body, its length is as the head told.
 func (a *Response) Append(b []byte, n int, last bool) []byte {
 	b = append(b, "HTTP/1.1 "...)
 	b = appendInt(b, a.Status)
@@ -103,6 +115,10 @@
 		}
 	}
 	switch {
+	case a.bare && a.told >= 0 && a.Status != 204 && a.Status != 304:
+		b = append(b, "\r\nContent-Length: "...)
+		b = strconv.AppendInt(b, a.told, 10)
+	case a.bare:
 	case n < 0:
 		b = append(b, "\r\nTransfer-Encoding: chunked"...)
 	case a.Status != 204 && a.Status != 304:
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -41,8 +41,12 @@
 	used  int
 	until clk.Tick
 	spent bool
+	tries [remembered]uint64
 }
 
+// remembered is how many of the last tries on a connection are remembered.
+const remembered = 4
+
 func dial(a word.Addr, timeout clk.Span) (*Conn, error) {
 	dials.Add(1)
 	c, err := wire.Dial(a, timeout)
@@ -82,12 +86,14 @@
 	return n == len(b), err
 }
 
-// Limit sets the moment past which reading ends.
+// SetDeadline sets the moment past which reading ends.
 func (k *Conn) SetDeadline(t clk.Tick) { _ = k.c.SetReadDeadline(t.Deadline()) }
 
-// Result reads the head of the answer to the try id. Answers to other tries
-// are passed over, and the connection is not used again.
+// Response reads the head of the answer to the try id. Answers to other tries
+// are passed over, and the connection is not used again; nor is it where the
+// try has no id that could tell its answer from others.
 func (k *Conn) Response(id []byte) (*head.Response, error) {
+	k.spent = k.spent || len(id) == 0
 	for i := 0; ; i++ {
 		a, err := head.ReadResponse(k.br)
 		if err != nil {
@@ -103,7 +109,7 @@
 		k.spent = true
 		mistaken.Add(1)
 		if i >= strangers || (a.None && !a.Chunked) {
-			return nil, errStranger
+			return nil, ErrMistaken
 		}
 		if _, err := head.NewBody(k.br, a.Framing).ReadAll(1 << 20); err != nil {
 			return nil, err
@@ -120,5 +126,20 @@
 	return errors.Is(err, unix.ETIMEDOUT) || errors.Is(err, unix.EHOSTUNREACH)
 }
 
+// Spend says that the connection is not to be used again.
+func (k *Conn) Spend() { k.spent = true }
+
+// take notes the try that the connection is for; false if it served that try
+// before, for an answer that comes once more could not be told apart then.
+func (k *Conn) take(try uint64) bool {
+	for _, t := range k.tries[:min(k.used, remembered)] {
+		if t == try {
+			return false
+		}
+	}
+	k.tries[k.used%remembered] = try
+	return true
+}
+
 // Cut closes the connection at once.
 func (k *Conn) Cut() { _ = k.c.Close() }
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -9,7 +9,8 @@
 	"spoolswitch/internal/word"
 )
 
-var errStranger = errors.New("the answer belongs to another try")
+// ErrMistaken says that only answers to other tries came.
+var ErrMistaken = errors.New("the answer belongs to another try")
 
 // Pool keeps the idle connections to one life of a replica.
 type Pool struct {
@@ -27,8 +28,9 @@
 	return p.open
 }
 
-// Get finds an idle connection or makes one.
-func (p *Pool) Get(timeout clk.Span) (*Conn, error) {
+// Get finds an idle connection for a try, given by a hash of its id, or makes
+// one.
+func (p *Pool) Get(try uint64, timeout clk.Span) (*Conn, error) {
 	for {
 		p.mu.Lock()
 		n := len(p.idle)
@@ -40,7 +42,7 @@
 		k := p.idle[n-1]
 		p.idle = p.idle[:n-1]
 		p.mu.Unlock()
-		if clk.Now() < k.until && k.quiet() {
+		if clk.Now() < k.until && k.quiet() && k.take(try) {
 			reused.Add(1)
 			return k, nil
 		}
@@ -53,6 +55,7 @@
 		p.mu.Unlock()
 		return nil, err
 	}
+	k.take(try)
 	return k, nil
 }
 
--- a/internal/link/pool_test.go
+++ b/internal/link/pool_test.go
@@ -32,11 +32,11 @@
 	is := is.New(t)
 	a, accept := host(t)
 	p := &Pool{Addr: a}
-	k, err := p.Get(clk.Second)
+	k, err := p.Get(1, clk.Second)
 	is.NoErr(err)
 	accept()
 	p.Give(k, &head.Response{})
-	again, err := p.Get(clk.Second)
+	again, err := p.Get(2, clk.Second)
 	is.NoErr(err)
 	is.True(again == k)
 	is.Equal(p.Open(), 1)
@@ -44,6 +44,44 @@
 	is.Equal(p.Open(), 0)
 }
 
+// A connection serves a try once: a second answer to the first would be taken for
+// the one that is due.
+func TestTryOncePerConnection(t *testing.T) {
+	is := is.New(t)
+	a, accept := host(t)
+	p := &Pool{Addr: a}
+	k, err := p.Get(7, clk.Second)
+	is.NoErr(err)
+	accept()
+	for try := range uint64(3) {
+		p.Give(k, &head.Response{})
+		next, err := p.Get(try, clk.Second)
+		is.NoErr(err)
+		is.True(next == k)
+	}
+	p.Give(k, &head.Response{})
+	again, err := p.Get(7, clk.Second)
+	is.NoErr(err)
+	is.True(again != k)
+	is.Equal(p.Open(), 1)
+}
+
+// A try without an id cannot be told from others.
+func TestNoIDIsNotUsedAgain(t *testing.T) {
+	is := is.New(t)
+	a, accept := host(t)
+	p := &Pool{Addr: a}
+	k, err := p.Get(1, clk.Second)
+	is.NoErr(err)
+	c := accept()
+	spawn.Go(func() { _, _ = c.Write([]byte("HTTP/1.1 400 X\r\nContent-Length: 0\r\n\r\n")) })
+	k.SetDeadline(clk.Now().Add(10 * clk.Second))
+	ans, err := k.Response(nil)
+	is.NoErr(err)
+	p.Give(k, ans)
+	is.Equal(p.Open(), 0)
+}
+
 // What has come on an idle connection, or its end, means that it is not used.
 func TestSpoiltIsNotUsed(t *testing.T) {
 	for name, spoil := range map[string]func(net.Conn){
@@ -54,13 +92,13 @@
 			is := is.New(t)
 			a, accept := host(t)
 			p := &Pool{Addr: a}
-			k, err := p.Get(clk.Second)
+			k, err := p.Get(3, clk.Second)
 			is.NoErr(err)
 			spoil(accept())
 			for k.quiet() {
 			}
 			p.Give(k, &head.Response{})
-			next, err := p.Get(clk.Second)
+			next, err := p.Get(4, clk.Second)
 			is.NoErr(err)
 			is.True(next != k)
 		})
@@ -72,7 +110,7 @@
 	sim := &clk.Sim{}
 	a, accept := host(t)
 	p := &Pool{Addr: a}
-	k, err := p.Get(clk.Second)
+	k, err := p.Get(5, clk.Second)
 	is.NoErr(err)
 	accept()
 	t.Cleanup(sim.Use())
@@ -91,7 +129,7 @@
 	is := is.New(t)
 	a, accept := host(t)
 	p := &Pool{Addr: a}
-	k, err := p.Get(clk.Second)
+	k, err := p.Get(6, clk.Second)
 	is.NoErr(err)
 	c := accept()
 	spawn.Go(func() {
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -129,7 +129,7 @@
 	}
 	if room <= int64(lim.BodyBytes) {
 		if !k.r.reserve(room) {
-			k.write(response.Of(code.QueueFull, "").For(q.Field(head.AttemptID)).Later(k.r.back()).Last().Append(nil))
+			k.write(response.Of(code.QueueFull, "").For(q.Field(head.AttemptID)).Later(k.r.back()).Last().To(q.Method).Append(nil))
 			k.linger()
 			return false
 		}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -598,13 +598,13 @@
 	is := is.New(t)
 	g := newRig(t, standin.Well)
 	pool := &link.Pool{Addr: g.reps[0].Addr}
-	c, err := pool.Get(clk.Second)
+	c, err := pool.Get(1, clk.Second)
 	is.NoErr(err)
 	n := &Request{}
 	is.True(n.hold(c))
-	n.give(&pick.Rep{Pool: pool}, c, &head.Response{})
+	n.give(&pick.Rep{Pool: pool}, c, &head.Response{}, answered)
 	n.abandon()
-	again, err := pool.Get(clk.Second)
+	again, err := pool.Get(2, clk.Second)
 	is.NoErr(err)
 	is.True(again == c)
 	_, err = again.Put([]byte("POST / HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n"), clk.Now().Add(clk.Second))
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -143,7 +143,7 @@
 		r = r.Last()
 	}
 	note.Counter("own." + strconv.Itoa(r.Status)).Add(1)
-	if !n.k.write(r.Append(nil)) {
+	if !n.k.write(r.To(n.Head.Method).Append(nil)) {
 		n.last = true
 	}
 }
@@ -170,6 +170,16 @@
 	return !n.left
 }
 
+// let ends the hold on a connection; false if it had ended. From then on the
+// client's leaving does not cut it.
+func (n *Request) let(c *link.Conn) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	held := n.conn == c
+	n.conn = nil
+	return held
+}
+
 func (n *Request) deserted() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -6,8 +6,6 @@
 
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
-	"spoolswitch/internal/conf"
-	"spoolswitch/internal/evidence"
 	"spoolswitch/internal/head"
 	"spoolswitch/internal/link"
 	"spoolswitch/internal/note"
@@ -22,14 +20,8 @@
 	turnedMost  = 64 << 10
 	eventMost   = 1 << 20
 	reachMost   = 4
-)
-
-type verdict int
-
-const (
-	over verdict = iota
-	notRun
-	mayHave
+	// a send with less than this part of the aim left is no offer
+	offerLeast = 10
 )
 
 func (n *Request) send() {
@@ -51,23 +43,34 @@
 			return
 		}
 		before := n.sends
-		v, o := n.try(rep)
-		n.r.Fleet.Settle(&n.ask, seen(o))
-		if o == pick.CutByClient && n.sent != 0 && n.began < n.sent {
+		e := n.try(rep)
+		n.r.Fleet.Settle(&n.ask, e.seen())
+		if (e == pastDeadline || e == deserted) && n.sent != 0 && n.began < n.sent {
 			n.r.Fleet.Hung(rep, &n.ask, clk.Since(n.sent))
 		}
-		n.r.Fleet.Done(rep, o)
-		switch v {
-		case over:
-			return
+		x := e.rule()
+		n.r.Fleet.Done(rep, x.outcome)
+		switch x.proof {
 		case notRun:
 			refused = true
-		case mayHave:
+		case mayHaveRun:
 			n.ran = true
-			if !n.route.Repeatable() {
-				n.fail(code.ReplicaBroke)
-				return
-			}
+		}
+		switch {
+		case e == deserted:
+			n.last = true
+			return
+		case e == pastDeadline:
+			n.fail(code.PastDeadline)
+			return
+		case e == tooLate:
+			n.fail(code.QueueFull)
+			return
+		case x.over:
+			return
+		case x.proof == mayHaveRun && !n.repeatable():
+			n.fail(code.ReplicaBroke)
+			return
 		}
 		n.not(rep.ID)
 		if n.sends == before {
@@ -87,13 +90,10 @@
 	}
 }
 
-// seen is what an outcome says of what the replica keeps, where its answer has
-// not said so.
-func seen(o pick.Outcome) evidence.Outcome {
-	if o == pick.Refused || o == pick.Stranger || o == pick.Unreached {
-		return evidence.NotRun
-	}
-	return evidence.Unseen
+// repeatable tells whether the request may run once more. A stream that began
+// can be taken up only behind an event that has an id.
+func (n *Request) repeatable() bool {
+	return n.route.Repeatable() && (!n.first || n.events.Seen)
 }
 
 func (n *Request) pick() (*pick.Rep, error) {
@@ -142,21 +142,29 @@
 	n.refuse(c)
 }
 
-func (n *Request) try(rep *pick.Rep) (verdict, pick.Outcome) {
+func (n *Request) try(rep *pick.Rep) ending {
+	n.sent = 0
 	left := clk.Until(n.deadline)
-	if left <= 0 {
-		return notRun, pick.CutByClient
+	if left <= clk.Ms(n.route.TargetMs/offerLeast) {
+		return tooLate
 	}
-	c, err := rep.Pool.Get(min(dialTimeout, left))
+	c, err := rep.Pool.Get(n.ask.Draw, min(dialTimeout, left))
 	if err != nil {
-		return notRun, pick.Unreached
+		return unsent
 	}
-	if !n.hold(c) {
+	e := n.exchange(rep, c, left)
+	if n.let(c) {
 		rep.Pool.Drop(c)
-		n.last = true
-		return over, pick.CutByClient
 	}
-	defer n.hold(nil)
+	return e
+}
+
+// exchange sends the request on a connection and passes the answer on. The
+// connection has been given back if it may be used again.
+func (n *Request) exchange(rep *pick.Rep, c *link.Conn, left clk.Span) ending {
+	if !n.hold(c) {
+		return deserted
+	}
 	set := []head.Set{{K: head.Expected, V: string(rep.ID)}}
 	if len(n.Head.Field(head.DeadlineMs)) > 0 {
 		set = append(set, head.Set{K: head.DeadlineMs, V: strconv.FormatInt(max(1, int64(left/clk.Millisecond)), 10)})
@@ -170,20 +178,20 @@
 	b := n.Head.Append(make([]byte, 0, len(n.Body)+1024), len(n.Body), set...)
 	whole, err := c.Put(append(b, n.Body...), n.deadline)
 	if !whole {
-		rep.Pool.Drop(c)
-		return notRun, pick.Unreached
+		if n.deserted() {
+			return deserted
+		}
+		return unsent
 	}
 	n.sends++
 	sent := clk.Now()
 	n.sent = sent
 	n.r.Fleet.Sent(rep, &n.ask)
 	if err != nil {
-		rep.Pool.Drop(c)
-		return mayHave, pick.Broke
+		return cutShort
 	}
 	a, err := c.Response(n.id)
 	if err != nil {
-		rep.Pool.Drop(c)
 		return n.broke(err)
 	}
 	n.r.Fleet.Begun(rep, n.ask.Tokens)
@@ -191,84 +199,50 @@
 		n.r.Fleet.Told(rep, string(v))
 	}
 	if n.Head.Method == "HEAD" {
-		a.Framing = head.Framing{}
+		c.Spend()
+		a.Bodiless()
 	}
 	if v := a.Field(head.Weights); len(v) > 0 {
 		n.r.Fleet.Weights(rep, &n.ask, string(v))
 	}
-	if a.None {
-		rep.Pool.Drop(c)
-		if a.Status == 421 {
-			return notRun, pick.Stranger
-		}
-		return mayHave, pick.Broke
-	}
-	if a.Status == 421 || len(a.Field(head.NotExecuted)) > 0 {
-		return n.turned(rep, c, a)
-	}
-	if a.Status/100 == 2 && len(a.Field(head.Seal)) == 0 {
-		rep.Pool.Drop(c)
-		return mayHave, pick.Broke
-	}
-	if n.route.Class == conf.Streaming && a.Status/100 == 2 {
+	e := n.sort(a)
+	switch {
+	case e.rule().proof == notRun:
+		n.drain(rep, c, a, e)
+		return e
+	case !e.rule().over:
+		return e
+	case n.streams(a):
 		return n.stream(rep, c, a, sent)
 	}
-	if n.first {
-		rep.Pool.Drop(c)
-		return mayHave, pick.Broke
-	}
-	return n.pass(rep, c, a)
+	return n.pass(rep, c, a, e)
 }
 
-func (n *Request) broke(err error) (verdict, pick.Outcome) {
-	if n.deserted() {
-		n.last = true
-		return over, pick.CutByClient
-	}
-	if clk.Now() >= n.deadline {
-		n.ran = true
-		n.fail(code.PastDeadline)
-		return over, pick.CutByClient
-	}
-	if link.Unheard(err) {
-		return mayHave, pick.Silent
-	}
-	return mayHave, pick.Broke
-}
-
-func (n *Request) turned(rep *pick.Rep, c *link.Conn, a *head.Response) (verdict, pick.Outcome) {
-	o := pick.Refused
-	if a.Status == 421 {
-		o = pick.Stranger
+func (n *Request) drain(rep *pick.Rep, c *link.Conn, a *head.Response, e ending) {
+	if a.None {
+		return
 	}
-	if _, err := c.Body(a).ReadAll(turnedMost); err != nil {
-		rep.Pool.Drop(c)
-		return notRun, o
+	if _, err := c.Body(a).ReadAll(turnedMost); err == nil {
+		n.give(rep, c, a, e)
 	}
-	n.give(rep, c, a)
-	return notRun, o
 }
 
-func (n *Request) pass(rep *pick.Rep, c *link.Conn, a *head.Response) (verdict, pick.Outcome) {
+func (n *Request) pass(rep *pick.Rep, c *link.Conn, a *head.Response, e ending) ending {
 	body, err := c.Body(a).ReadAll(plainMost)
 	if err != nil {
-		rep.Pool.Drop(c)
 		return n.broke(err)
 	}
 	if a.Status/100 == 2 {
 		n.r.Fleet.Read(rep, &n.ask, -1)
 	}
-	n.give(rep, c, a)
+	n.give(rep, c, a, e)
 	n.finish()
 	b := a.Append(make([]byte, 0, len(body)+512), len(body), n.last)
 	if !n.k.write(append(b, body...)) {
 		n.last = true
 	}
 	n.began = clk.Now()
-	if a.Status >= 500 && a.Status != 504 {
-		return over, pick.Failed
-	}
-	return over, pick.Fine
+	return e
 }
 
 func (n *Request) finish() {
@@ -279,7 +253,7 @@
 
 var resumed = note.Counter("stream.resumed")
 
-func (n *Request) stream(rep *pick.Rep, c *link.Conn, a *head.Response, sent clk.Tick) (verdict, pick.Outcome) {
+func (n *Request) stream(rep *pick.Rep, c *link.Conn, a *head.Response, sent clk.Tick) ending {
 	body := c.Body(a)
 	skip := int64(-1)
 	if n.first {
@@ -304,8 +278,7 @@
 			}
 			out = out[:0]
 			if n.events.Held() > eventMost {
-				rep.Pool.Drop(c)
-				return mayHave, pick.Broke
+				return malformed
 			}
 			if !n.first && len(ev) > 0 {
 				n.finish()
@@ -315,15 +288,14 @@
 			if len(ev) > 0 {
 				out = chunk(out, ev)
 				if !n.k.write(out) {
-					rep.Pool.Drop(c)
 					n.last = true
-					return over, pick.CutByClient
+					return deserted
 				}
 			}
 			continue
 		}
 		if err == io.EOF && body.Whole() && !n.events.Left() {
-			n.give(rep, c, a)
+			n.give(rep, c, a, answered)
 			out = out[:0]
 			if !n.first {
 				n.finish()
@@ -333,12 +305,11 @@
 			if !n.k.write(append(out, "0\r\n\r\n"...)) {
 				n.last = true
 			}
-			return over, pick.Fine
+			return answered
 		}
 		if err == nil {
 			continue
 		}
-		rep.Pool.Drop(c)
 		return n.broke(err)
 	}
 }
@@ -362,9 +333,11 @@
 	}
 }
 
-func (n *Request) give(rep *pick.Rep, c *link.Conn, a *head.Response) {
-	n.hold(nil)
-	rep.Pool.Give(c, a)
+// give hands a connection back whose answer was read to its end.
+func (n *Request) give(rep *pick.Rep, c *link.Conn, a *head.Response, e ending) {
+	if e.rule().reuse && n.let(c) {
+		rep.Pool.Give(c, a)
+	}
 }
 
 func chunk(b, p []byte) []byte {
--- a/internal/response/response.go
+++ b/internal/response/response.go
@@ -20,6 +20,7 @@
 	Back   clk.Span
 	Close  bool
 	ID     []byte
+	bare   bool
 }
 
 var statuses = map[code.Code]int{
@@ -69,6 +70,12 @@
 	return r
 }
 
+// To says which method is answered: the answer to a HEAD has no body.
+func (r Response) To(method string) Response {
+	r.bare = method == "HEAD"
+	return r
+}
+
 type cause struct {
 	Code  int    `json:"code"`
 	Cause string `json:"cause"`
@@ -111,6 +118,9 @@
 	b = append(b, "\r\nContent-Length: "...)
 	b = strconv.AppendInt(b, int64(len(body)), 10)
 	b = append(b, "\r\n\r\n"...)
+	if r.bare {
+		return b
+	}
 	return append(b, body...)
 }
 
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -48,6 +48,9 @@
 	_, _ = io.WriteString(k.c, s)
 }
 
+// Head reads the head of an answer that has no body.
+func (k *Client) Head() (*head.Response, error) { return head.ReadResponse(k.br) }
+
 // Get reads one answer.
 func (k *Client) Get() (Reply, error) {
 	a, err := head.ReadResponse(k.br)
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -73,6 +73,13 @@
 	r.play = p
 }
 
+// Conns is how many connections came.
+func (r *Replica) Conns() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.cs)
+}
+
 // Got tells what came.
 func (r *Replica) Got() []Got {
 	r.mu.Lock()
@@ -131,6 +138,14 @@
 // Full answers that the request did not run.
 func Full(w net.Conn, g Got) bool { return Say(w, g.ID, 503, "Not-Executed: 1\r\n", "") }
 
+// Raw plays bytes as they are, ID standing for the try's, and closes.
+func Raw(s string) Play {
+	return func(w net.Conn, g Got) bool {
+		_, _ = w.Write([]byte(strings.ReplaceAll(s, "ID", g.ID)))
+		return false
+	}
+}
+
 // Break reads and closes.
 func Break(net.Conn, Got) bool { return false }
 
