--- a/internal/keep/late_test.go
+++ b/internal/keep/late_test.go
@@ -105,6 +105,7 @@
 	c.zoned(c.add("d", three.Seat))
 	d := c.ks["d"]
 	d.Disk = false
+	is.NoErr(d.Acceptor().Adopt(three)) // as gossip brings it
 	is.True(c.zone("a", false).OK)
 	var held []Msg
 	d.Net = frozen{end{c.n, "d"}, Forward, d.seatsNear()[0], &held, func() { c.n.part("d", three.Seat...) }}
