--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -33,8 +33,6 @@
 	founder atomic.Bool
 }
 
-const watchPause = 1200 * clk.Millisecond
-
 // Machine is what a keeper has of the machine that it runs on.
 type Machine struct {
 	// Disk is where it keeps what it accepts; nil without a disk.
@@ -71,6 +69,7 @@
 	k.Seats = keep.Seats(s.Tolerance.Machines, len(s.Zones))
 	k.Disk = m.Disk != nil
 	k.Label = label
+	k.Pauses = &keep.Pauses{}
 	for _, a := range s.Seeds {
 		k.Founders = append(k.Founders, word.Node(s.Keeper(a)))
 	}
@@ -81,6 +80,12 @@
 		}
 		return list.Diff(old, fresh)
 	}
+	hub.Trim = func(key word.Key, val []byte) []byte {
+		if key != word.Configuration {
+			return val
+		}
+		return conf.Brief(val)
+	}
 	hub.Apply = clk.Ms(s.Bounds.ConfigApplyMs)
 	d := &Daemon{Keeper: k, Hub: hub, net: wires}
 	li, err := wire.Listen(word.Addr(self))
@@ -126,9 +131,9 @@
 			} else if acc.Ready() && (k.Disk || acc.Roster().Has(k.Self)) {
 				k.Regain()
 			}
-			if !k.Disk && !acc.Voting() && !d.founder.Load() {
-				k.Watch()
-				clk.Sleep(watchPause)
+			k.Gossip()
+			if !k.Rounds() && !d.founder.Load() {
+				clk.Sleep(keep.Beat / 4)
 				continue
 			}
 			k.Round()
@@ -151,6 +156,10 @@
 			return !d.over.Load()
 		})
 	}
+	spawn.Every(keep.PauseBeat, func() bool {
+		k.Pauses.Beat()
+		return !d.over.Load()
+	})
 	d.calendar(s.Calendar.Rewrite, acc)
 	note.State("keeper up", "node", self, "voting", acc.Voting())
 	return d, nil
--- a/internal/feed/hub_test.go
+++ b/internal/feed/hub_test.go
@@ -15,6 +15,10 @@
 type status struct {
 	life uint64
 	sure bool
+	// seats are those that the keeper knows, seatless says that it has none.
+	seats    map[word.Node]word.Zone
+	seatless bool
+	num      uint64
 }
 
 func (s *status) Life() uint64                         { return s.life }
@@ -22,6 +26,10 @@
 func (s *status) Relays() int                          { return 3 }
 func (s *status) ListAge() clk.Span                    { return 0 }
 func (s *status) KeeperZones() map[word.Node]word.Zone { return nil }
+func (s *status) SeatZones() (uint64, map[word.Node]word.Zone) {
+	return s.num, s.seats
+}
+func (s *status) Rounds() bool { return !s.seatless }
 
 func item(k word.Key, round, seq uint64, v string) keep.Item {
 	return keep.Item{Key: k, At: word.Place{Epoch: word.Epoch{Round: round, Node: "a"}, Seq: seq}, Val: []byte(v)}
@@ -77,7 +85,13 @@
 	st := &status{life: 7}
 	h := NewHub()
 	h.Status = st
-	h.Publish(item(word.Configuration, 1, 1, "conf"))
+	h.Trim = func(k word.Key, v []byte) []byte {
+		if k != word.Configuration {
+			return v
+		}
+		return v[:4]
+	}
+	h.Publish(item(word.Configuration, 1, 1, "conf, and what only keepers need"))
 	h.Publish(item(word.List, 1, 1, "list"))
 	h.Publish(item(word.Evacuation("z"), 1, 1, "on"))
 	h.Publish(item(word.Roster, 1, 1, "not for relays"))
@@ -104,6 +118,9 @@
 		keys = append(keys, it.Key)
 	}
 	is.Equal(keys, []word.Key{word.Evacuation("z"), word.List, word.Configuration})
+	is.Equal(string(msgs[1].Items[2].Val), "conf")
+	v, _ := h.Value(word.Configuration)
+	is.Equal(string(v), "conf, and what only keepers need")
 	is.Equal(msgs[1].Num, h.Num())
 }
 
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -1,6 +1,7 @@
 package keep
 
 import (
+	"bytes"
 	"slices"
 	"sync"
 
@@ -33,6 +34,8 @@
 	Decider func(key word.Key, o *Order) Decide
 	// Label names what a value is, for the trace.
 	Label func(key word.Key, val []byte) string
+	// Pauses, if set, tell which orders of other daemons may be too old.
+	Pauses *Pauses
 
 	seating sync.Mutex
 	joint   struct {
@@ -57,6 +60,14 @@
 	asked   map[word.Node]asked
 	last    word.Node
 	wanted  clk.Tick
+	// contacts and callers are those that rosters are exchanged with; seat0
+	// counts the seats through, and seededAt is when the seeds last changed.
+	contacts map[word.Node]contact
+	callers  []word.Node
+	seat0    int
+	seededAt clk.Tick
+	pulling  sync.Mutex
+	orders   int
 	// newcomer says that this life of the keeper began before it had a seat, so
 	// that no promise of it can have been lost.
 	newcomer bool
@@ -67,13 +78,17 @@
 	return &Keeper{Self: self, Disk: true, asked: map[word.Node]asked{}, acc: acc, Net: net, Sink: sink, life: spawn.Uint64() | 1,
 		leases: map[word.Key]*lease{}, tried: map[word.Key]word.Epoch{}, heard: map[word.Node]clk.Tick{},
 		odd: map[word.Key]doubt{}, others: map[word.Node]word.Zone{}, relays: map[word.Node]clk.Tick{},
-		local0: clk.Now()}
+		contacts: map[word.Node]contact{}, local0: clk.Now(), seededAt: clk.Now()}
 }
 
 // Seeded takes in where keepers may be found, and how many seats there may be.
 func (k *Keeper) Seeded(ns []word.Node, seats int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if !slices.Equal(ns, k.Founders) {
+		k.seededAt = clk.Now()
+		clear(k.contacts)
+	}
 	k.Founders, k.Seats = ns, seats
 }
 
@@ -159,18 +174,95 @@
 	return n
 }
 
-// Change has an order carried out by the owner of its key, here or elsewhere.
+// Change has an order carried out by the owner of its key, here or elsewhere,
+// for a client that waits until the deadline. What goes to another daemon may
+// be read there at any later time, and is bound so that it changes nothing
+// then: a configuration by its base, an evacuation by the place that a majority
+// confirmed to this taker.
 func (k *Keeper) Change(key word.Key, o *Order, deadline clk.Tick) Msg {
-	if !k.Disk && !k.acc.Voting() {
-		return k.forward(key, o, deadline)
+	if !k.acc.Voting() {
+		return k.bound(key, o, deadline, func(o *Order) (Msg, bool) {
+			a := k.forward(key, o, deadline)
+			return a, a.clear()
+		})
 	}
 	if n := k.owner(key); n != "" && n != k.Self && k.recent(n, 1500*clk.Millisecond) {
-		a, ok := k.Net.Ask(n, Msg{Kind: Change, From: k.Self, Key: key, Order: o}, min(forwardTimeout, clk.Until(deadline)))
-		if ok && a.Code != code.NoMajority && a.Code != code.NotVoting {
+		a := k.bound(key, o, deadline, func(o *Order) (Msg, bool) {
+			left := min(forwardTimeout, clk.Until(deadline))
+			a, ok := k.Net.Ask(n, Msg{Kind: Change, From: k.Self, Key: key, Order: o, Left: left}, left)
+			if !ok {
+				a.Code = code.NoMajority
+			}
+			return a, a.clear()
+		})
+		if a.clear() {
+			return a
+		}
+	}
+	return k.carry(key, o, deadline)
+}
+
+// clear tells whether a is an answer that another daemon need not be asked for.
+func (m *Msg) clear() bool {
+	return m.Code != code.NoMajority && m.Code != code.NotVoting && m.Code != code.Unvouched && m.Code != code.Moved &&
+		m.Code != code.QueueFull
+}
+
+// bound sends an order, once the place that it is bound to has been asked for,
+// and once more for each time that the place has moved meanwhile.
+func (k *Keeper) bound(key word.Key, o *Order, deadline clk.Tick, send func(*Order) (Msg, bool)) Msg {
+	for clk.Until(deadline) > 0 {
+		b := *o
+		if unbound(key, o) {
+			q, ok := send(&Order{Query: true})
+			if !ok || !q.OK {
+				if q.Code == code.OK {
+					q.Code = code.NoMajority
+				}
+				return Msg{Code: q.Code, Text: q.Text}
+			}
+			b.If = q.At
+		}
+		a, ok := send(&b)
+		if ok || a.Code != code.Moved || !o.If.Zero() {
 			return a
 		}
 	}
-	return k.Own(key, deadline, k.Decider(key, o))
+	return Msg{Code: code.NoMajority}
+}
+
+func unbound(key word.Key, o *Order) bool {
+	_, evac := key.Evacuated()
+	return evac && o != nil && !o.Query && o.If.Zero()
+}
+
+// carry carries an order out as the owner of its key. An acknowledged
+// evacuation gets a place of its own also where it changes nothing, so that no
+// order bound to an earlier place comes after it.
+func (k *Keeper) carry(key word.Key, o *Order, deadline clk.Tick) Msg {
+	d := k.Decider(key, o)
+	_, evac := key.Evacuated()
+	return k.own(key, deadline, func(at word.Place, cur []byte) ([]byte, Msg, bool) {
+		next, a := d(cur)
+		if next != nil && !o.If.Zero() && o.If != at && !bytes.Equal(next, cur) {
+			return nil, Msg{Code: code.Moved}, false
+		}
+		return next, a, evac && next != nil
+	})
+}
+
+// late tells whether an order that another daemon sent may be older than this
+// process knows.
+func (k *Keeper) late(m Msg) bool {
+	return m.Order != nil && !m.Order.Query && !k.Pauses.Vouched(clk.Now())
+}
+
+// until is the deadline of a message's work: its sender's, d at most.
+func (m *Msg) until(d clk.Span) clk.Tick {
+	if m.Left > 0 {
+		d = min(d, m.Left)
+	}
+	return clk.Now().Add(d)
 }
 
 func (k *Keeper) local(m Msg) Msg {
@@ -190,6 +282,9 @@
 
 // Handle answers a message of another daemon.
 func (k *Keeper) Handle(m Msg) Msg {
+	if m.Kind == Gossip {
+		return k.gossiped(m)
+	}
 	k.hear(m)
 	switch m.Kind {
 	case Vote, Accept, Hold:
@@ -219,10 +314,8 @@
 		return Msg{OK: true}
 	case Join:
 		return k.join(m.From, m.Zone)
-	case Forward:
-		return k.Change(m.Key, m.Order, clk.Now().Add(forwardTimeout*2))
-	case Change:
-		return k.Own(m.Key, clk.Now().Add(forwardTimeout), k.Decider(m.Key, m.Order))
+	case Forward, Change:
+		return k.ordered(m)
 	}
 	return Msg{Code: code.NoCall}
 }
@@ -231,9 +324,11 @@
 	if m.From == "" {
 		return
 	}
+	r := k.acc.Roster()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.heard[m.From] = clk.Now()
+	k.trim(r)
 	if m.Zone != "" {
 		k.others[m.From] = m.Zone
 	}
--- a/internal/response/response.go
+++ b/internal/response/response.go
@@ -20,6 +20,7 @@
 	Back   clk.Span
 	Close  bool
 	ID     []byte
+	bare   bool
 }
 
 var statuses = map[code.Code]int{
@@ -28,7 +29,7 @@
 	code.PastDeadline: 504, code.ReplicaBroke: 502, code.Leaving: 503, code.BadFields: 400, code.BadMethod: 405,
 	code.NoCall: 404, code.Unreadable: 400, code.NoService: 400, code.SamePlace: 400, code.NoWeight: 400,
 	code.NoTimeout: 400, code.OldVersion: 400, code.OtherVersion: 412, code.NoZone: 404, code.NoMajority: 503,
-	code.Nothing: 404, code.BadItem: 400, code.DiskRefused: 503, code.NotVoting: 503, code.PeerLost: 503,
+	code.Nothing: 404, code.BadItem: 400, code.TooOld: 503, code.Moved: 503, code.Unvouched: 503, code.DiskRefused: 503, code.NotVoting: 503, code.PeerLost: 503,
 	code.UnknownChange: 404,
 }
 
@@ -69,6 +70,12 @@
 	return r
 }
 
+// To says which method is answered: the answer to a HEAD has no body.
+func (r Response) To(method string) Response {
+	r.bare = method == "HEAD"
+	return r
+}
+
 type cause struct {
 	Code  int    `json:"code"`
 	Cause string `json:"cause"`
@@ -111,6 +118,9 @@
 	b = append(b, "\r\nContent-Length: "...)
 	b = strconv.AppendInt(b, int64(len(body)), 10)
 	b = append(b, "\r\n\r\n"...)
+	if r.bare {
+		return b
+	}
 	return append(b, body...)
 }
 
