A change of seats asks the bound seats for their keys and ends with all values on the new disks

The change ended with a majority that had the values, not with all new seats; the first silent seat was given away, not the longest silent; and a keeper that had itself been cut off or frozen, whose first round ends with the first majority, took seats for gone that it had merely not heard of. A step of a change was not bound to the roster it was meant for.

Change: majorities of both sets, bound to the joint roster first, tell their keys; the change ends when each new seat that answers (a majority at least; one that cannot write is waited for 10 s) has all values synced at the places won anew; the longest silent seat is given away, by a keeper only whose rounds have followed each other for 3 s; steps are bound to the roster's number. A seat that is gone is replaced after 3 s where the loss of a zone is borne no worse, and after 30 s (before: 10) where it is worse: cuts last up to 20 s, and seats do not move back.

Seen to fail without: TestKeyUnheardOf, TestLeaverOwns, TestNewSeatHasAll, TestSilent, TestRosterStepIsBound. fleet.TestSeats, TestDiskLostAfterAck, TestCorruptDisk, TestSentAgain passed.

--- a/internal/keep/beat.go
+++ b/internal/keep/beat.go
@@ -126,6 +126,9 @@
 	k.settle(r, got, voting)
 	k.reseat()
 	k.mu.Lock()
+	if k.sure == 0 || begun.Sub(k.sure) >= hereFor {
+		k.steady = begun
+	}
 	k.sure = begun
 	k.mu.Unlock()
 }
--- a/internal/keep/join.go
+++ b/internal/keep/join.go
@@ -4,17 +4,24 @@
 	"slices"
 
 	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/spawn"
 	"spoolswitch/internal/word"
 )
 
+// A seat is given to another after 3 s of silence if the loss of a zone is borne
+// no worse then: until it is, a second loss may leave no majority. Where it
+// would be borne worse, cuts and freezes are waited for: they last up to 20 s,
+// and seats do not move back on their own.
 const (
 	goneAfter = 3 * clk.Second
-	goneLong  = 10 * clk.Second
+	goneLong  = 30 * clk.Second
 	askedFor  = 2 * clk.Second
 	askPause  = 500 * clk.Millisecond
 	hereFor   = 1200 * clk.Millisecond
+	copyWait  = 10 * clk.Second
+	copyPause = 50 * clk.Millisecond
 )
 
 func (k *Keeper) wantSeat(r Roster) {
@@ -74,15 +81,9 @@
 	if r.Has(j) || len(r.Next) > 0 {
 		return Msg{OK: true}
 	}
-	var gone word.Node
-	for _, n := range r.Seat {
-		switch {
-		case n == k.Self || k.recent(n, hereFor):
-		case !k.recent(n, goneAfter):
-			gone = n
-		default:
-			return Msg{OK: true}
-		}
+	gone, unclear := k.silent(r)
+	if unclear {
+		return Msg{OK: true}
 	}
 	_, seats := k.seeds()
 	in := k.askers(j, z)
@@ -103,7 +104,7 @@
 			if len(cur) == 0 {
 				cur = k.acc.Roster().Encode()
 			}
-			return DecideRoster(cur, &Order{Joiners: in, Gone: gone})
+			return DecideRoster(cur, &Order{Base: word.Version(r.Num), Joiners: in, Gone: gone})
 		})
 		if a.OK {
 			note.State("seats given", "to", in, "instead of", gone)
@@ -113,8 +114,31 @@
 	return Msg{OK: true}
 }
 
-// instead tells whether j may take the seat of one that is gone: at once if a
-// lost zone is borne no worse, and after a while in any case.
+// silent names the seat that was not heard of for the longest time, if that is
+// long enough. While one may be on its way out or back nothing is clear, nor is
+// it to a keeper that was itself cut off or stood still just now.
+func (k *Keeper) silent(r Roster) (gone word.Node, unclear bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var since clk.Tick
+	for _, n := range r.Seat {
+		at, ok := k.heard[n]
+		if !ok {
+			at = k.local0
+		}
+		switch {
+		case n == k.Self || clk.Since(at) < hereFor:
+		case clk.Since(at) < goneAfter:
+			return "", true
+		case gone == "" || at < since:
+			gone, since = n, at
+		}
+	}
+	return gone, gone != "" && k.sure.Sub(k.steady) < goneAfter
+}
+
+// instead tells whether j may take the seat of one that is gone: soon if a
+// lost zone is borne no worse, and after a long while in any case.
 func (k *Keeper) instead(r Roster, gone, j word.Node) []word.Node {
 	next := Roster{Seat: append(slices.DeleteFunc(slices.Clone(r.Seat), func(n word.Node) bool { return n == gone }), j)}
 	_, before := r.bears(k.zoneOf)
@@ -124,42 +148,110 @@
 	return []word.Node{j}
 }
 
+// seat ends a change of seats, in three steps: majorities of both sets are bound
+// to the joint roster and tell their keys, so that none stands that nobody here
+// knows of; each key is won anew under majorities of both; the new seats that are
+// heard have every value on their disks.
 func (k *Keeper) seat() {
 	r := k.acc.Roster()
 	if len(r.Next) == 0 {
 		return
 	}
 	deadline := clk.Now().Add(4 * clk.Second)
-	keys := []word.Key{word.Roster}
-	for key := range k.acc.Cells() {
-		keys = append(keys, key)
-	}
-	for key := range k.Sink.Known() {
-		keys = append(keys, key)
+	keys, ok := k.keysOf(r)
+	if !ok {
+		return
 	}
-	slices.Sort(keys)
-	for _, key := range slices.Compact(keys) {
-		if !key.Kept() || key == floorKey {
-			continue
-		}
-		if !k.rewin(key, deadline) {
+	places := map[word.Key]word.Place{}
+	for _, key := range keys {
+		a := k.rewin(key, deadline)
+		if !a.OK {
 			return
 		}
+		places[key] = a.At
 	}
-	a := k.Own(word.Roster, deadline, func(cur []byte) ([]byte, Msg) { return DecideRoster(cur, &Order{On: true}) })
+	if !k.copied(r, places, deadline) {
+		return
+	}
+	a := k.Own(word.Roster, deadline, func(cur []byte) ([]byte, Msg) {
+		return DecideRoster(cur, &Order{Base: word.Version(r.Num), On: true})
+	})
 	if a.OK {
 		note.State("roster changed", "num", k.acc.Roster().Num)
 	}
 }
 
-func (k *Keeper) rewin(key word.Key, deadline clk.Tick) bool {
+// keysOf asks the seats for their keys under the roster r. Only those count that
+// go by it when they answer: no key is accepted under an earlier one any more.
+func (k *Keeper) keysOf(r Roster) ([]word.Key, bool) {
+	under := func(g map[word.Node]Msg) func(word.Node) bool {
+		return func(n word.Node) bool { return g[n].OK && g[n].Code == code.OK && g[n].Roster.Num == r.Num }
+	}
+	got := k.askAll(r.All(), Msg{Kind: Digest, Zone: k.Zone, Roster: r}, askTimeout,
+		func(g map[word.Node]Msg) bool { return r.Majority(under(g)) })
+	if !r.Majority(under(got)) {
+		k.heed(got)
+		return nil, false
+	}
+	in := map[word.Key]bool{word.Roster: true}
+	for n := range sorted(got) {
+		for key := range got[n].Marks {
+			if key.Kept() {
+				in[key] = true
+			}
+		}
+	}
+	var keys []word.Key
+	for key := range sorted(in) {
+		keys = append(keys, key)
+	}
+	return keys, true
+}
+
+// copied waits until each of the new seats that answer, a majority at least, has
+// all values at these places or later ones on its disk. One that answers and
+// cannot write holds the change up for a while only.
+func (k *Keeper) copied(r Roster, places map[word.Key]word.Place, deadline clk.Tick) bool {
+	next := Roster{Num: r.Num, Seat: r.Next}
+	for clk.Until(deadline) > 0 {
+		got := k.askAll(r.Next, Msg{Kind: Digest, Zone: k.Zone, Roster: r}, min(askTimeout, clk.Until(deadline)),
+			func(g map[word.Node]Msg) bool { return len(g) == len(r.Next) })
+		has := func(n word.Node) bool {
+			a := got[n]
+			if !a.OK || a.Code != code.OK || a.Roster.Num != r.Num {
+				return false
+			}
+			for key, at := range places {
+				if a.Marks[key].At.Less(at) {
+					return false
+				}
+			}
+			return true
+		}
+		k.mu.Lock()
+		patient := k.joint.num != r.Num || clk.Since(k.joint.since) < copyWait
+		k.mu.Unlock()
+		all := true
+		for n := range got {
+			all = all && has(n)
+		}
+		if next.Majority(has) && (all || !patient) {
+			return true
+		}
+		clk.Sleep(copyPause)
+	}
+	return false
+}
+
+// rewin wins a key anew under the roster that is gone by now.
+func (k *Keeper) rewin(key word.Key, deadline clk.Tick) Msg {
 	t := k.lease(key)
 	if !t.turn.Take(clk.Until(deadline)) {
-		return false
+		return Msg{Code: code.NoMajority}
 	}
 	t.held = false
 	t.turn.Give()
-	return k.Own(key, deadline, func([]byte) ([]byte, Msg) { return nil, Msg{OK: true} }).OK
+	return k.Own(key, deadline, func([]byte) ([]byte, Msg) { return nil, Msg{OK: true} })
 }
 
 func (k *Keeper) reseat() {
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -42,15 +42,17 @@
 		num   uint64
 		since clk.Tick
 	}
-	acc     *Acceptor
-	mu      sync.Mutex
-	leases  map[word.Key]*lease
-	tried   map[word.Key]word.Epoch
-	round   uint64
-	life    uint64
-	heard   map[word.Node]clk.Tick
-	local0  clk.Tick
-	sure    clk.Tick
+	acc    *Acceptor
+	mu     sync.Mutex
+	leases map[word.Key]*lease
+	tried  map[word.Key]word.Epoch
+	round  uint64
+	life   uint64
+	heard  map[word.Node]clk.Tick
+	local0 clk.Tick
+	sure   clk.Tick
+	// steady is when the rounds began that have followed each other since
+	steady  clk.Tick
 	odd     map[word.Key]doubt
 	trail   []Step
 	trailAt []clk.Tick
@@ -69,7 +71,7 @@
 func New(self word.Node, acc *Acceptor, net Net, sink Sink) *Keeper {
 	return &Keeper{Self: self, Disk: true, asked: map[word.Node]asked{}, acc: acc, Net: net, Sink: sink, life: spawn.Uint64() | 1,
 		leases: map[word.Key]*lease{}, tried: map[word.Key]word.Epoch{}, heard: map[word.Node]clk.Tick{},
-		odd: map[word.Key]doubt{}, others: map[word.Node]word.Zone{}, relays: map[word.Node]clk.Tick{},
+		odd: map[word.Key]doubt{},others: map[word.Node]word.Zone{}, relays: map[word.Node]clk.Tick{},
 		local0: clk.Now()}
 }
 
@@ -260,6 +262,8 @@
 		return k.acc.Accept(m.Key, m.At, m.Val, m.Roster)
 	case Hold:
 		return k.acc.Hold(m.Key, m.Epoch, m.Roster)
+	case Digest:
+		return k.digest()
 	}
 	return Msg{Code: code.NoCall}
 }
@@ -277,7 +281,7 @@
 		k.learnFrom(m)
 		return Msg{OK: true}
 	case Digest:
-		return k.digest()
+		return k.local(m)
 	case Fetch:
 		c := k.acc.Cell(m.Key)
 		if m.Key.Shared() {
--- a/internal/keep/seats.go
+++ b/internal/keep/seats.go
@@ -8,12 +8,16 @@
 )
 
 // DecideRoster takes one step of a change of the roster: into it, with both
-// sets named, or out of it, with the new set alone.
+// sets named, or out of it, with the new set alone. It is bound to the number of
+// the roster that the order goes out from.
 func DecideRoster(cur []byte, o *Order) ([]byte, Msg) {
 	r, ok := DecodeRoster(cur)
 	if !ok || len(r.Seat) == 0 {
 		return nil, Msg{Code: code.Nothing}
 	}
+	if o.Base != 0 && uint64(o.Base) != r.Num {
+		return nil, Msg{Code: code.OtherVersion, Text: "the roster has changed"}
+	}
 	if len(r.Next) > 0 {
 		if !o.On {
 			return nil, Msg{Code: code.QueueFull, Text: "a change is under way"}
