A value that a seat missed comes to its disk too; status tells on which disks each key lies

Change: in each round a seat accepts at its place what it knows to stand and lacks on its disk, off the round's thread, as though the owner's message had been late: idempotent, refused under a later promise or a raised floor.

--- a/cmd/spoolctl/tool.go
+++ b/cmd/spoolctl/tool.go
@@ -134,6 +134,14 @@
 	return nil
 }
 
+// copies tells on how many disks of which seats a key's newest value lies.
+func copies(r *keep.Report, k word.Key) string {
+	if !k.Kept() || r.Role != "keeper" {
+		return ""
+	}
+	return fmt.Sprintf(", on %d of %d disks %v", len(r.Copies[k]), len(r.Roster.All()), r.Copies[k])
+}
+
 func (t *tool) status(ask trace.Ask, keeper word.Addr, asJSON bool, timeout clk.Span) error {
 	rs, silent, err := trace.Fleet(ask, keeper, word.Configuration, timeout)
 	if err != nil {
@@ -146,7 +154,7 @@
 		if r.Role == "keeper" {
 			fmt.Printf("keeper %s in %s: voting %v, sure %v, roster %d %v %v, feed at %d, relays %d\n", r.Node, r.Zone, r.Voting, r.Sure, r.Roster.Num, r.Roster.Seat, r.Roster.Next, r.Feed, len(r.Relays))
 			for _, k := range sorted(r.Owners) {
-				fmt.Printf("  %s: lease %s\n", k, r.Owners[word.Key(k)])
+				fmt.Printf("  %s: lease %s%s\n", k, r.Owners[word.Key(k)], copies(r, word.Key(k)))
 			}
 		} else {
 			fmt.Printf("relay %s in %s: current %v, version %d, from %s, feed at %d\n", r.Node, r.Zone, r.Sure, r.Version, r.Keeper, r.Feed)
--- a/internal/keep/beat.go
+++ b/internal/keep/beat.go
@@ -124,6 +124,8 @@
 		return
 	}
 	k.settle(r, got, voting)
+	k.see(got)
+	k.repair(r)
 	k.reseat()
 	k.mu.Lock()
 	if k.sure == 0 || begun.Sub(k.sure) >= hereFor {
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -54,6 +54,9 @@
 	// steady is when the rounds began that have followed each other since
 	steady  clk.Tick
 	odd     map[word.Key]doubt
+	mending map[word.Key]bool
+	barred  map[word.Key]doubt
+	sights  map[word.Node]sight
 	trail   []Step
 	trailAt []clk.Tick
 	others  map[word.Node]word.Zone
@@ -71,7 +74,8 @@
 func New(self word.Node, acc *Acceptor, net Net, sink Sink) *Keeper {
 	return &Keeper{Self: self, Disk: true, asked: map[word.Node]asked{}, acc: acc, Net: net, Sink: sink, life: spawn.Uint64() | 1,
 		leases: map[word.Key]*lease{}, tried: map[word.Key]word.Epoch{}, heard: map[word.Node]clk.Tick{},
-		odd: map[word.Key]doubt{},others: map[word.Node]word.Zone{}, relays: map[word.Node]clk.Tick{},
+		odd: map[word.Key]doubt{}, mending: map[word.Key]bool{}, barred: map[word.Key]doubt{}, sights: map[word.Node]sight{},
+		others: map[word.Node]word.Zone{}, relays: map[word.Node]clk.Tick{},
 		local0: clk.Now()}
 }
 
--- a/internal/keep/msg.go
+++ b/internal/keep/msg.go
@@ -102,13 +102,15 @@
 
 // Report is what a daemon tells of itself when it is asked for a trace.
 type Report struct {
-	Node    word.Node
-	Role    string
-	Zone    word.Zone
-	Voting  bool
-	Sure    bool
-	Roster  Roster
-	Owners  map[word.Key]word.Place
+	Node   word.Node
+	Role   string
+	Zone   word.Zone
+	Voting bool
+	Sure   bool
+	Roster Roster
+	Owners map[word.Key]word.Place
+	// Copies are the seats that have the newest value of each key on their disks.
+	Copies  map[word.Key][]word.Node
 	Feed    uint64
 	Keeper  word.Addr
 	Relays  map[word.Node]word.Addr
--- /dev/null
+++ b/internal/keep/repair_test.go
@@ -0,0 +1,90 @@
+package keep
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/word"
+)
+
+// copied waits for a key to be on so many disks; nothing is done meanwhile.
+func (c *core) copied(key word.Key, want int) bool {
+	for range 2000 {
+		if c.on(key, three.Seat...) == want {
+			return true
+		}
+		clk.Sleep(clk.Millisecond)
+	}
+	return false
+}
+
+// What a seat missed is on its disk after two rounds of its own, of which the
+// first may end with the first majority that answers: one that was cut
+// off, and one whose disk refused while it heard of the change.
+func TestMissedValueComesToDisk(t *testing.T) {
+	is := is.New(t)
+	c := newCore(t)
+	is.True(c.put("a", 0, "1").OK)
+	is.True(c.copied(kk, 3))
+	c.n.part("c", "a", "b")
+	is.True(c.put("a", 1, "22").OK)
+	is.True(c.copied(kk, 2))
+	c.n.join()
+	c.ks["c"].Round()
+	c.ks["c"].Round()
+	is.True(c.copied(kk, 3))
+	c.st["c"].set(nil, true)
+	is.True(c.put("a", 2, "333").OK)
+	is.True(c.copied(kk, 2))
+	c.ks["a"].Round()
+	c.ks["a"].Round()
+	is.Equal(c.ks["a"].Copies()[kk], []word.Node{"a", "b"})
+	c.ks["c"].Round() // still refused
+	c.st["c"].set(nil, false)
+	for try := 0; c.on(kk, "c") == 0; try++ {
+		is.True(try < 200)
+		c.ks["c"].Round()
+	}
+	clk.Sleep(10 * clk.Millisecond)
+	c.ks["a"].Round()
+	is.Equal(c.ks["a"].Copies()[kk], three.Seat)
+	back := NewAcceptor() // it is on the disk
+	for _, p := range c.st["c"].recs {
+		back.Replay(p)
+	}
+	is.Equal(string(back.Cell(kk).Val), "333")
+	for _, key := range []word.Key{kk, word.Roster} {
+		_, ok := c.ks["a"].Copies()[key]
+		is.Equal(ok, key == kk) // of keys that have values
+	}
+}
+
+// A seat that promised a ballot that died takes no earlier value; it takes the
+// value up itself after a while.
+func TestBarredByPromise(t *testing.T) {
+	is := is.New(t)
+	c := newCore(t)
+	is.True(c.put("a", 0, "1").OK)
+	is.True(c.copied(kk, 3))
+	c.n.part("c", "a", "b")
+	is.True(c.put("a", 1, "22").OK)
+	k := c.ks["c"]
+	is.True(k.Acceptor().Vote(kk, word.Epoch{Round: 99, Node: "x", Life: 1}, three).OK)
+	c.n.join()
+	for try := 0; c.on(kk, three.Seat...) < 3; try++ {
+		is.True(try < 500)
+		k.Round()
+		k.mu.Lock()
+		if d, ok := k.barred[kk]; ok { // a while later
+			d.since -= clk.Tick(mendAfter)
+			k.barred[kk] = d
+		}
+		k.mu.Unlock()
+		clk.Sleep(clk.Millisecond)
+	}
+	v, ok := c.get("a")
+	is.True(ok)
+	is.Equal(v, "22")
+}
--- a/internal/keep/trail.go
+++ b/internal/keep/trail.go
@@ -55,7 +55,7 @@
 // Report tells of this keeper and of the steps that it knows of a key.
 func (k *Keeper) Report(key word.Key) *Report {
 	r := &Report{Node: k.Self, Role: "keeper", Zone: k.Zone, Voting: k.acc.Voting(), Sure: k.Sure(3 * Beat),
-		Roster: k.acc.Roster(), Owners: map[word.Key]word.Place{}, Steps: k.Trail(key)}
+		Roster: k.acc.Roster(), Owners: map[word.Key]word.Place{}, Steps: k.Trail(key), Copies: k.Copies()}
 	for n, at := range k.Sink.Known() {
 		r.Owners[n] = at
 	}
