--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -33,8 +33,6 @@
 	founder atomic.Bool
 }
 
-const watchPause = 1200 * clk.Millisecond
-
 // Machine is what a keeper has of the machine that it runs on.
 type Machine struct {
 	// Disk is where it keeps what it accepts; nil without a disk.
@@ -133,9 +131,9 @@
 			} else if acc.Ready() && (k.Disk || acc.Roster().Has(k.Self)) {
 				k.Regain()
 			}
-			if !k.Disk && !acc.Voting() && !d.founder.Load() {
-				k.Watch()
-				clk.Sleep(watchPause)
+			k.Gossip()
+			if !k.Rounds() && !d.founder.Load() {
+				clk.Sleep(keep.Beat / 4)
 				continue
 			}
 			k.Round()
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -10,6 +10,7 @@
 	"sync"
 
 	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
 	"spoolswitch/internal/keep"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/spawn"
@@ -46,6 +47,10 @@
 	Relays() int
 	ListAge() clk.Span
 	KeeperZones() map[word.Node]word.Zone
+	// SeatZones tells the zone of each seat of the roster that the keeper goes
+	// by, with its number, and Rounds whether it can ever become sure.
+	SeatZones() (uint64, map[word.Node]word.Zone)
+	Rounds() bool
 }
 
 // Hub is the keeper's end of the feed.
@@ -260,6 +265,7 @@
 	}()
 	first := true
 	zones := -1
+	var seats map[word.Node]word.Zone
 	for {
 		out := keep.Msg{Kind: keep.Follow, Life: h.Status.Life(), Fresh: h.Status.Sure(h.freshFor()),
 			Count: h.Status.Relays(), ListAge: h.Status.ListAge()}
@@ -269,6 +275,11 @@
 			if l := h.Status.KeeperZones(); len(l) != zones {
 				out.KeeperZones, zones = l, len(l)
 			}
+		} else if !h.Status.Rounds() {
+			out.Code = code.NotVoting
+		}
+		if num, l := h.Status.SeatZones(); !maps.Equal(l, seats) {
+			out.Roster.Num, out.SeatZones, seats = num, l, l
 		}
 		for _, it := range out.Items {
 			name := strings.Split(string(it.Key), "/")[0]
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -65,6 +65,14 @@
 	asked   map[word.Node]asked
 	last    word.Node
 	wanted  clk.Tick
+	// contacts and callers are those that rosters are exchanged with; seat0
+	// counts the seats through, and seededAt is when the seeds last changed.
+	contacts map[word.Node]contact
+	callers  []word.Node
+	seat0    int
+	seededAt clk.Tick
+	pulling  sync.Mutex
+	orders   int
 	// newcomer says that this life of the keeper began before it had a seat, so
 	// that no promise of it can have been lost.
 	newcomer bool
@@ -76,13 +84,17 @@
 		leases: map[word.Key]*lease{}, tried: map[word.Key]word.Epoch{}, heard: map[word.Node]clk.Tick{},
 		odd: map[word.Key]doubt{}, mending: map[word.Key]bool{}, barred: map[word.Key]doubt{}, sights: map[word.Node]sight{},
 		others: map[word.Node]word.Zone{}, relays: map[word.Node]clk.Tick{},
-		local0: clk.Now()}
+		contacts: map[word.Node]contact{}, local0: clk.Now(), seededAt: clk.Now()}
 }
 
 // Seeded takes in where keepers may be found, and how many seats there may be.
 func (k *Keeper) Seeded(ns []word.Node, seats int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if !slices.Equal(ns, k.Founders) {
+		k.seededAt = clk.Now()
+		clear(k.contacts)
+	}
 	k.Founders, k.Seats = ns, seats
 }
 
@@ -174,7 +186,7 @@
 // then: a configuration by its base, an evacuation by the place that a majority
 // confirmed to this taker.
 func (k *Keeper) Change(key word.Key, o *Order, deadline clk.Tick) Msg {
-	if !k.Disk && !k.acc.Voting() {
+	if !k.acc.Voting() {
 		return k.bound(key, o, deadline, func(o *Order) (Msg, bool) {
 			a := k.forward(key, o, deadline)
 			return a, a.clear()
@@ -182,8 +194,8 @@
 	}
 	if n := k.owner(key); n != "" && n != k.Self && k.recent(n, 1500*clk.Millisecond) {
 		a := k.bound(key, o, deadline, func(o *Order) (Msg, bool) {
-			left := clk.Until(deadline)
-			a, ok := k.Net.Ask(n, Msg{Kind: Change, From: k.Self, Key: key, Order: o, Left: left}, min(forwardTimeout, left))
+			left := min(forwardTimeout, clk.Until(deadline))
+			a, ok := k.Net.Ask(n, Msg{Kind: Change, From: k.Self, Key: key, Order: o, Left: left}, left)
 			if !ok {
 				a.Code = code.NoMajority
 			}
@@ -198,7 +210,8 @@
 
 // clear tells whether a is an answer that another daemon need not be asked for.
 func (m *Msg) clear() bool {
-	return m.Code != code.NoMajority && m.Code != code.NotVoting && m.Code != code.Unvouched && m.Code != code.Moved
+	return m.Code != code.NoMajority && m.Code != code.NotVoting && m.Code != code.Unvouched && m.Code != code.Moved &&
+		m.Code != code.QueueFull
 }
 
 // bound sends an order, once the place that it is bound to has been asked for,
@@ -209,7 +222,10 @@
 		if unbound(key, o) {
 			q, ok := send(&Order{Query: true})
 			if !ok || !q.OK {
-				return Msg{Code: code.NoMajority}
+				if q.Code == code.OK {
+					q.Code = code.NoMajority
+				}
+				return Msg{Code: q.Code, Text: q.Text}
 			}
 			b.If = q.At
 		}
@@ -274,6 +290,9 @@
 
 // Handle answers a message of another daemon.
 func (k *Keeper) Handle(m Msg) Msg {
+	if m.Kind == Gossip {
+		return k.gossiped(m)
+	}
 	k.hear(m)
 	switch m.Kind {
 	case Vote, Accept, Hold:
@@ -304,18 +323,7 @@
 	case Join:
 		return k.join(m.From, m.Zone)
 	case Forward, Change:
-		deadline := m.until(forwardTimeout)
-		switch {
-		case m.Order == nil:
-			return Msg{Code: code.NoCall}
-		case k.late(m):
-			return Msg{Code: code.Unvouched}
-		case unbound(m.Key, m.Order):
-			return Msg{Code: code.Moved}
-		case m.Kind == Forward:
-			return k.Change(m.Key, m.Order, m.until(forwardTimeout*2))
-		}
-		return k.carry(m.Key, m.Order, deadline)
+		return k.ordered(m)
 	}
 	return Msg{Code: code.NoCall}
 }
@@ -324,9 +332,11 @@
 	if m.From == "" {
 		return
 	}
+	r := k.acc.Roster()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.heard[m.From] = clk.Now()
+	k.trim(r)
 	if m.Zone != "" {
 		k.others[m.From] = m.Zone
 	}
--- a/internal/keep/msg.go
+++ b/internal/keep/msg.go
@@ -28,6 +28,7 @@
 	Forward
 	Counts
 	Fold
+	Gossip
 )
 
 // Mark is what one keeper has of one key.
@@ -96,6 +97,7 @@
 	Disk        bool
 	Zone        word.Zone
 	KeeperZones map[word.Node]word.Zone
+	SeatZones   map[word.Node]word.Zone
 	Addr        word.Addr
 	Report      *Report
 }
