--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -10,6 +10,7 @@
 	"sync"
 
 	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
 	"spoolswitch/internal/keep"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/spawn"
@@ -24,6 +25,8 @@
 type kept struct {
 	it    keep.Item
 	since clk.Tick
+	// fed is what followers get of the value
+	fed []byte
 }
 
 // pastKept is how many earlier values changes can be told from.
@@ -44,6 +47,10 @@
 	Relays() int
 	ListAge() clk.Span
 	KeeperZones() map[word.Node]word.Zone
+	// SeatZones tells the zone of each seat of the roster that the keeper goes
+	// by, with its number, and Rounds whether it can ever become sure.
+	SeatZones() (uint64, map[word.Node]word.Zone)
+	Rounds() bool
 }
 
 // Hub is the keeper's end of the feed.
@@ -54,6 +61,9 @@
 	// Diff tells what changed from one value of a key to the next, nil if that
 	// cannot be told or is not worth it. Without it values are fed whole.
 	Diff func(key word.Key, old, fresh []byte) []byte
+	// Trim leaves out of a value what only keepers need. Without it followers get
+	// values as they are.
+	Trim func(key word.Key, val []byte) []byte
 
 	mu    sync.Mutex
 	past  map[word.Key][]keep.Item
@@ -90,7 +100,11 @@
 		p := append(h.past[it.Key], it)
 		h.past[it.Key] = p[max(0, len(p)-pastKept):]
 	}
-	h.items[it.Key] = kept{it, clk.Now()}
+	v := kept{it, clk.Now(), it.Val}
+	if h.Trim != nil {
+		v.fed = h.Trim(it.Key, it.Val)
+	}
+	h.items[it.Key] = v
 	for _, f := range h.who {
 		f.mark.Set()
 	}
@@ -222,7 +236,7 @@
 		v := h.items[k]
 		if v.it.Num > n && v.it.Key != word.Roster && !v.it.Key.Duty() {
 			it := v.it
-			it.Age = clk.Since(v.since)
+			it.Val, it.Age = v.fed, clk.Since(v.since)
 			out = append(out, h.change(f, it))
 		}
 	}
@@ -251,6 +265,7 @@
 	}()
 	first := true
 	zones := -1
+	var seats map[word.Node]word.Zone
 	for {
 		out := keep.Msg{Kind: keep.Follow, Life: h.Status.Life(), Fresh: h.Status.Sure(h.freshFor()),
 			Count: h.Status.Relays(), ListAge: h.Status.ListAge()}
@@ -260,6 +275,11 @@
 			if l := h.Status.KeeperZones(); len(l) != zones {
 				out.KeeperZones, zones = l, len(l)
 			}
+		} else if !h.Status.Rounds() {
+			out.Code = code.NotVoting
+		}
+		if num, l := h.Status.SeatZones(); !maps.Equal(l, seats) {
+			out.Roster.Num, out.SeatZones, seats = num, l, l
 		}
 		for _, it := range out.Items {
 			name := strings.Split(string(it.Key), "/")[0]
--- a/internal/keep/msg.go
+++ b/internal/keep/msg.go
@@ -28,6 +28,7 @@
 	Forward
 	Counts
 	Fold
+	Gossip
 )
 
 // Mark is what one keeper has of one key.
@@ -63,6 +64,8 @@
 	Query   bool
 	Joiners []word.Node
 	Gone    word.Node
+	// If, if set, is the place that the value must have for the order to change it.
+	If word.Place
 }
 
 // Msg is a message between daemons; which fields count depends on Kind.
@@ -78,8 +81,10 @@
 	Code   code.Code
 	Text   string
 	Order  *Order
-	Marks  map[word.Key]Mark
-	Cells  map[word.Key]Cell
+	// Left is how long the sender waits, from the sending on.
+	Left  clk.Span
+	Marks map[word.Key]Mark
+	Cells map[word.Key]Cell
 
 	Life        uint64
 	Num         uint64
@@ -92,6 +97,7 @@
 	Disk        bool
 	Zone        word.Zone
 	KeeperZones map[word.Node]word.Zone
+	SeatZones   map[word.Node]word.Zone
 	Addr        word.Addr
 	Report      *Report
 }
