Resting clients' connections outlive a change of their limit; leaving waits for what is read

Cause: a connection that rested when idle-timeout-ms grew was closed at the old limit; one whose deadline came a little early was closed as well. A relay that left waited only for requests whose body had come: one that was still being read was cut, and a deadline set for leaving could strike a request that had just begun. A body that did not come in time ended without an answer if nothing was buffered. A request that came while the relay had no list was held up to 1.2 s whatever its aim. Change: View.Rest, the longest that any configuration allowed since the last use; leaving waits until no connection is held, and its deadline is set under the lock of the resting ones; a late body is answered 408; the wait for the first list is at most a fifth of the aim where the route is known. Seen failing before: TestRestingIsKept (lengthened, a deadline too early; the shortened case passed in fact, its deadline was the old one), TestLeaveWaitsForWhatIsRead, TestSlowBody, TestNotHeldUntried.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -65,16 +65,8 @@
 		if t := k.r.View.Table(); t != nil {
 			lim = t.Limits
 		}
-		k.deadline(clk.Now().Add(clk.Ms(lim.IdleMs)))
-		if k.br.Buffered() == 0 {
-			if !k.r.idle(k, true) {
-				return
-			}
-			_, err := k.br.Peek(1)
-			k.r.idle(k, false)
-			if err != nil {
-				return
-			}
+		if !k.rest(clk.Now()) {
+			return
 		}
 		k.deadline(clk.Now().Add(clk.Ms(lim.HeadMs)))
 		q, err := head.ReadRequest(k.br)
@@ -88,6 +80,30 @@
 	}
 }
 
+// rest waits for the next request. A connection that was used at a moment is not
+// closed while any configuration since allowed it to rest, unless the relay
+// leaves; nothing of a request that comes then has been read.
+func (k *Client) rest(used clk.Tick) bool {
+	for k.br.Buffered() == 0 {
+		until := used.Add(k.r.View.Rest(used))
+		k.deadline(until)
+		if !k.r.idle(k, true) {
+			return false
+		}
+		_, err := k.br.Peek(1)
+		k.r.idle(k, false)
+		switch {
+		case err == nil:
+			return true
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return false
+		case clk.Now() >= used.Add(k.r.View.Rest(used)):
+			return false
+		}
+	}
+	return true
+}
+
 func (k *Client) deadline(t clk.Tick) { _ = k.c.SetReadDeadline(t.Deadline()) }
 
 func (k *Client) refuse(err error) {
@@ -141,6 +157,11 @@
 	k.deadline(begun.Add(clk.Ms(lim.HeadMs + lim.IdleMs)))
 	b := head.NewBody(k.br, q.Framing)
 	body, err := b.ReadAll(lim.BodyBytes)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		k.write(response.Of(code.HeadTooSlow, "").For(q.Field(head.AttemptID)).Last().To(q.Method).Append(nil))
+		k.linger()
+		return false
+	}
 	if err != nil {
 		k.refuse(err)
 		return false
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -136,6 +136,13 @@
 	return r.active
 }
 
+// held is how many connections of clients there are.
+func (r *Relay) held() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.open
+}
+
 func (r *Relay) back() clk.Span { return 250 * clk.Millisecond }
 
 func (r *Relay) known() bool { return r.View.Table() != nil && r.Fleet.HasList() && r.Current() }
@@ -155,15 +162,11 @@
 	clk.Sleep(min(unready, grace/2))
 	r.mu.Lock()
 	r.closing = true
-	var ks []*Client
-	for k := range r.idles {
-		ks = append(ks, k)
-	}
-	r.mu.Unlock()
-	for _, k := range ks {
+	for k := range r.idles { // under the lock: one that has just got a request sets its own
 		_ = k.c.SetReadDeadline(clk.Past())
 	}
-	for clk.Since(begun) < grace && r.Active() > 0 {
+	r.mu.Unlock()
+	for clk.Since(begun) < grace && r.held() > 0 {
 		clk.Sleep(20 * clk.Millisecond)
 	}
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -80,6 +80,11 @@
 	if ms, err := strconv.ParseFloat(string(n.Head.Field(head.DeadlineMs)), 64); err == nil && ms >= 0 {
 		d = min(d, clk.Ms(ms/4))
 	}
+	if t := n.r.View.Table(); t != nil {
+		if rt := t.Match(n.Head.Host, n.Head.URI); rt != nil && rt.TargetMs > 0 {
+			d = min(d, clk.Ms(rt.TargetMs/5))
+		}
+	}
 	for !n.r.known() {
 		if clk.Since(n.begun) > d || n.deserted() {
 			return false
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -24,6 +24,36 @@
 	mu    sync.Mutex
 	table *conf.Table
 	when  map[string]clk.Tick
+	rests []rest
+}
+
+// rest is how long clients' connections may rest, from a moment on.
+type rest struct {
+	from clk.Tick
+	most clk.Span
+}
+
+const (
+	restsKept = 64
+	// clients hear of a change sooner or later than the relay does
+	restNews = 10 * clk.Second
+)
+
+// Rest is how long a client's connection may rest that was used last at a
+// moment: the longest that a configuration allowed since, or shortly before.
+func (v *View) Rest(used clk.Tick) clk.Span {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if len(v.rests) == 0 {
+		return clk.Ms(conf.Limits{}.Whole().IdleMs)
+	}
+	d := clk.Span(0)
+	for i, r := range v.rests {
+		if i+1 == len(v.rests) || v.rests[i+1].from >= used.Add(-restNews) {
+			d = max(d, r.most)
+		}
+	}
+	return d
 }
 
 // Table is the configuration in force here, nil before the first.
@@ -90,6 +120,10 @@
 		return
 	}
 	v.table = t
+	if n := len(v.rests) - restsKept + 1; n > 0 {
+		v.rests = v.rests[n:]
+	}
+	v.rests = append(v.rests, rest{clk.Now(), clk.Ms(t.Limits.IdleMs)})
 	v.stamp(word.Configuration, strconv.FormatInt(int64(t.Version), 10))
 	v.mu.Unlock()
 	v.Fleet.Configured(t)
