--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -217,7 +217,7 @@
 		e.q = e.q[1:]
 		e.flying -= len(c.b)
 		e.to.take(c)
-		if e.gone() {
+		if e.err != nil || e.boot != e.h.boots {
 			e.q = nil
 			return
 		}
