--- a/internal/keep/gossip_test.go
+++ b/internal/keep/gossip_test.go
@@ -77,6 +77,7 @@
 	is.Equal(zones["b"], word.Zone("b"))
 	is.Equal(n.count("b", Gossip), 0)
 	is.Equal(n.count("d", Gossip), 1)
+	eventually(t, "the seed that is down is asked", func() bool { return n.count("gone", Gossip) > 0 })
 	is.Equal(n.count("gone", Gossip), 1)
 	eventually(t, "the seed that is down is asked again", func() bool {
 		a.Gossip()
--- a/internal/keep/seats_test.go
+++ b/internal/keep/seats_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/matryer/is"
@@ -224,7 +225,7 @@
 			for _, j := range []word.Node{"a2", "b2", "c2"} {
 				c.ks[j].Regain()
 			}
-			clk.Sleep(10 * clk.Millisecond)
+			runtime.Gosched()
 		}
 		a.seating.Unlock()
 	}
