A founder that was late takes part as soon as it hears of the roster

Cause: orders are now handed on by a keeper that has not founded yet, so two of three founders may acknowledge a change before the third has founded.

Change: founding takes in the rosters that answer, and goes by one that it hears of. Nothing of an empty disk at the first start was ever counted.

--- a/internal/keep/found.go
+++ b/internal/keep/found.go
@@ -22,11 +22,20 @@
 
 // Begin takes part in the founding of the first roster: the seeds that have a
 // disk, which every seed asks of all others. Only where none has one do disks
-// in memory count. It tells whether that is done.
+// in memory count. One that hears of a roster goes by that, whether the others
+// answer or not. It tells whether that is done.
 func (k *Keeper) Begin() bool {
 	founders, _ := k.seeds()
 	to := slices.DeleteFunc(slices.Clone(founders), func(n word.Node) bool { return n == k.Self })
 	got := k.askAll(to, Msg{Kind: Digest, Zone: k.Zone}, askTimeout, func(g map[word.Node]Msg) bool { return len(g) == len(to) })
+	for _, a := range sorted(got) {
+		k.take(a)
+	}
+	// one that found the roster first may have acknowledged changes since, and
+	// others that found it may be down: nothing of this disk was ever counted
+	if r := k.acc.Roster(); r.Num > 0 {
+		return !r.Has(k.Self) || k.found(r)
+	}
 	if len(got) < len(to) {
 		return false
 	}
@@ -38,11 +47,15 @@
 	if !slices.Contains(in, k.Self) {
 		return true
 	}
-	if err := k.acc.Found(Founding(in), nil); err != nil {
+	return k.found(Founding(in))
+}
+
+func (k *Keeper) found(r Roster) bool {
+	if err := k.acc.Found(r, nil); err != nil {
 		note.Trouble("founding record refused", "err", err)
 		return false
 	}
-	note.State("founded", "seats", len(in))
+	note.State("founded", "seats", len(r.Seat))
 	return true
 }
 
--- a/internal/keep/seats_test.go
+++ b/internal/keep/seats_test.go
@@ -70,6 +70,27 @@
 	}
 }
 
+// A founder that was late takes part as soon as it hears of the roster, though
+// another founder is gone: what two of three acknowledged stays within reach.
+func TestLateFounder(t *testing.T) {
+	is := is.New(t)
+	c := &core{n: &net{ks: map[word.Node]*Keeper{}, cut: map[[2]word.Node]bool{}}, ks: map[word.Node]*Keeper{}, st: map[word.Node]*shelf{}, si: map[word.Node]*sink{}}
+	for _, n := range three.Seat {
+		c.add(n, three.Seat)
+	}
+	is.True(c.ks["a"].Begin())
+	is.True(c.ks["b"].Begin())
+	is.True(c.put("a", 0, "1").OK)
+	c.n.part("b", "a", "c")
+	is.True(c.ks["c"].Begin())
+	v, ok := c.get("c")
+	is.True(ok)
+	is.Equal(v, "1")
+	d := c.add("d", []word.Node{"a", "d"}) // named a seed, in no roster
+	is.True(d.Begin())
+	is.True(!d.Acceptor().Voting())
+}
+
 // A keeper without a disk carries orders to those that have one, and is never
 // counted.
 func TestWithoutDisk(t *testing.T) {
