The cut side refuses soon; a peer counts as reachable by its answers only

Cause: a peer was taken to be there because it was heard, so under a one-way cut each order waited 350 ms for an owner that hears nobody. A keeper without a majority tried for 0.9 s. A forwarder asked a silent seat first again and again.

--- a/internal/conf/doc.go
+++ b/internal/conf/doc.go
@@ -51,6 +51,24 @@
 	return build(raw)
 }
 
+// Legible tells the faults of a configuration or a change of one that hang on
+// nothing but its text: it cannot be read whole, or has no version.
+func Legible(b []byte) error {
+	if err := whole(b); err != nil {
+		return code.New(code.Unreadable, "%v", err)
+	}
+	var v struct {
+		Version *word.Version `json:"version"`
+	}
+	if err := json.Unmarshal(b, &v); err != nil {
+		return code.New(code.Unreadable, "%v", err)
+	}
+	if v.Version == nil {
+		return code.New(code.Unreadable, "no version")
+	}
+	return nil
+}
+
 // JSON is the document whole, as relays and operators get it.
 func (d *Doc) JSON() []byte {
 	b, err := json.Marshal(d.raw)
--- a/internal/ctl/server.go
+++ b/internal/ctl/server.go
@@ -16,13 +16,17 @@
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/response"
 	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/wire"
 	"spoolswitch/internal/word"
 )
 
 const (
 	bodyMost  = 16 << 20
-	opTimeout = 900 * clk.Millisecond
-	comeAgain = 100 * clk.Millisecond
+	opTimeout = 850 * clk.Millisecond
+	// cutTimeout is how long an order is tried where no majority is seen: its
+	// client is to go on to another daemon soon.
+	cutTimeout = 450 * clk.Millisecond
+	comeAgain  = 100 * clk.Millisecond
 )
 
 type call func(s *Server, x *fasthttp.RequestCtx, parts []string) response.Response
@@ -101,6 +105,14 @@
 		response.Of(code.Of(err), "").Fill(x)
 		return
 	}
+	// an order that lay unread while this process stood still is not carried out
+	// once its client has left and gone elsewhere
+	if wire.Gone(x.Conn()) {
+		note.Counter("control.gone").Add(1)
+		x.SetConnectionClose()
+		response.Of(code.Leaving, "the client has left").Later(comeAgain).Fill(x)
+		return
+	}
 	r := c(s, x, parts)
 	note.Counter("control." + strconv.Itoa(r.Status)).Add(1)
 	r.Fill(x)
@@ -117,17 +129,27 @@
 	return r
 }
 
+func (s *Server) deadline() clk.Tick {
+	if s.Keeper.Cut() {
+		return clk.Now().Add(cutTimeout)
+	}
+	return clk.Now().Add(opTimeout)
+}
+
 func (s *Server) change(x *fasthttp.RequestCtx, modify bool) response.Response {
 	b, err := strconv.ParseInt(string(bytes.TrimSpace(x.Request.Header.Peek("Base-Version"))), 10, 64)
 	if err != nil || b < 0 {
 		return response.Of(code.BadFields, "Base-Version is missing or no number")
 	}
+	if err := conf.Legible(x.PostBody()); err != nil {
+		return response.Of(code.Of(err), err.Error())
+	}
 	o := &keep.Order{Modify: modify, Base: word.Version(b), Body: bytes.Clone(x.PostBody())}
-	return of(s.Keeper.Change(word.Configuration, o, clk.Now().Add(opTimeout)))
+	return of(s.Keeper.Change(word.Configuration, o, s.deadline()))
 }
 
 func (s *Server) retrieve() response.Response {
-	a := s.Keeper.Change(word.Configuration, &keep.Order{Query: true}, clk.Now().Add(opTimeout))
+	a := s.Keeper.Change(word.Configuration, &keep.Order{Query: true}, s.deadline())
 	if !a.OK {
 		return of(a)
 	}
@@ -148,5 +170,5 @@
 	if !ok {
 		return response.Of(code.NoZone, zone)
 	}
-	return of(s.Keeper.Change(word.Evacuation(word.Zone(zone)), &keep.Order{On: on}, clk.Now().Add(opTimeout)))
+	return of(s.Keeper.Change(word.Evacuation(word.Zone(zone)), &keep.Order{On: on}, s.deadline()))
 }
--- a/internal/keep/beat.go
+++ b/internal/keep/beat.go
@@ -94,9 +94,15 @@
 		})
 	})
 	got[k.Self] = mine
+	for _, n := range to {
+		if _, ok := got[n]; !ok && !fresh {
+			k.misses(n)
+		}
+	}
 	for n, a := range sorted(got) {
 		a.From = n
 		k.hear(a)
+		k.answers(n)
 		if a.Roster.Num > r.Num {
 			_ = k.acc.Adopt(a.Roster)
 		}
--- a/internal/keep/found.go
+++ b/internal/keep/found.go
@@ -60,20 +60,26 @@
 }
 
 // seatsNear are the seats of the roster that orders may be forwarded to, the one
-// that answered last first.
+// that answered last first; those that were silent lately come last, the one that
+// was asked least lately before the others.
 func (k *Keeper) seatsNear() []word.Node {
 	out := slices.DeleteFunc(k.acc.Roster().All(), func(n word.Node) bool { return n == k.Self })
 	k.mu.Lock()
 	last := k.last
 	k.mu.Unlock()
-	rank := func(n word.Node) uint64 {
-		if n == last {
-			return 0
-		}
+	ranks := map[word.Node]uint64{}
+	for _, n := range out {
 		h := fnv.New64a()
 		fmt.Fprint(h, k.Self, "|", n)
-		return h.Sum64() | 1
+		ranks[n] = h.Sum64()>>1 | 1
+		if n == last {
+			ranks[n] = 0
+		}
+		if at := k.silent(n); at != 0 {
+			ranks[n] = 1<<63 | uint64(at)
+		}
 	}
+	rank := func(n word.Node) uint64 { return ranks[n] }
 	slices.SortFunc(out, func(a, b word.Node) int {
 		if rank(a) < rank(b) {
 			return -1
@@ -106,8 +112,10 @@
 		timeout := min(askTimeout, clk.Until(deadline))
 		a, ok := k.Net.Ask(n, Msg{Kind: Forward, Key: key, Order: o, Left: timeout}, timeout)
 		if !ok {
+			k.misses(n)
 			continue
 		}
+		k.answers(n)
 		if a.Code != code.NoMajority && a.Code != code.NotVoting && a.Code != code.QueueFull {
 			k.answered(n)
 			return a
--- a/internal/keep/gossip.go
+++ b/internal/keep/gossip.go
@@ -40,9 +40,11 @@
 func (k *Keeper) exchange(n word.Node, timeout clk.Span) bool {
 	a, ok := k.Net.Ask(n, k.gossip(), timeout)
 	if !ok {
+		k.misses(n)
 		k.met(n, false)
 		return false
 	}
+	k.answers(n)
 	k.take(a)
 	num := k.acc.Roster().Num
 	k.met(n, num > 0 && a.Roster.Num == num)
@@ -177,9 +179,14 @@
 }
 
 func (k *Keeper) zonesOf(r Roster) map[word.Node]word.Zone {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	out := map[word.Node]word.Zone{}
 	for _, n := range r.All() {
-		out[n] = k.zoneOf(n)
+		out[n] = k.others[n]
+		if n == k.Self {
+			out[n] = k.Zone
+		}
 	}
 	return out
 }
@@ -196,4 +203,5 @@
 	}
 	maps.DeleteFunc(k.others, func(n word.Node, _ word.Zone) bool { return gone(n) })
 	maps.DeleteFunc(k.heard, func(n word.Node, _ clk.Tick) bool { return gone(n) })
+	maps.DeleteFunc(k.health, func(n word.Node, _ health) bool { return gone(n) })
 }
--- /dev/null
+++ b/internal/keep/health.go
@@ -0,0 +1,67 @@
+package keep
+
+import (
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/word"
+)
+
+// reachFor is how long an answer shows that a daemon can be asked, and
+// silentFor how long one that did not answer is asked last.
+const (
+	reachFor  = 1200 * clk.Millisecond
+	silentFor = 3 * clk.Second
+)
+
+// health is when a daemon last answered what this one asked it, and when it
+// last did not. What it asks of this one tells nothing of either: a link may be
+// cut one way.
+type health struct{ answered, silent clk.Tick }
+
+func (k *Keeper) answers(n word.Node) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.health[n] = health{answered: clk.Now()}
+}
+
+func (k *Keeper) misses(n word.Node) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	h := k.health[n]
+	h.silent = clk.Now()
+	k.health[n] = h
+}
+
+// reachable tells whether a daemon answered lately, and nothing that it was
+// asked since went without an answer.
+func (k *Keeper) reachable(n word.Node) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	h := k.health[n]
+	return h.answered != 0 && h.silent == 0 && clk.Since(h.answered) < reachFor
+}
+
+// silent tells since when a daemon does not answer, 0 if it does or was not
+// asked lately.
+func (k *Keeper) silent(n word.Node) clk.Tick {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	h := k.health[n]
+	if h.silent == 0 || clk.Since(h.silent) >= silentFor {
+		return 0
+	}
+	return h.silent
+}
+
+// Cut tells whether this keeper sees no majority: a seat that none confirmed
+// lately, or one without a seat that no seat answers.
+func (k *Keeper) Cut() bool {
+	if k.Rounds() {
+		return !k.Sure(3 * Beat)
+	}
+	for _, n := range k.acc.Roster().All() {
+		if k.silent(n) == 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -64,6 +64,7 @@
 	seat0    int
 	seededAt clk.Tick
 	pulling  sync.Mutex
+	health   map[word.Node]health
 	orders   int
 	// newcomer says that this life of the keeper began before it had a seat, so
 	// that no promise of it can have been lost.
@@ -75,7 +76,7 @@
 	return &Keeper{Self: self, Disk: true, asked: map[word.Node]asked{}, acc: acc, Net: net, Sink: sink, life: spawn.Uint64() | 1,
 		leases: map[word.Key]*lease{}, tried: map[word.Key]word.Epoch{}, heard: map[word.Node]clk.Tick{},
 		odd: map[word.Key]doubt{}, others: map[word.Node]word.Zone{}, relays: map[word.Node]clk.Tick{},
-		contacts: map[word.Node]contact{}, local0: clk.Now(), seededAt: clk.Now()}
+		contacts: map[word.Node]contact{}, health: map[word.Node]health{}, local0: clk.Now(), seededAt: clk.Now()}
 }
 
 // Seeded takes in where keepers may be found, and how many seats there may be.
@@ -176,12 +177,15 @@
 	if !k.acc.Voting() {
 		return k.forward(key, o, deadline)
 	}
-	if n := k.owner(key); n != "" && n != k.Self && k.recent(n, 1500*clk.Millisecond) {
+	if n := k.owner(key); n != "" && n != k.Self && k.reachable(n) {
 		left := min(forwardTimeout, clk.Until(deadline))
 		a, ok := k.Net.Ask(n, Msg{Kind: Change, From: k.Self, Key: key, Order: o, Left: left}, left)
 		if ok && a.Code != code.NoMajority && a.Code != code.NotVoting && a.Code != code.QueueFull {
 			return a
 		}
+		if !ok {
+			k.misses(n)
+		}
 	}
 	return k.Own(key, deadline, k.Decider(key, o))
 }
--- a/internal/keep/keeper_test.go
+++ b/internal/keep/keeper_test.go
@@ -12,11 +12,13 @@
 	"spoolswitch/internal/word"
 )
 
-// net joins keepers in one process; pairs of them can be cut apart.
+// net joins keepers in one process; pairs of them can be cut apart, or have
+// what goes one way lost in silence.
 type net struct {
-	mu  sync.Mutex
-	ks  map[word.Node]*Keeper
-	cut map[[2]word.Node]bool
+	mu   sync.Mutex
+	ks   map[word.Node]*Keeper
+	cut  map[[2]word.Node]bool
+	mute map[[2]word.Node]bool
 }
 
 type end struct {
@@ -28,10 +30,18 @@
 	e.n.mu.Lock()
 	k := e.n.ks[to]
 	off := e.n.cut[[2]word.Node{e.self, to}] || e.n.cut[[2]word.Node{to, e.self}]
+	there, back := e.n.mute[[2]word.Node{e.self, to}], e.n.mute[[2]word.Node{to, e.self}]
 	e.n.mu.Unlock()
 	if k == nil || off {
 		return Msg{}, false
 	}
+	if there || back {
+		if !there {
+			spawn.Go(func() { k.Handle(m) })
+		}
+		clk.Sleep(timeout)
+		return Msg{}, false
+	}
 	var a Msg
 	done := spawn.NewMark()
 	spawn.Go(func() {
@@ -52,10 +62,22 @@
 	}
 }
 
+func (n *net) lose(from word.Node, to ...word.Node) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, b := range to {
+		if n.mute == nil {
+			n.mute = map[[2]word.Node]bool{}
+		}
+		n.mute[[2]word.Node{from, b}] = true
+	}
+}
+
 func (n *net) join() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cut = map[[2]word.Node]bool{}
+	n.mute = nil
 }
 
 // shelf is a disk that can stall or refuse.
