--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -42,6 +42,9 @@
 	NoMajority    Code = 311
 	Nothing       Code = 312
 	BadItem       Code = 313
+	TooOld        Code = 314
+	Moved         Code = 315
+	Unvouched     Code = 316
 	DiskRefused   Code = 401
 	DiskCorrupt   Code = 402
 	PeerLost      Code = 403
@@ -52,6 +55,9 @@
 	OldEpoch      Code = 502
 	BadCounts     Code = 511
 	BadPlan       Code = 512
+	BadSimFlags   Code = 601
+	BadSimPlan    Code = 602
+	SimBroken     Code = 603
 )
 
 var names = map[Code]string{
@@ -63,11 +69,13 @@
 	BadMethod: "method not allowed", NoCall: "no such call", Unreadable: "unreadable", NoService: "unknown service",
 	SamePlace: "two routes share a place", NoWeight: "weights add up to 0", NoTimeout: "timeout-ms is 0",
 	OldVersion: "version not above the current", OtherVersion: "another version is current",
-	NoZone: "unknown zone", NoMajority: "no majority", Nothing: "nothing there yet", BadItem: "item at fault",
+	NoZone: "unknown zone", NoMajority: "no majority", Nothing: "nothing there yet", BadItem: "item at fault", TooOld: "older than what is remembered",
+	Moved: "the place has moved", Unvouched: "may be an old order",
 	DiskRefused: "the disk refused it", DiskCorrupt: "a record is corrupt", PeerLost: "a daemon did not answer",
 	NotVoting: "not voting", ListRefused: "the platform refused the call", UnknownChange: "unknown change",
 	BadBatch: "malformed batch", OldEpoch: "batch of an epoch that is over",
 	BadCounts: "counts unreadable", BadPlan: "plan unreadable",
+	BadSimFlags: "flags at fault", BadSimPlan: "plan of a simulated day unreadable", SimBroken: "a simulated day is broken",
 }
 
 func (c Code) String() string { return names[c] }
--- a/internal/ctl/server.go
+++ b/internal/ctl/server.go
@@ -49,11 +49,11 @@
 	Add("GET", "/-/configuration/retrieve", func(s *Server, _ *fasthttp.RequestCtx, _ []string) response.Response {
 		return s.retrieve()
 	}).
-	Add("POST", "/-/evacuation/*/initiate", func(s *Server, _ *fasthttp.RequestCtx, p []string) response.Response {
-		return s.evacuate(p[0], true)
+	Add("POST", "/-/evacuation/*/initiate", func(s *Server, x *fasthttp.RequestCtx, p []string) response.Response {
+		return s.evacuate(x, p[0], true)
 	}).
-	Add("POST", "/-/evacuation/*/terminate", func(s *Server, _ *fasthttp.RequestCtx, p []string) response.Response {
-		return s.evacuate(p[0], false)
+	Add("POST", "/-/evacuation/*/terminate", func(s *Server, x *fasthttp.RequestCtx, p []string) response.Response {
+		return s.evacuate(x, p[0], false)
 	}).
 	Add("GET", "/-/ready", func(s *Server, _ *fasthttp.RequestCtx, _ []string) response.Response {
 		if !s.Keeper.Sure(2 * clk.Second) {
@@ -105,14 +105,6 @@
 		response.Of(code.Of(err), "").Fill(x)
 		return
 	}
-	// an order that lay unread while this process stood still is not carried out
-	// once its client has left and gone elsewhere
-	if wire.Gone(x.Conn()) {
-		note.Counter("control.gone").Add(1)
-		x.SetConnectionClose()
-		response.Of(code.Leaving, "the client has left").Later(comeAgain).Fill(x)
-		return
-	}
 	r := c(s, x, parts)
 	note.Counter("control." + strconv.Itoa(r.Status)).Add(1)
 	r.Fill(x)
@@ -145,7 +137,17 @@
 		return response.Of(code.Of(err), err.Error())
 	}
 	o := &keep.Order{Modify: modify, Base: word.Version(b), Body: bytes.Clone(x.PostBody())}
-	return of(s.Keeper.Change(word.Configuration, o, s.deadline()))
+	return s.order(x, word.Configuration, o)
+}
+
+// order has an order carried out for a client that surely waits for it: it was
+// sent after the last pause of this process, and the connection is open.
+func (s *Server) order(x *fasthttp.RequestCtx, key word.Key, o *keep.Order) response.Response {
+	deadline := s.deadline()
+	if !s.Keeper.Pauses.Vouched(clk.Of(x.ConnTime())) || wire.Gone(x.Conn()) {
+		return response.Of(code.Unvouched, "").Later(comeAgain).Last()
+	}
+	return of(s.Keeper.Change(key, o, deadline))
 }
 
 func (s *Server) retrieve() response.Response {
@@ -163,12 +165,12 @@
 	return response.OK(st.JSON)
 }
 
-func (s *Server) evacuate(zone string, on bool) response.Response {
+func (s *Server) evacuate(x *fasthttp.RequestCtx, zone string, on bool) response.Response {
 	s.mu.Lock()
 	_, ok := s.Zones[zone]
 	s.mu.Unlock()
 	if !ok {
 		return response.Of(code.NoZone, zone)
 	}
-	return of(s.Keeper.Change(word.Evacuation(word.Zone(zone)), &keep.Order{On: on}, s.deadline()))
+	return s.order(x, word.Evacuation(word.Zone(zone)), &keep.Order{On: on})
 }
--- a/internal/keep/found.go
+++ b/internal/keep/found.go
@@ -75,7 +75,7 @@
 		if n == last {
 			ranks[n] = 0
 		}
-		if at := k.silent(n); at != 0 {
+		if at := k.silentSince(n); at != 0 {
 			ranks[n] = 1<<63 | uint64(at)
 		}
 	}
@@ -116,7 +116,7 @@
 			continue
 		}
 		k.answers(n)
-		if a.Code != code.NoMajority && a.Code != code.NotVoting && a.Code != code.QueueFull {
+		if a.clear() || a.Code == code.Moved {
 			k.answered(n)
 			return a
 		}
@@ -125,15 +125,6 @@
 	return Msg{Code: code.NoMajority}
 }
 
-// within is the deadline of an order that was handed over with so much time
-// left, and may have no more than most.
-func within(left, most clk.Span) clk.Tick {
-	if left > 0 {
-		most = min(most, left)
-	}
-	return clk.Now().Add(most)
-}
-
 // OrdersMost is how many orders of other daemons a keeper has in hand at once.
 const OrdersMost = 64
 
@@ -162,8 +153,15 @@
 		return Msg{Code: code.QueueFull, Text: "too many orders in hand"}
 	}
 	defer k.done()
-	if m.Kind == Forward {
-		return k.Change(m.Key, m.Order, within(m.Left, forwardTimeout*2))
+	switch {
+	case m.Order == nil:
+		return Msg{Code: code.NoCall}
+	case k.late(m):
+		return Msg{Code: code.Unvouched}
+	case unbound(m.Key, m.Order):
+		return Msg{Code: code.Moved}
+	case m.Kind == Forward:
+		return k.Change(m.Key, m.Order, m.until(forwardTimeout*2))
 	}
-	return k.Own(m.Key, within(m.Left, forwardTimeout), k.Decider(m.Key, m.Order))
+	return k.carry(m.Key, m.Order, m.until(forwardTimeout))
 }
--- a/internal/keep/health.go
+++ b/internal/keep/health.go
@@ -32,17 +32,17 @@
 }
 
 // reachable tells whether a daemon answered lately, and nothing that it was
-// asked since went without an answer.
+// asked since went without an answer. At the start all are taken to be there.
 func (k *Keeper) reachable(n word.Node) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	h := k.health[n]
-	return h.answered != 0 && h.silent == 0 && clk.Since(h.answered) < reachFor
+	return h.silent == 0 && clk.Since(max(h.answered, k.local0)) < reachFor
 }
 
-// silent tells since when a daemon does not answer, 0 if it does or was not
+// silentSince tells since when a daemon does not answer, 0 if it does or was not
 // asked lately.
-func (k *Keeper) silent(n word.Node) clk.Tick {
+func (k *Keeper) silentSince(n word.Node) clk.Tick {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	h := k.health[n]
@@ -59,7 +59,7 @@
 		return !k.Sure(3 * Beat)
 	}
 	for _, n := range k.acc.Roster().All() {
-		if k.silent(n) == 0 {
+		if k.silentSince(n) == 0 {
 			return false
 		}
 	}
--- a/internal/keep/msg.go
+++ b/internal/keep/msg.go
@@ -64,6 +64,8 @@
 	Query   bool
 	Joiners []word.Node
 	Gone    word.Node
+	// If, if set, is the place that the value must have for the order to change it.
+	If word.Place
 }
 
 // Msg is a message between daemons; which fields count depends on Kind.
@@ -79,8 +81,10 @@
 	Code   code.Code
 	Text   string
 	Order  *Order
-	Marks  map[word.Key]Mark
-	Cells  map[word.Key]Cell
+	// Left is how long the sender waits, from the sending on.
+	Left  clk.Span
+	Marks map[word.Key]Mark
+	Cells map[word.Key]Cell
 
 	Life        uint64
 	Num         uint64
@@ -96,19 +100,19 @@
 	SeatZones   map[word.Node]word.Zone
 	Addr        word.Addr
 	Report      *Report
-	// Left is how long the asker of an order waits for its answer.
-	Left clk.Span
 }
 
 // Report is what a daemon tells of itself when it is asked for a trace.
 type Report struct {
-	Node    word.Node
-	Role    string
-	Zone    word.Zone
-	Voting  bool
-	Sure    bool
-	Roster  Roster
-	Owners  map[word.Key]word.Place
+	Node   word.Node
+	Role   string
+	Zone   word.Zone
+	Voting bool
+	Sure   bool
+	Roster Roster
+	Owners map[word.Key]word.Place
+	// Copies are the seats that have the newest value of each key on their disks.
+	Copies  map[word.Key][]word.Node
 	Feed    uint64
 	Keeper  word.Addr
 	Relays  map[word.Node]word.Addr
