--- a/internal/ctl/server.go
+++ b/internal/ctl/server.go
@@ -22,8 +22,11 @@
 
 const (
 	bodyMost  = 16 << 20
-	opTimeout = 900 * clk.Millisecond
-	comeAgain = 100 * clk.Millisecond
+	opTimeout = 850 * clk.Millisecond
+	// cutTimeout is how long an order is tried where no majority is seen: its
+	// client is to go on to another daemon soon.
+	cutTimeout = 450 * clk.Millisecond
+	comeAgain  = 100 * clk.Millisecond
 )
 
 type call func(s *Server, x *fasthttp.RequestCtx, parts []string) response.Response
@@ -118,11 +121,21 @@
 	return r
 }
 
+func (s *Server) deadline() clk.Tick {
+	if s.Keeper.Cut() {
+		return clk.Now().Add(cutTimeout)
+	}
+	return clk.Now().Add(opTimeout)
+}
+
 func (s *Server) change(x *fasthttp.RequestCtx, modify bool) response.Response {
 	b, err := strconv.ParseInt(string(bytes.TrimSpace(x.Request.Header.Peek("Base-Version"))), 10, 64)
 	if err != nil || b < 0 {
 		return response.Of(code.BadFields, "Base-Version is missing or no number")
 	}
+	if err := conf.Legible(x.PostBody()); err != nil {
+		return response.Of(code.Of(err), err.Error())
+	}
 	o := &keep.Order{Modify: modify, Base: word.Version(b), Body: bytes.Clone(x.PostBody())}
 	return s.order(x, word.Configuration, o)
 }
@@ -130,7 +143,7 @@
 // order has an order carried out for a client that surely waits for it: it was
 // sent after the last pause of this process, and the connection is open.
 func (s *Server) order(x *fasthttp.RequestCtx, key word.Key, o *keep.Order) response.Response {
-	deadline := clk.Now().Add(opTimeout)
+	deadline := s.deadline()
 	if !s.Keeper.Pauses.Vouched(clk.Of(x.ConnTime())) || wire.Gone(x.Conn()) {
 		return response.Of(code.Unvouched, "").Later(comeAgain).Last()
 	}
@@ -138,7 +151,7 @@
 }
 
 func (s *Server) retrieve() response.Response {
-	a := s.Keeper.Change(word.Configuration, &keep.Order{Query: true}, clk.Now().Add(opTimeout))
+	a := s.Keeper.Change(word.Configuration, &keep.Order{Query: true}, s.deadline())
 	if !a.OK {
 		return of(a)
 	}
