--- a/internal/keep/seats_test.go
+++ b/internal/keep/seats_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"runtime"
+	"sync"
 	"testing"
 
 	"github.com/matryer/is"
@@ -70,6 +72,27 @@
 	}
 }
 
+// A founder that was late takes part as soon as it hears of the roster, though
+// another founder is gone: what two of three acknowledged stays within reach.
+func TestLateFounder(t *testing.T) {
+	is := is.New(t)
+	c := &core{n: &net{ks: map[word.Node]*Keeper{}, cut: map[[2]word.Node]bool{}}, ks: map[word.Node]*Keeper{}, st: map[word.Node]*shelf{}, si: map[word.Node]*sink{}}
+	for _, n := range three.Seat {
+		c.add(n, three.Seat)
+	}
+	is.True(c.ks["a"].Begin())
+	is.True(c.ks["b"].Begin())
+	is.True(c.put("a", 0, "1").OK)
+	c.n.part("b", "a", "c")
+	is.True(c.ks["c"].Begin())
+	v, ok := c.get("c")
+	is.True(ok)
+	is.Equal(v, "1")
+	d := c.add("d", []word.Node{"a", "d"}) // named a seed, in no roster
+	is.True(d.Begin())
+	is.True(!d.Acceptor().Voting())
+}
+
 // A keeper without a disk carries orders to those that have one, and is never
 // counted.
 func TestWithoutDisk(t *testing.T) {
@@ -137,11 +160,8 @@
 			is.True(c.put(own, 1, "22").OK)
 			c.n.part(own, r.Seat...)
 			for n, s := range c.st {
-				s.set(nil, true)
-				if n == own || n == r.Seat[j] {
+				if c.st[n] = s.powerless(); n == own || n == r.Seat[j] {
 					c.st[n] = &shelf{}
-				} else {
-					c.st[n] = &shelf{page: page{recs: s.recs}}
 				}
 			}
 			c.n.join()
@@ -161,21 +181,17 @@
 	}
 }
 
-// cutter lets so many messages of one keeper through, then none.
-type cutter struct {
-	end
-	left *int
-}
-
-func (c cutter) Ask(to word.Node, m Msg, d clk.Span) (Msg, bool) {
-	c.n.mu.Lock()
-	*c.left--
-	off := *c.left < 0
-	c.n.mu.Unlock()
-	if off {
-		return Msg{}, false
-	}
-	return c.end.Ask(to, m, d)
+// limit lets so many messages of one keeper through, then none.
+func (c *core) limit(from word.Node, left int) {
+	var mu sync.Mutex
+	c.n.through(func(n, _ word.Node, _ Msg) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		if n == from {
+			left--
+		}
+		return n != from || left >= 0
+	})
 }
 
 // Growth from three seats to six is cut off after each message that it takes:
@@ -213,18 +229,19 @@
 	a := c.ks["a1"]
 	a.Round()
 	is.True(a.Sure(hereFor))
-	n := left
-	a.Net = cutter{end{c.n, "a1"}, &n}
+	c.limit("a1", left)
 	for range 2 {
 		for _, j := range []word.Node{"a2", "b2", "c2"} {
+			c.ks[j].mu.Lock()
 			c.ks[j].wanted = 0 // a while later
-			c.ks[j].Regain()   // asks for a seat
+			c.ks[j].mu.Unlock()
+			c.ks[j].Regain() // asks for a seat
 		}
 		for !a.seating.TryLock() { // until the change has ended, or was given up
 			for _, j := range []word.Node{"a2", "b2", "c2"} {
 				c.ks[j].Regain()
 			}
-			clk.Sleep(10 * clk.Millisecond)
+			runtime.Gosched()
 		}
 		a.seating.Unlock()
 	}
@@ -247,7 +264,7 @@
 		b.seating.Unlock()
 	}
 	c.n.join()
-	a.Net = end{c.n, "a1"}
+	c.n.through(nil)
 	is.True(c.put("c1", 1, "22").OK)
 	for _, n := range b.Acceptor().Roster().Seat {
 		k := c.ks[n]
