--- a/internal/ctl/server.go
+++ b/internal/ctl/server.go
@@ -140,11 +140,18 @@
 	return s.order(x, word.Configuration, o)
 }
 
+func accepted(x *fasthttp.RequestCtx) clk.Tick {
+	if o, ok := x.Conn().(wire.Other); ok {
+		return o.Accepted()
+	}
+	return clk.Of(x.ConnTime())
+}
+
 // order has an order carried out for a client that surely waits for it: it was
 // sent after the last pause of this process, and the connection is open.
 func (s *Server) order(x *fasthttp.RequestCtx, key word.Key, o *keep.Order) response.Response {
 	deadline := s.deadline()
-	if !s.Keeper.Pauses.Vouched(clk.Of(x.ConnTime())) || wire.Gone(x.Conn()) {
+	if !s.Keeper.Pauses.Vouched(accepted(x)) || wire.Gone(x.Conn()) {
 		return response.Of(code.Unvouched, "").Later(comeAgain).Last()
 	}
 	return of(s.Keeper.Change(key, o, deadline))
--- a/internal/sim/day.go
+++ b/internal/sim/day.go
@@ -296,7 +296,8 @@
 					return
 				}
 				x := &fasthttp.RequestCtx{}
-				x.Init(&q, c.RemoteAddr(), nil)
+				x.Init2(c, quiet{}, true)
+				q.CopyTo(&x.Request)
 				s.Handle(x)
 				w := bufio.NewWriter(c)
 				if x.Response.Write(w) == nil {
@@ -307,6 +308,10 @@
 	})
 }
 
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
 func (d *day) bootRelay(r *relay) {
 	p := d.w.Process(fmt.Sprintf("r%d", r.n))
 	p.PPM = spawn.Int64N(401) - 200
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -80,6 +80,7 @@
 	eof    bool
 	err    error
 	closed bool
+	when   clk.Tick
 	rmark  *spawn.Mark
 	wmark  *spawn.Mark
 	rd, wd clk.Moment
@@ -355,6 +356,12 @@
 	e.n.sweep()
 }
 
+// Gone tells whether the other end has closed the connection.
+func (e *end) Gone() bool { return e.closed || e.err != nil || e.eof && len(e.in) == 0 }
+
+// Accepted is when the connection was accepted here.
+func (e *end) Accepted() clk.Tick { return e.when }
+
 type hostAddr string
 
 func (a hostAddr) Network() string { return "tcp" }
@@ -414,6 +421,7 @@
 		if len(l.line) > 0 {
 			e := l.line[0]
 			l.line = l.line[1:]
+			e.when = clk.Now()
 			return e, nil
 		}
 		l.mark.Wait(clk.Minute)
@@ -475,4 +483,7 @@
 	h.n.sweep()
 }
 
-var _ wire.Fabric = (*Net)(nil)
+var (
+	_ wire.Fabric = (*Net)(nil)
+	_ wire.Other  = (*end)(nil)
+)
--- a/internal/wire/serve.go
+++ b/internal/wire/serve.go
@@ -34,6 +34,9 @@
 // Gone tells whether the other end of a connection has closed it, as far as is
 // known without reading on.
 func Gone(c net.Conn) bool {
+	if o, ok := c.(Other); ok {
+		return o.Gone()
+	}
 	t, ok := c.(*net.TCPConn)
 	if !ok {
 		return false
@@ -51,6 +54,15 @@
 	return gone || err != nil
 }
 
+// Other is a connection of a network that is not the machine's.
+type Other interface {
+	net.Conn
+	// Gone tells whether the other end has closed it.
+	Gone() bool
+	// Accepted is when it was accepted here.
+	Accepted() clk.Tick
+}
+
 // Fabric is a network in place of the machine's.
 type Fabric interface {
 	Dial(a word.Addr, timeout clk.Span) (net.Conn, error)
