--- a/cmd/spoolsim/hunt.go
+++ b/cmd/spoolsim/hunt.go
@@ -65,8 +65,14 @@
 	}
 }
 
+func (h *hunter) found() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.out.Broken) > 0
+}
+
 // strided plays every jobs-th seed in a process of its own.
-func (h *hunter) strided(self string, job, jobs int, point int, from, seeds uint64, till clk.Span, twice bool) {
+func (h *hunter) strided(self string, job, jobs int, point int, from, seeds uint64, till clk.Span, twice bool, without string) {
 	n := seeds / uint64(jobs)
 	if uint64(job) < seeds%uint64(jobs) {
 		n++
@@ -79,6 +85,9 @@
 	if twice {
 		args = append(args, "--twice")
 	}
+	if without != "" {
+		args = append(args, "--without", without)
+	}
 	cmd := exec.Command(self, args...)
 	cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
 	cmd.Stderr = os.Stderr
@@ -100,7 +109,7 @@
 			got++
 			h.take(p)
 		}
-		if till > 0 && clk.Since(h.begun) > till && got < n {
+		if (till > 0 && clk.Since(h.begun) > till || without != "" && h.found()) && got < n {
 			stopped = true
 			_ = cmd.Process.Kill()
 			break
@@ -120,7 +129,7 @@
 }
 
 // hunt plays many seeds at a time.
-func (h *hunter) hunt(jobs, point int, from, seeds uint64, till clk.Span, twice bool) *outcome {
+func (h *hunter) hunt(jobs, point int, from, seeds uint64, till clk.Span, twice bool, without string) *outcome {
 	self, err := os.Executable()
 	if err != nil {
 		fail(code.New(code.BadSimFlags, "%v", err))
@@ -130,7 +139,7 @@
 		left.Add(1)
 		spawn.Go(func() {
 			defer left.Done()
-			h.strided(self, j, jobs, point, from, seeds, till, twice)
+			h.strided(self, j, jobs, point, from, seeds, till, twice, without)
 		})
 	}
 	left.Wait()
@@ -143,7 +152,7 @@
 }
 
 func runHunt() int {
-	o := newHunter(*huntPoint).hunt(*huntJobs, *huntPoint, *huntFrom, *huntSeeds, *huntFor, *huntTwice)
+	o := newHunter(*huntPoint).hunt(*huntJobs, *huntPoint, *huntFrom, *huntSeeds, *huntFor, *huntTwice, "")
 	sort.Slice(o.Days, func(i, j int) bool { return o.Days[i].Seed < o.Days[j].Seed })
 	for _, d := range o.Days {
 		show(d.Result)
--- a/cmd/spoolsim/main.go
+++ b/cmd/spoolsim/main.go
@@ -37,10 +37,24 @@
 	replaySeed  = replay.Arg("seed", "The seed.").Uint64()
 	replayPoint = replay.Flag("point", "The mix of faults.").Default("0").Int()
 	replayPlan  = replay.Flag("plan", "Play the plan in this file.").String()
+	replayOff   = replay.Flag("without", "Switch this guard off.").String()
 	replayLog   = replay.Flag("log", "Print the history.").Bool()
 	replayPut   = replay.Flag("write-plan", "Write the plan to this file.").String()
 
-	list = app.Command("list", "List the mixes and the judges.")
+	list = app.Command("list", "List the mixes, the judges and the guards.")
+
+	shrink      = app.Command("shrink", "Find a smaller plan that breaks in the same way.")
+	shrinkSeed  = shrink.Arg("seed", "The seed.").Uint64()
+	shrinkPoint = shrink.Flag("point", "The mix of faults.").Default("0").Int()
+	shrinkPlan  = shrink.Flag("plan", "Make the plan in this file smaller.").String()
+	shrinkMost  = shrink.Flag("days", "How many days to play at most.").Default("400").Int()
+	shrinkPut   = shrink.Flag("write-plan", "Write the plan to this file.").String()
+
+	guarded      = app.Command("guards", "Hunt with each guard switched off in turn.")
+	guardedSeeds = guarded.Flag("seeds", "How many seeds for each.").Default("500").Uint64()
+	guardedFrom  = guarded.Flag("from", "The first seed.").Default("1").Uint64()
+	guardedJobs  = guarded.Flag("jobs", "How many days at a time.").Default("2").Int()
+	guardedOnly  = guarded.Flag("guard", "This guard only.").String()
 
 	part       = app.Command("part", "Play a part of a hunt.").Hidden()
 	partPoint  = part.Flag("point", "").Int()
@@ -48,6 +62,7 @@
 	partFrom   = part.Flag("from", "").Uint64()
 	partStride = part.Flag("stride", "").Default("1").Uint64()
 	partTwice  = part.Flag("twice", "").Bool()
+	partGuard  = part.Flag("without", "").String()
 )
 
 func main() {
@@ -66,6 +81,12 @@
 	case replay.FullCommand():
 		check(*replayPoint, 1, 1)
 		os.Exit(runReplay())
+	case shrink.FullCommand():
+		check(*shrinkPoint, 1, 1)
+		os.Exit(runShrink())
+	case guarded.FullCommand():
+		check(0, *guardedJobs, *guardedSeeds)
+		os.Exit(runGuards())
 	case part.FullCommand():
 		runPart()
 	case list.FullCommand():
@@ -124,6 +145,9 @@
 
 func runReplay() int {
 	p := plan(*replaySeed, *replayPoint, *replayPlan)
+	if *replayOff != "" {
+		p.Without = missed(*replayOff).Guard
+	}
 	if *replayPut != "" {
 		b, _ := json.MarshalIndent(p, "", " ")
 		if err := os.WriteFile(*replayPut, append(b, '\n'), 0o600); err != nil {
@@ -150,6 +174,14 @@
 func runPart() {
 	for i := range *partSeeds {
 		seed := *partFrom + i**partStride
+		if *partGuard != "" {
+			r, found := sim.Alone(seed, missed(*partGuard))
+			if !found {
+				r.Broken = nil
+			}
+			put(os.Stdout, &played{Result: r})
+			continue
+		}
 		r := &played{Result: sim.Play(sim.Make(seed, *partPoint), nil)}
 		if *partTwice {
 			r.Differs = sim.Play(sim.Make(seed, *partPoint), nil).Digest != r.Digest
@@ -160,7 +192,7 @@
 
 func runList() {
 	if *asJSON {
-		put(os.Stdout, map[string]any{"mixes": sim.Mixes(), "judges": sim.Judges()})
+		put(os.Stdout, map[string]any{"mixes": sim.Mixes(), "judges": sim.Judges(), "guards": sim.Guards()})
 		return
 	}
 	for _, m := range sim.Mixes() {
@@ -170,4 +202,8 @@
 	for _, j := range sim.Judges() {
 		fmt.Printf("%-9s %s\n", j[0], j[1])
 	}
+	fmt.Println()
+	for _, g := range sim.Guards() {
+		fmt.Printf("%-9s point %d  %s\n", g.Guard, g.Point, g.What)
+	}
 }
--- /dev/null
+++ b/cmd/spoolsim/shrink.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/code"
+	"spoolswitch/internal/sim"
+)
+
+func runShrink() int {
+	p := plan(*shrinkSeed, *shrinkPoint, *shrinkPlan)
+	faults, orders := len(p.Faults), len(p.Orders)
+	p, r, played := sim.Shrink(p, *shrinkMost)
+	if *shrinkPut != "" {
+		b, _ := json.MarshalIndent(p, "", " ")
+		if err := os.WriteFile(*shrinkPut, append(b, '\n'), 0o600); err != nil {
+			fail(code.New(code.BadSimPlan, "%v", err))
+		}
+	}
+	show(r)
+	if !*asJSON {
+		fmt.Printf("%d days played: %d faults of %d, %d orders of %d\n", played, len(p.Faults), faults, len(p.Orders), orders)
+		for _, f := range p.Faults {
+			fmt.Printf("  %.3f s %s %v for %.3f s %s %s\n", float64(f.At)/float64(clk.Second), f.Kind, f.Nodes, float64(f.For)/float64(clk.Second), f.Way, f.Call)
+		}
+	}
+	if len(r.Broken) > 0 {
+		return exitBroken
+	}
+	return 0
+}
--- a/internal/check/house_test.go
+++ b/internal/check/house_test.go
@@ -13,7 +13,7 @@
 // The layers of the tree: a package may import only those of layers before its
 // own.
 var layers = [][]string{
-	{"clk", "word", "code"},
+	{"clk", "word", "code", "guards"},
 	{"spawn", "note", "check"},
 	{"match", "response", "disk", "head", "conf", "cal", "lru"},
 	{"wire", "boot", "kvindex"},
@@ -69,6 +69,11 @@
 			}
 		}
 		ast.Inspect(f, func(n ast.Node) bool {
+			if s, ok := n.(*ast.SelectorExpr); ok && s.Sel.Name == "Without" && pkg != "sim" {
+				if x, ok := s.X.(*ast.Ident); ok && x.Name == "guards" {
+					t.Errorf("%s switches a guard off", set.Position(n.Pos()))
+				}
+			}
 			switch n.(type) {
 			case *ast.GoStmt:
 				if pkg != "spawn" {
--- a/internal/conf/state.go
+++ b/internal/conf/state.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"spoolswitch/internal/code"
+	"spoolswitch/internal/guards"
 	"spoolswitch/internal/word"
 )
 
@@ -122,7 +123,7 @@
 // older than all that is remembered nobody can tell.
 func (s *State) Apply(o *Order) (*State, error) {
 	sum := o.digest()
-	if slices.ContainsFunc(s.Taken, func(t Taken) bool { return t.Digest == sum }) {
+	if !guards.Off(guards.Dedup) && slices.ContainsFunc(s.Taken, func(t Taken) bool { return t.Digest == sum }) {
 		return nil, nil
 	}
 	var d *Doc
--- a/internal/disk/log.go
+++ b/internal/disk/log.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 
 	"spoolswitch/internal/code"
+	"spoolswitch/internal/guards"
 )
 
 // State tells what was found when a log was opened.
@@ -203,14 +204,20 @@
 	if _, err := l.f.WriteAt(b, l.at); err != nil {
 		return l.refuse(err)
 	}
-	if err := l.f.Sync(); err != nil {
-		return l.refuse(err)
+	if !guards.Off(guards.Sync) {
+		if err := l.f.Sync(); err != nil {
+			return l.refuse(err)
+		}
 	}
 	l.at += int64(len(b))
 	return nil
 }
 
 func (l *Log) named() error {
+	if guards.Off(guards.Folder) {
+		l.owed = false
+		return nil
+	}
 	if err := l.fs.SyncDir(); err != nil {
 		return code.New(code.DiskRefused, "%v", err)
 	}
--- a/internal/keep/acceptor.go
+++ b/internal/keep/acceptor.go
@@ -8,6 +8,7 @@
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
 	"spoolswitch/internal/disk"
+	"spoolswitch/internal/guards"
 	"spoolswitch/internal/spawn"
 	"spoolswitch/internal/word"
 )
@@ -210,7 +211,12 @@
 
 const floorKey word.Key = "floor"
 
-func (a *Acceptor) floor() word.Epoch { return a.Cell(floorKey).Promised }
+func (a *Acceptor) floor() word.Epoch {
+	if guards.Off(guards.Floor) {
+		return word.Epoch{}
+	}
+	return a.Cell(floorKey).Promised
+}
 
 // Raise makes the acceptor take nothing of an epoch before e, of any key.
 func (a *Acceptor) Raise(e word.Epoch) error {
@@ -224,6 +230,14 @@
 	return a.write(&entry{Key: floorKey, Cell: Cell{Promised: e}})
 }
 
+func (a *Acceptor) outdated(r Roster) bool {
+	return r.Num < a.Roster().Num && !guards.Off(guards.Roster)
+}
+
+func (a *Acceptor) earlier(e, promised word.Epoch) bool {
+	return e.Less(promised) && !guards.Off(guards.Epoch) || e.Less(a.floor())
+}
+
 // Vote asks for a promise to take nothing of an epoch before e.
 func (a *Acceptor) Vote(k word.Key, e word.Epoch, r Roster) Msg {
 	if !a.lane.Take(laneWait) {
@@ -234,7 +248,7 @@
 		return Msg{Code: code.NotVoting, Roster: a.Roster()}
 	}
 	c := a.Cell(k)
-	if r.Num < a.Roster().Num || e.Less(c.Promised) || e.Less(a.floor()) {
+	if a.outdated(r) || a.earlier(e, c.Promised) {
 		return a.result(k, false, code.NoMajority)
 	}
 	if c.Promised == e {
@@ -257,7 +271,7 @@
 		return Msg{Code: code.NotVoting, Roster: a.Roster()}
 	}
 	c := a.Cell(k)
-	if r.Num < a.Roster().Num || at.Epoch.Less(c.Promised) || at.Epoch.Less(a.floor()) || at.Less(c.At) {
+	if a.outdated(r) || a.earlier(at.Epoch, c.Promised) || at.Less(c.At) {
 		return a.result(k, false, code.NoMajority)
 	}
 	if c.At == at {
@@ -275,7 +289,7 @@
 	if !a.Voting() {
 		return Msg{Code: code.NotVoting, Roster: a.Roster()}
 	}
-	if r.Num < a.Roster().Num || a.Cell(k).Promised != e || e.Less(a.floor()) {
+	if a.outdated(r) || a.Cell(k).Promised != e || e.Less(a.floor()) {
 		return a.result(k, false, code.NoMajority)
 	}
 	return Msg{OK: true, Key: k}
--- a/internal/keep/found.go
+++ b/internal/keep/found.go
@@ -7,6 +7,7 @@
 
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
+	"spoolswitch/internal/guards"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/word"
 )
@@ -146,7 +147,7 @@
 
 // ordered carries out an order that another daemon has taken from a client.
 func (k *Keeper) ordered(m Msg) Msg {
-	if !k.acc.Voting() {
+	if !k.acc.Voting() && !guards.Off(guards.Hops) {
 		return Msg{Code: code.NotVoting, Roster: k.acc.Roster()}
 	}
 	if !k.admit() {
--- a/internal/keep/gossip.go
+++ b/internal/keep/gossip.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"spoolswitch/internal/clk"
+	"spoolswitch/internal/guards"
 	"spoolswitch/internal/spawn"
 	"spoolswitch/internal/word"
 )
@@ -32,6 +33,9 @@
 // them is told what is known here, and tells what it knows. It returns at once;
 // a daemon is asked again after a pause of its own.
 func (k *Keeper) Gossip() {
+	if guards.Off(guards.Seeds) {
+		return
+	}
 	for _, n := range k.due() {
 		spawn.Go(func() { k.exchange(n, askTimeout) })
 	}
--- a/internal/keep/join.go
+++ b/internal/keep/join.go
@@ -5,6 +5,7 @@
 
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
+	"spoolswitch/internal/guards"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/spawn"
 	"spoolswitch/internal/word"
@@ -201,6 +202,14 @@
 			}
 		}
 	}
+	if guards.Off(guards.Keys) {
+		in = map[word.Key]bool{word.Roster: true}
+		for key := range k.acc.Cells() {
+			if key.Kept() && key != floorKey {
+				in[key] = true
+			}
+		}
+	}
 	var keys []word.Key
 	for key := range sorted(in) {
 		keys = append(keys, key)
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -7,6 +7,7 @@
 
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
+	"spoolswitch/internal/guards"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/spawn"
 	"spoolswitch/internal/word"
@@ -168,6 +169,9 @@
 
 // Sure tells whether a majority confirmed this keeper within d.
 func (k *Keeper) Sure(d clk.Span) bool {
+	if guards.Off(guards.Fresh) {
+		return true
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.sure != 0 && clk.Since(k.sure) < d
@@ -240,6 +244,9 @@
 }
 
 func unbound(key word.Key, o *Order) bool {
+	if guards.Off(guards.Late) {
+		return false
+	}
 	_, evac := key.Evacuated()
 	return evac && o != nil && !o.Query && o.If.Zero()
 }
@@ -262,7 +269,7 @@
 // late tells whether an order that another daemon sent may be older than this
 // process knows.
 func (k *Keeper) late(m Msg) bool {
-	return m.Order != nil && !m.Order.Query && !k.Pauses.Vouched(clk.Now())
+	return m.Order != nil && !m.Order.Query && !guards.Off(guards.Late) && !k.Pauses.Vouched(clk.Now())
 }
 
 // until is the deadline of a message's work: its sender's, d at most.
--- a/internal/keep/lease.go
+++ b/internal/keep/lease.go
@@ -5,6 +5,7 @@
 
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
+	"spoolswitch/internal/guards"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/spawn"
 	"spoolswitch/internal/word"
@@ -100,6 +101,9 @@
 }
 
 func (k *Keeper) holds(key word.Key, t *lease, deadline clk.Tick) bool {
+	if guards.Off(guards.Confirm) {
+		return true
+	}
 	r := k.acc.Roster()
 	got := k.askAll(r.All(), Msg{Kind: Hold, Key: key, Epoch: t.at.Epoch, Roster: r}, min(askTimeout, clk.Until(deadline)),
 		func(g map[word.Node]Msg) bool { return r.Majority(oks(g)) })
--- a/internal/keep/pause.go
+++ b/internal/keep/pause.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"spoolswitch/internal/clk"
+	"spoolswitch/internal/guards"
 )
 
 const (
@@ -35,7 +36,7 @@
 // Vouched tells whether what came in at t, or on a connection that was accepted
 // at t, was sent after the last pause. No Pauses vouch for all.
 func (p *Pauses) Vouched(t clk.Tick) bool {
-	if p == nil {
+	if p == nil || guards.Off(guards.Late) {
 		return true
 	}
 	p.Beat()
--- a/internal/keep/repair.go
+++ b/internal/keep/repair.go
@@ -3,6 +3,7 @@
 import (
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
+	"spoolswitch/internal/guards"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/spawn"
 	"spoolswitch/internal/word"
@@ -26,7 +27,7 @@
 // repair starts the repair of what this keeper knows to stand and has not on its
 // disk. It does not wait for the disk.
 func (k *Keeper) repair(r Roster) {
-	if !k.acc.Voting() || !r.Has(k.Self) {
+	if !k.acc.Voting() || !r.Has(k.Self) || guards.Off(guards.Copies) {
 		return
 	}
 	for key, at := range sorted(k.Sink.Known()) {
--- a/internal/keep/roster.go
+++ b/internal/keep/roster.go
@@ -7,6 +7,7 @@
 	"encoding/gob"
 	"slices"
 
+	"spoolswitch/internal/guards"
 	"spoolswitch/internal/word"
 )
 
@@ -44,6 +45,9 @@
 
 // Majority tells whether those that in names are a majority of each set.
 func (r Roster) Majority(in func(word.Node) bool) bool {
+	if guards.Off(guards.Majority) {
+		return slices.ContainsFunc(r.All(), in)
+	}
 	return len(r.Seat) > 0 && majority(r.Seat, in) && (len(r.Next) == 0 || majority(r.Next, in))
 }
 
--- a/internal/sim/day.go
+++ b/internal/sim/day.go
@@ -20,6 +20,7 @@
 	"spoolswitch/internal/ctl"
 	"spoolswitch/internal/disk"
 	"spoolswitch/internal/feed"
+	"spoolswitch/internal/guards"
 	"spoolswitch/internal/keep"
 	"spoolswitch/internal/list"
 	"spoolswitch/internal/note"
@@ -125,6 +126,7 @@
 	}
 	defer note.Use(func(what string, kv []any) { d.say(what, kv...) })()
 	defer wire.Use(d.net)()
+	defer guards.Without(p.Without)()
 	d.w.Run(d.play)
 	d.judge()
 	d.res.Digest = hex.EncodeToString(d.sum.Sum(nil))[:24]
--- a/internal/sim/plan.go
+++ b/internal/sim/plan.go
@@ -7,6 +7,7 @@
 
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
+	"spoolswitch/internal/guards"
 )
 
 // Plan is all that is decided of a day before it is played.
@@ -21,6 +22,8 @@
 	Seeds   []int
 	Patient bool
 	Routes  int
+	// Without names a guard that is switched off.
+	Without guards.Guard `json:",omitempty"`
 	Faults  []Fault
 	Orders  []Order
 	// End is when the last fault is over, and the last order is sent.
@@ -344,6 +347,15 @@
 	if p.Core < 1 || p.Core > 99 || p.Diskless < 0 || p.Diskless > 99 || p.Relays < 1 || p.Relays > 99 || len(p.Seeds) == 0 || p.Point < 0 || p.Point >= Points {
 		return nil, code.New(code.BadSimPlan, "sizes")
 	}
+	return fits(p)
+}
+
+func fits(p *Plan) (*Plan, error) {
+	for _, n := range p.Seeds {
+		if n < 0 || n >= p.Core+p.Diskless {
+			return nil, code.New(code.BadSimPlan, "seed %d", n)
+		}
+	}
 	for _, f := range p.Faults {
 		for _, n := range slices.Concat(f.Nodes, f.Seeds, f.Wiped) {
 			if n < 0 || n >= p.Core+p.Diskless {
