Seats that are gone are given away in one change, to all who asked

Change: all seats silent for long are paired with askers in one joint change, each pair only if the loss of a zone is borne no worse; askers are remembered while it is unclear who is gone; seats that answer are asked first; a newcomer's reading ends with a majority's answers.

--- a/internal/keep/beat.go
+++ b/internal/keep/beat.go
@@ -286,6 +286,18 @@
 	return top.Majority(oks(got))
 }
 
+// seated tells whether a majority of the newest roster has answered, and self is
+// in it.
+func seated(self word.Node, got map[word.Node]Msg) bool {
+	var top Roster
+	for _, a := range got {
+		if a.Roster.Num > top.Num {
+			top = a.Roster
+		}
+	}
+	return top.Has(self) && majority(top.Seat, oks(got))
+}
+
 // Floor is an epoch above all that the others have told of. Raised on those
 // that are read before they are read again, it makes sure that no lease goes on
 // counting what the lost disk had accepted.
@@ -325,7 +337,12 @@
 		}
 	}
 	all := func(g map[word.Node]Msg) bool { return len(g) == len(to) }
-	got := k.askAll(to, Msg{Kind: Survey, Zone: k.Zone}, askTimeout*2, all)
+	k.mu.Lock()
+	newcomer := k.newcomer
+	k.mu.Unlock()
+	got := k.askAll(to, Msg{Kind: Survey, Zone: k.Zone}, askTimeout*2, func(g map[word.Node]Msg) bool {
+		return all(g) || Newcomer(k.Self, g) || newcomer && seated(k.Self, g)
+	})
 	r, cells, ok := Regained(k.Self, got)
 	if r.Num != 0 && !r.Has(k.Self) {
 		if Newcomer(k.Self, got) {
@@ -338,9 +355,6 @@
 		}
 		return false
 	}
-	k.mu.Lock()
-	newcomer := k.newcomer
-	k.mu.Unlock()
 	if newcomer && r.Has(k.Self) {
 		if k.acc.Found(r, cells) != nil {
 			return false
--- a/internal/keep/change_test.go
+++ b/internal/keep/change_test.go
@@ -1,6 +1,7 @@
 package keep
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -42,7 +43,7 @@
 	a, d := c.ks["a"], c.ks["d"]
 	d.newcomer = true
 	is.True(a.Own(word.Roster, clk.Now().Add(clk.Second), func([]byte) ([]byte, Msg) {
-		return DecideRoster(three.Encode(), &Order{Joiners: []word.Node{"d"}, Gone: gone})
+		return DecideRoster(three.Encode(), &Order{Joiners: []word.Node{"d"}, Gone: []word.Node{gone}})
 	}).OK)
 	is.True(d.Regain())
 }
@@ -119,7 +120,7 @@
 	is.Equal(c.on(kk, "a", "b", "d"), 3)
 }
 
-// The seat that is given away is the one that was silent for longest, and none
+// Seats are given away in the order in which they fell silent, and none
 // is while its giver may itself have been the one that was cut off.
 func TestSilent(t *testing.T) {
 	is := is.New(t)
@@ -134,13 +135,13 @@
 	}
 	k.sure, k.steady = clk.Now(), clk.Now().Add(-clk.Minute)
 	gone, unclear := k.silent(six)
-	is.Equal(gone, word.Node(""))
+	is.Equal(len(gone), 0)
 	is.True(!unclear)
 	ago("a2", 4*clk.Second)
 	ago("b2", 9*clk.Second)
 	ago("c1", 5*clk.Second)
 	gone, unclear = k.silent(six)
-	is.Equal(gone, word.Node("b2"))
+	is.Equal(gone, []word.Node{"b2", "c1", "a2"})
 	is.True(!unclear)
 	ago("c2", 2*clk.Second) // on its way out, or a cut begins
 	_, unclear = k.silent(six)
@@ -155,9 +156,9 @@
 func TestRosterStepIsBound(t *testing.T) {
 	is := is.New(t)
 	r := Roster{Num: 4, Seat: three.Seat}
-	_, a := DecideRoster(r.Encode(), &Order{Base: 3, Joiners: []word.Node{"d"}, Gone: "c"})
+	_, a := DecideRoster(r.Encode(), &Order{Base: 3, Joiners: []word.Node{"d"}, Gone: []word.Node{"c"}})
 	is.Equal(a.Code, code.OtherVersion)
-	next, a := DecideRoster(r.Encode(), &Order{Base: 4, Joiners: []word.Node{"d"}, Gone: "c"})
+	next, a := DecideRoster(r.Encode(), &Order{Base: 4, Joiners: []word.Node{"d"}, Gone: []word.Node{"c"}})
 	is.True(a.OK)
 	n, _ := DecodeRoster(next)
 	is.Equal(n.Next, []word.Node{"a", "b", "d"})
@@ -166,3 +167,38 @@
 	_, a = DecideRoster(next, &Order{Base: 5, On: true})
 	is.True(a.OK)
 }
+
+// Seats that are gone are given to as many askers in one change, each where the
+// loss of a zone is borne no worse.
+func TestSeatsInstead(t *testing.T) {
+	is := is.New(t)
+	c := newCoreOf(t, six)
+	k := c.ks["a1"]
+	k.Zone = "a"
+	for _, n := range append(slices.Clone(six.Seat), "b3", "c3") {
+		k.others[n] = first(n)
+	}
+	out, in := k.instead(six, []word.Node{"b2", "c1", "a2"}, []word.Node{"c3", "b3"})
+	is.Equal(out, []word.Node{"b2", "c1"})
+	is.Equal(in, []word.Node{"b3", "c3"})
+	out, in = k.instead(six, []word.Node{"b2"}, []word.Node{"c3"}) // three of six in one zone: b2 is waited for
+	is.Equal(len(out)+len(in), 0)
+	k.local0, k.heard["b2"] = 1-clk.Tick(clk.Minute), 1-clk.Tick(clk.Minute)
+	out, in = k.instead(six, []word.Node{"b2"}, []word.Node{"c3"})
+	is.Equal(out, []word.Node{"b2"})
+	is.Equal(in, []word.Node{"c3"})
+}
+
+// Who asks while it is not clear yet which seats are gone is counted when it is.
+func TestAskersAreKept(t *testing.T) {
+	is := is.New(t)
+	c := newCoreOf(t, six)
+	k := c.ks["a1"]
+	for _, n := range six.Seat {
+		k.heard[n] = clk.Now()
+	}
+	k.heard["b2"], k.heard["c1"] = clk.Now().Add(-4*clk.Second), clk.Now().Add(-2*clk.Second)
+	k.sure = clk.Now()
+	is.True(k.join("d", "d").OK)
+	is.Equal(k.askers("e", "e"), []word.Node{"d", "e"})
+}
--- a/internal/keep/join.go
+++ b/internal/keep/join.go
@@ -34,7 +34,17 @@
 	if soon {
 		return
 	}
-	for _, n := range r.All() {
+	to := r.All()
+	slices.SortStableFunc(to, func(a, b word.Node) int {
+		switch x, y := k.recent(a, hereFor), k.recent(b, hereFor); {
+		case x == y:
+			return 0
+		case x:
+			return -1
+		}
+		return 1
+	})
+	for _, n := range to {
 		if a, ok := k.Net.Ask(n, Msg{Kind: Join, From: k.Self, Zone: k.Zone}, askTimeout); ok && a.OK {
 			return
 		}
@@ -81,16 +91,16 @@
 	if r.Has(j) || len(r.Next) > 0 {
 		return Msg{OK: true}
 	}
+	in := k.askers(j, z)
 	gone, unclear := k.silent(r)
 	if unclear {
 		return Msg{OK: true}
 	}
 	_, seats := k.seeds()
-	in := k.askers(j, z)
-	if gone == "" {
+	if len(gone) == 0 {
 		in = r.Admit(in, k.zoneOf, seats)
 	} else {
-		in = k.instead(r, gone, j)
+		gone, in = k.instead(r, gone, in)
 	}
 	if len(in) == 0 {
 		return Msg{OK: true}
@@ -114,13 +124,13 @@
 	return Msg{OK: true}
 }
 
-// silent names the seat that was not heard of for the longest time, if that is
-// long enough. While one may be on its way out or back nothing is clear, nor is
-// it to a keeper that was itself cut off or stood still just now.
-func (k *Keeper) silent(r Roster) (gone word.Node, unclear bool) {
+// silent names the seats that were not heard of for long, the longest first.
+// While one may be on its way out or back nothing is clear, nor is it to a
+// keeper that was itself cut off or stood still just now.
+func (k *Keeper) silent(r Roster) (gone []word.Node, unclear bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var since clk.Tick
+	since := map[word.Node]clk.Tick{}
 	for _, n := range r.Seat {
 		at, ok := k.heard[n]
 		if !ok {
@@ -129,23 +139,45 @@
 		switch {
 		case n == k.Self || clk.Since(at) < hereFor:
 		case clk.Since(at) < goneAfter:
-			return "", true
-		case gone == "" || at < since:
-			gone, since = n, at
+			return nil, true
+		default:
+			since[n] = at
+			gone = append(gone, n)
 		}
 	}
-	return gone, gone != "" && k.sure.Sub(k.steady) < goneAfter
+	slices.SortStableFunc(gone, func(a, b word.Node) int { return int(since[a].Sub(since[b])) })
+	return gone, len(gone) > 0 && k.sure.Sub(k.steady) < goneAfter
 }
 
-// instead tells whether j may take the seat of one that is gone: soon if a
-// lost zone is borne no worse, and after a long while in any case.
-func (k *Keeper) instead(r Roster, gone, j word.Node) []word.Node {
-	next := Roster{Seat: append(slices.DeleteFunc(slices.Clone(r.Seat), func(n word.Node) bool { return n == gone }), j)}
+// instead pairs seats that are gone with askers who may take them in one change:
+// soon if a lost zone is borne no worse, and after a long while in any case.
+func (k *Keeper) instead(r Roster, gone, ask []word.Node) (out, in []word.Node) {
+	ask = slices.DeleteFunc(slices.Clone(ask), r.Has)
+	slices.Sort(ask)
+	seat := slices.Clone(r.Seat)
 	_, before := r.bears(k.zoneOf)
-	if _, after := next.bears(k.zoneOf); before && !after && k.recent(gone, goneLong) {
-		return nil
+	for _, g := range gone {
+		at := slices.Index(seat, g)
+		took := -1
+		for i, n := range ask {
+			seat[at] = n
+			if _, after := (Roster{Seat: seat}).bears(k.zoneOf); after || !before {
+				took = i
+				break
+			}
+		}
+		if took < 0 && len(ask) > 0 && !k.recent(g, goneLong) {
+			took = 0
+		}
+		if took < 0 {
+			seat[at] = g
+			continue
+		}
+		seat[at] = ask[took]
+		out, in = append(out, g), append(in, ask[took])
+		ask = slices.Delete(ask, took, took+1)
 	}
-	return []word.Node{j}
+	return out, in
 }
 
 // seat ends a change of seats, in three steps: majorities of both sets are bound
--- a/internal/keep/msg.go
+++ b/internal/keep/msg.go
@@ -63,7 +63,7 @@
 	On      bool
 	Query   bool
 	Joiners []word.Node
-	Gone    word.Node
+	Gone    []word.Node
 	// If, if set, is the place that the value must have for the order to change it.
 	If word.Place
 }
--- a/internal/keep/roster_test.go
+++ b/internal/keep/roster_test.go
@@ -70,7 +70,7 @@
 
 func TestDecideRoster(t *testing.T) {
 	is := is.New(t)
-	b, a := DecideRoster(three.Encode(), &Order{Joiners: []word.Node{"d"}, Gone: "c"})
+	b, a := DecideRoster(three.Encode(), &Order{Joiners: []word.Node{"d"}, Gone: []word.Node{"c"}})
 	is.True(a.OK)
 	r, ok := DecodeRoster(b)
 	is.True(ok)
--- a/internal/keep/seats.go
+++ b/internal/keep/seats.go
@@ -31,7 +31,7 @@
 	}
 	n := Roster{Num: r.Num + 1, Seat: r.Seat}
 	for _, s := range r.Seat {
-		if s != o.Gone {
+		if !slices.Contains(o.Gone, s) {
 			n.Next = append(n.Next, s)
 		}
 	}
