What comes before the first list is held for it, as before; only stale news is told soon

Change: the bound counts only where a list was had and is no longer current. TestHeldForTheFirstList fails without the change.

--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -75,12 +75,15 @@
 	wakeStep = 20 * clk.Millisecond
 )
 
+// awake waits until the relay knows where to send. What comes before the first
+// list is held for it: that comes soon. Where what was known is no longer
+// current, it may not come back in time, and the client is told soon.
 func (n *Request) awake() bool {
 	d := wakeMost
 	if ms, err := strconv.ParseFloat(string(n.Head.Field(head.DeadlineMs)), 64); err == nil && ms >= 0 {
 		d = min(d, clk.Ms(ms/4))
 	}
-	if t := n.r.View.Table(); t != nil {
+	if t := n.r.View.Table(); t != nil && n.r.Fleet.HasList() {
 		if rt := t.Match(n.Head.Host, n.Head.URI); rt != nil && rt.TargetMs > 0 {
 			d = min(d, clk.Ms(rt.TargetMs/5))
 		}
--- a/internal/relay/rest_test.go
+++ b/internal/relay/rest_test.go
@@ -11,6 +11,7 @@
 
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/conf"
+	"spoolswitch/internal/head"
 	"spoolswitch/internal/keep"
 	"spoolswitch/internal/pick"
 	"spoolswitch/internal/spawn"
@@ -181,3 +182,21 @@
 	is.Equal(r.Status, 503)
 	is.True(clk.Now() < clk.Tick(100*clk.Millisecond)) // the aim is 400 ms
 }
+
+// What comes before the first list is held for it beyond a quarter of its aim.
+func TestHeldForTheFirstList(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, standin.Well)
+	f := pick.NewFleet("z1", 300*clk.Second)
+	g.r.Fleet, g.r.View.Fleet = f, f
+	n := &Request{r: g.r, Head: &head.Request{Host: "h.example", URI: "/safe/"}, begun: clk.Now().Add(-200 * clk.Millisecond)}
+	awake, done := false, spawn.NewMark()
+	spawn.Go(func() {
+		awake = n.awake()
+		done.Set()
+	})
+	is.True(!done.Wait(100 * clk.Millisecond)) // the aim is 400 ms
+	g.list("in_service")
+	is.True(done.Wait(20 * clk.Second))
+	is.True(awake)
+}
