--- a/internal/ctl/server_test.go
+++ b/internal/ctl/server_test.go
@@ -15,6 +15,85 @@
 	"spoolswitch/internal/word"
 )
 
+// silence is a net on which nobody ever answers.
+type silence struct{}
+
+func (silence) Ask(_ word.Node, _ keep.Msg, d clk.Span) (keep.Msg, bool) {
+	clk.Sleep(d)
+	return keep.Msg{}, false
+}
+
+func cutOff(t *testing.T, disk bool) *Server {
+	acc := keep.NewAcceptor()
+	acc.Use(keep.Volatile{})
+	r := keep.Roster{Num: 1, Seat: []word.Node{"a", "b", "c"}}
+	if disk {
+		if err := acc.Found(r, nil); err != nil {
+			t.Fatal(err)
+		}
+	} else if err := acc.Adopt(r); err != nil {
+		t.Fatal(err)
+	}
+	k := keep.New("a", acc, silence{}, feed.NewHub())
+	if !disk {
+		k.Self = "d"
+	}
+	k.Disk, k.Decider = disk, Decide
+	return &Server{Keeper: k, Zones: map[string]string{"z": ""}}
+}
+
+func ask(s *Server, method, path, base, body string) (int, string, clk.Span) {
+	var x fasthttp.RequestCtx
+	x.Request.Header.SetMethod(method)
+	x.Request.SetRequestURI(path)
+	x.Request.SetBodyString(body)
+	if base != "" {
+		x.Request.Header.Set("Base-Version", base)
+	}
+	begun := clk.Now()
+	s.Handle(&x)
+	return x.Response.StatusCode(), string(x.Response.Header.Peek("Retry-After")), clk.Since(begun)
+}
+
+// Without a majority nothing is answered that hangs on the state, good or bad,
+// and soon; what hangs on the text alone is answered at once.
+func TestCutSide(t *testing.T) {
+	const replace, modify = "/-/configuration/replace", "/-/configuration/modify"
+	for _, disk := range []bool{true, false} {
+		s := cutOff(t, disk)
+		for range 2 { // it finds that it is cut off
+			ask(s, "GET", "/-/configuration/retrieve", "", "")
+		}
+		for _, c := range []struct{ method, path, base, body string }{
+			{"POST", replace, "0", `{"version":1}`},
+			{"POST", replace, "7", `{"version":1}`}, // another base than the one known here
+			{"POST", replace, "0", `{"version":1,"route-table":[{"name":"a","service":"none"}]}`},
+			{"POST", modify, "0", `{"version":1}`},
+			{"GET", "/-/configuration/retrieve", "", ""},
+			{"POST", "/-/evacuation/z/initiate", "", ""},
+			{"POST", "/-/evacuation/z/terminate", "", ""},
+		} {
+			is := is.New(t)
+			st, again, took := ask(s, c.method, c.path, c.base, c.body)
+			is.Equal(st, 503)
+			is.True(again != "")
+			is.True(took < 600*clk.Millisecond)
+		}
+		for _, c := range []struct{ path, base, body string }{
+			{replace, "", `{"version":1}`},
+			{replace, "0", `{"version":1`},
+			{replace, "0", `{}`},
+			{modify, "0", `{"version":"x"}`},
+			{modify, "0", `{"upsert":{}}`},
+		} {
+			is := is.New(t)
+			st, _, took := ask(s, "POST", c.path, c.base, c.body)
+			is.Equal(st, 400)
+			is.True(took < 100*clk.Millisecond)
+		}
+	}
+}
+
 type nobody struct{}
 
 func (nobody) Ask(word.Node, keep.Msg, clk.Span) (keep.Msg, bool) { return keep.Msg{}, false }
--- a/internal/keep/found.go
+++ b/internal/keep/found.go
@@ -22,11 +22,20 @@
 
 // Begin takes part in the founding of the first roster: the seeds that have a
 // disk, which every seed asks of all others. Only where none has one do disks
-// in memory count. It tells whether that is done.
+// in memory count. One that hears of a roster goes by that, whether the others
+// answer or not. It tells whether that is done.
 func (k *Keeper) Begin() bool {
 	founders, _ := k.seeds()
 	to := slices.DeleteFunc(slices.Clone(founders), func(n word.Node) bool { return n == k.Self })
 	got := k.askAll(to, Msg{Kind: Digest, Zone: k.Zone}, askTimeout, func(g map[word.Node]Msg) bool { return len(g) == len(to) })
+	for _, a := range sorted(got) {
+		k.take(a)
+	}
+	// one that found the roster first may have acknowledged changes since, and
+	// others that found it may be down: nothing of this disk was ever counted
+	if r := k.acc.Roster(); r.Num > 0 {
+		return !r.Has(k.Self) || k.found(r)
+	}
 	if len(got) < len(to) {
 		return false
 	}
@@ -38,29 +47,39 @@
 	if !slices.Contains(in, k.Self) {
 		return true
 	}
-	if err := k.acc.Found(Founding(in), nil); err != nil {
+	return k.found(Founding(in))
+}
+
+func (k *Keeper) found(r Roster) bool {
+	if err := k.acc.Found(r, nil); err != nil {
 		note.Trouble("founding record refused", "err", err)
 		return false
 	}
-	note.State("founded", "seats", len(in))
+	note.State("founded", "seats", len(r.Seat))
 	return true
 }
 
 // seatsNear are the seats of the roster that orders may be forwarded to, the one
-// that answered last first.
+// that answered last first; those that were silent lately come last, the one that
+// was asked least lately before the others.
 func (k *Keeper) seatsNear() []word.Node {
 	out := slices.DeleteFunc(k.acc.Roster().All(), func(n word.Node) bool { return n == k.Self })
 	k.mu.Lock()
 	last := k.last
 	k.mu.Unlock()
-	rank := func(n word.Node) uint64 {
-		if n == last {
-			return 0
-		}
+	ranks := map[word.Node]uint64{}
+	for _, n := range out {
 		h := fnv.New64a()
 		fmt.Fprint(h, k.Self, "|", n)
-		return h.Sum64() | 1
+		ranks[n] = h.Sum64()>>1 | 1
+		if n == last {
+			ranks[n] = 0
+		}
+		if at := k.silentSince(n); at != 0 {
+			ranks[n] = 1<<63 | uint64(at)
+		}
 	}
+	rank := func(n word.Node) uint64 { return ranks[n] }
 	slices.SortFunc(out, func(a, b word.Node) int {
 		if rank(a) < rank(b) {
 			return -1
@@ -93,8 +112,10 @@
 		timeout := min(askTimeout, clk.Until(deadline))
 		a, ok := k.Net.Ask(n, Msg{Kind: Forward, Key: key, Order: o, Left: timeout}, timeout)
 		if !ok {
+			k.misses(n)
 			continue
 		}
+		k.answers(n)
 		if a.clear() || a.Code == code.Moved {
 			k.answered(n)
 			return a
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -72,6 +72,7 @@
 	seat0    int
 	seededAt clk.Tick
 	pulling  sync.Mutex
+	health   map[word.Node]health
 	orders   int
 	// newcomer says that this life of the keeper began before it had a seat, so
 	// that no promise of it can have been lost.
@@ -84,7 +85,7 @@
 		leases: map[word.Key]*lease{}, tried: map[word.Key]word.Epoch{}, heard: map[word.Node]clk.Tick{},
 		odd: map[word.Key]doubt{}, mending: map[word.Key]bool{}, barred: map[word.Key]doubt{}, sights: map[word.Node]sight{},
 		others: map[word.Node]word.Zone{}, relays: map[word.Node]clk.Tick{},
-		contacts: map[word.Node]contact{}, local0: clk.Now(), seededAt: clk.Now()}
+		contacts: map[word.Node]contact{}, health: map[word.Node]health{}, local0: clk.Now(), seededAt: clk.Now()}
 }
 
 // Seeded takes in where keepers may be found, and how many seats there may be.
@@ -192,11 +193,12 @@
 			return a, a.clear()
 		})
 	}
-	if n := k.owner(key); n != "" && n != k.Self && k.recent(n, 1500*clk.Millisecond) {
+	if n := k.owner(key); n != "" && n != k.Self && k.reachable(n) {
 		a := k.bound(key, o, deadline, func(o *Order) (Msg, bool) {
 			left := min(forwardTimeout, clk.Until(deadline))
 			a, ok := k.Net.Ask(n, Msg{Kind: Change, From: k.Self, Key: key, Order: o, Left: left}, left)
 			if !ok {
+				k.misses(n)
 				a.Code = code.NoMajority
 			}
 			return a, a.clear()
