--- a/internal/keep/loss_test.go
+++ b/internal/keep/loss_test.go
@@ -85,7 +85,7 @@
 		if len(cur) == 0 {
 			cur = a.acc.Roster().Encode()
 		}
-		return DecideRoster(cur, &Order{Joiners: []word.Node{"e"}, Gone: "d"})
+		return DecideRoster(cur, &Order{Joiners: []word.Node{"e"}, Gone: []word.Node{"d"}})
 	})
 	if m.OK {
 		c.ks["e"].Regain()
@@ -153,7 +153,7 @@
 			if len(cur) == 0 {
 				cur = a.acc.Roster().Encode()
 			}
-			return DecideRoster(cur, &Order{Base: word.Version(from.Num), Joiners: []word.Node{j}, Gone: gone})
+			return DecideRoster(cur, &Order{Base: word.Version(from.Num), Joiners: []word.Node{j}, Gone: []word.Node{gone}})
 		}).OK)
 	}
 	move(a.acc.Roster(), "e", "d")
