Daemons run on as many processors as limits.cores says

Cause: the runtime took what the machine shows; the settings were not read. Change: limits.cores, taken at the start and with changed settings; absent, it is what the machine shows.

--- a/internal/boot/settings.go
+++ b/internal/boot/settings.go
@@ -32,6 +32,7 @@
 type Limits struct {
 	MemoryMB    int64 `toml:"memory-mb" validate:"gte=16"`
 	Descriptors int   `toml:"file-descriptors" validate:"gte=64"`
+	Cores       int   `toml:"cores" validate:"gte=0,lte=1024"`
 }
 
 // Bounds are the figures of the rules that daemons go by.
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -38,13 +38,14 @@
 		os.Exit(2)
 	}
 	s.Pool.Enabled = s.Pool.Enabled || *pools
+	Cores(s.Limits)
 	d, err := start(s)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 	done := spawn.NewMark()
-	w := &boot.Watch{Path: os.Getenv(boot.Env), Take: d.Take}
+	w := &boot.Watch{Path: os.Getenv(boot.Env), Take: take(d)}
 	w.Run()
 	spawn.Signals(done.Set, w.Look)
 	for !done.Wait(clk.Minute) {
@@ -53,3 +54,10 @@
 	d.Stop()
 	note.Sum()
 }
+
+func take(d Daemon) func(*boot.Settings) {
+	return func(s *boot.Settings) {
+		Cores(s.Limits)
+		d.Take(s)
+	}
+}
