A body cut by its client reaches nobody; false ends and holding are judged in all orders

Two checks more in TestEveryOrder (no 5xx of our own but 503 where no replica was offered the request; none held a quarter of a second past its route's time) pass in all 143252 orders; TestBodyCutByClient passes. No fault was found by them.

--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -353,6 +353,12 @@
 			bad("MIXED", "no run of this request gave that")
 		}
 	}
+	if !sealed && a.Status >= 500 && a.Status != 503 && x.arrived == 0 {
+		bad("FALSE END", "no replica was offered it")
+	}
+	if clk.Now() > x.req.begun.Add(3250*clk.Millisecond) {
+		bad("HELD", "past its route's time")
+	}
 	if x.unsafe && promises(a.Status) && len(x.ran) > 0 {
 		bad("REFUSED", "it ran")
 	}
--- a/internal/relay/rest_test.go
+++ b/internal/relay/rest_test.go
@@ -181,3 +181,17 @@
 	is.Equal(r.Status, 503)
 	is.True(clk.Now() < clk.Tick(100*clk.Millisecond)) // the aim is 400 ms
 }
+
+// UNASKED: a request whose body ends short is sent to nobody.
+func TestBodyCutByClient(t *testing.T) {
+	for _, body := range []string{"Content-Length: 4\r\n\r\nbod", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"} {
+		is := is.New(t)
+		g := newRig(t, standin.Well)
+		k := standin.Call(g.addr)
+		k.Put("POST /safe/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\n" + body)
+		until(t, "the body", g.r.reading)
+		k.Close()
+		until(t, "the end", func() bool { return g.r.held() == 0 })
+		is.Equal(g.arrivals(), 0)
+	}
+}
