--- a/internal/sim/day.go
+++ b/internal/sim/day.go
@@ -20,6 +20,7 @@
 	"spoolswitch/internal/ctl"
 	"spoolswitch/internal/disk"
 	"spoolswitch/internal/feed"
+	"spoolswitch/internal/guards"
 	"spoolswitch/internal/keep"
 	"spoolswitch/internal/list"
 	"spoolswitch/internal/note"
@@ -125,6 +126,7 @@
 	}
 	defer note.Use(func(what string, kv []any) { d.say(what, kv...) })()
 	defer wire.Use(d.net)()
+	defer guards.Without(p.Without)()
 	d.w.Run(d.play)
 	d.judge()
 	d.res.Digest = hex.EncodeToString(d.sum.Sum(nil))[:24]
@@ -296,7 +298,8 @@
 					return
 				}
 				x := &fasthttp.RequestCtx{}
-				x.Init(&q, c.RemoteAddr(), nil)
+				x.Init2(c, quiet{}, true)
+				q.CopyTo(&x.Request)
 				s.Handle(x)
 				w := bufio.NewWriter(c)
 				if x.Response.Write(w) == nil {
@@ -307,6 +310,10 @@
 	})
 }
 
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
 func (d *day) bootRelay(r *relay) {
 	p := d.w.Process(fmt.Sprintf("r%d", r.n))
 	p.PPM = spawn.Int64N(401) - 200
