A successor gets no seat beside the machine that it comes in place of

Six seats, one dead for good; two more are cut off, as fault-tolerance allows, and no majority is left: orders wait for 11 s. Change: a seat beside the others is given only once all of these were heard of since the newcomer first asked, a round later (0.4 s). TestGrowthInterrupted asks and holds that round before it begins to cut; what it checks is as it was. Test: keep.TestSuccessor, seen to fail without the condition.

--- a/internal/keep/change_test.go
+++ b/internal/keep/change_test.go
@@ -202,3 +202,31 @@
 	is.True(k.join("d", "d").OK)
 	is.Equal(k.askers("e", "e"), []word.Node{"d", "e"})
 }
+
+// A successor does not get a seat beside the one that it comes in place of.
+func TestSuccessor(t *testing.T) {
+	is := is.New(t)
+	s := &clk.Sim{}
+	defer s.Use()()
+	s.Move(clk.Minute)
+	c := newCoreOf(t, six)
+	k := c.ks["a1"]
+	k.Seats = 8
+	hear := func(but word.Node) {
+		for _, n := range six.Seat {
+			if n != but {
+				k.heard[n] = clk.Now()
+			}
+		}
+		k.sure, k.steady = clk.Now(), clk.Now().Add(-clk.Minute)
+	}
+	hear("")
+	s.Move(clk.Second / 2)
+	for range 6 { // b2 went half a second before it was asked
+		hear("b2")
+		is.Equal(k.beside(six, k.askers("d", "d")), []word.Node{})
+		s.Move(clk.Second / 2)
+	}
+	hear("")
+	is.Equal(k.beside(six, k.askers("d", "d")), []word.Node{"d"})
+}
--- a/internal/keep/join.go
+++ b/internal/keep/join.go
@@ -54,6 +54,7 @@
 
 type asked struct {
 	at   clk.Tick
+	from clk.Tick
 	zone word.Zone
 }
 
@@ -72,7 +73,12 @@
 func (k *Keeper) askers(j word.Node, z word.Zone) []word.Node {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.asked[j] = asked{clk.Now(), z}
+	now := clk.Now()
+	from := now
+	if a, ok := k.asked[j]; ok && now.Sub(a.at) <= askedFor {
+		from = a.from
+	}
+	k.asked[j] = asked{now, from, z}
 	var out []word.Node
 	for n, a := range sorted(k.asked) {
 		if clk.Since(a.at) > askedFor {
@@ -84,6 +90,17 @@
 	return out
 }
 
+// beside names those of the askers who may get a seat beside all others: each
+// seat was heard of since they first asked. One that comes in place of a machine
+// that went just before would else leave a seat that nobody ever asks for.
+func (k *Keeper) beside(r Roster, in []word.Node) []word.Node {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(in), func(j word.Node) bool {
+		return slices.ContainsFunc(r.Seat, func(n word.Node) bool { return n != k.Self && k.heard[n] < k.asked[j].from })
+	})
+}
+
 func (k *Keeper) join(j word.Node, z word.Zone) Msg {
 	r := k.acc.Roster()
 	if !k.acc.Voting() || !r.Has(k.Self) || !k.Sure(hereFor) {
@@ -99,7 +116,7 @@
 	}
 	_, seats := k.seeds()
 	if len(gone) == 0 {
-		in = r.Admit(in, k.zoneOf, seats)
+		in = r.Admit(k.beside(r, in), k.zoneOf, seats)
 	} else {
 		gone, in = k.instead(r, gone, in)
 	}
--- a/internal/keep/seats_test.go
+++ b/internal/keep/seats_test.go
@@ -229,6 +229,10 @@
 	a := c.ks["a1"]
 	a.Round()
 	is.True(a.Sure(hereFor))
+	for _, j := range []word.Node{"a2", "b2", "c2"} {
+		c.ks[j].Regain() // seats are given once all were heard of since
+	}
+	a.Round()
 	c.limit("a1", left)
 	for range 2 {
 		for _, j := range []word.Node{"a2", "b2", "c2"} {
