What is fed is current as of a question that its relay asked; status says who may answer

Cause: a push called itself fresh when it was made and was taken as fresh when it came, so what lay in a queue, or in a keeper that stood still between the two, made a relay current by the receiver's clock. A keeper of the own zone that refused connections was never noted as bad, and relays went round among others.

Change: a relay asks its keeper each 0.6 s; the answer comes after a round with a majority that began when the question was there, and counts as of the moment when the relay asked, once all that the keeper knew by then has been fed. A relay leaves a keeper whose last confirmation it asked for three quarters of config-apply-ms ago. Idle pushes go from each 0.5 s to each 1 s; rounds begin each 0.4 s also while a seat is silent. spoolctl status tells when a majority last confirmed each keeper, whether it may answer, its seeds, and the keepers without a seat.

--- a/cmd/spoolctl/tool.go
+++ b/cmd/spoolctl/tool.go
@@ -142,6 +142,20 @@
 	return fmt.Sprintf(", on %d of %d disks %v", len(r.Copies[k]), len(r.Roster.All()), r.Copies[k])
 }
 
+// state tells how a keeper is: whether it may answer and since when, and whom
+// it knows.
+func state(r *keep.Report) string {
+	confirmed := "by none yet"
+	if r.Confirmed >= 0 {
+		confirmed = fmt.Sprintf("%d ms ago", r.Confirmed/clk.Millisecond)
+	}
+	if !r.Roster.Has(r.Node) {
+		confirmed = "without a seat"
+	}
+	return fmt.Sprintf("keeper %s in %s: answers %v, voting %v, sure %v, confirmed %s, feed at %d, relays %d\n  roster %d %v %v, seeds %v, others %v\n",
+		r.Node, r.Zone, r.Answers, r.Voting, r.Sure, confirmed, r.Feed, len(r.Relays), r.Roster.Num, r.Roster.Seat, r.Roster.Next, r.Seeds, r.Others)
+}
+
 func (t *tool) status(ask trace.Ask, keeper word.Addr, asJSON bool, timeout clk.Span) error {
 	rs, silent, err := trace.Fleet(ask, keeper, word.Configuration, timeout)
 	if err != nil {
@@ -152,7 +166,7 @@
 	}
 	for _, r := range rs {
 		if r.Role == "keeper" {
-			fmt.Printf("keeper %s in %s: voting %v, sure %v, roster %d %v %v, feed at %d, relays %d\n", r.Node, r.Zone, r.Voting, r.Sure, r.Roster.Num, r.Roster.Seat, r.Roster.Next, r.Feed, len(r.Relays))
+			fmt.Print(state(r))
 			for _, k := range sorted(r.Owners) {
 				fmt.Printf("  %s: lease %s%s\n", k, r.Owners[word.Key(k)], copies(r, word.Key(k)))
 			}
--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -115,6 +115,9 @@
 			hub.Follow(m, push)
 			return keep.Msg{}, false
 		}
+		if m.Kind == keep.Confirm {
+			return hub.Confirm(m), true
+		}
 		if m.Kind == keep.Counts || m.Kind == keep.Fold {
 			return pools.duty.Counted(m), true
 		}
@@ -136,13 +139,14 @@
 				clk.Sleep(keep.Beat / 4)
 				continue
 			}
+			begun := clk.Now()
 			k.Round()
 			hub.Check()
 			if !k.Sure(3 * keep.Beat) {
 				clk.Sleep(keep.Beat / 4)
 				continue
 			}
-			clk.Sleep(keep.Beat)
+			clk.Sleep(max(keep.Beat-clk.Since(begun), keep.Beat/4))
 		}
 	})
 	duty := &list.Duty{Duty: keep.Duty{Keeper: k, Key: word.ListDuty, Value: hub.Value}, Read: m.List, Drain: clk.Ms(s.Bounds.DrainMs)}
@@ -185,6 +189,9 @@
 		}
 		switch {
 		case st == disk.Empty && s.Initial && seat:
+			if err := acc.First(); err != nil {
+				note.Trouble("first start not noted on disk", "err", err)
+			}
 			d.founder.Store(true)
 		case fs == nil:
 		case st != disk.Whole:
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -18,7 +18,8 @@
 )
 
 const (
-	beat         = 500 * clk.Millisecond
+	// idle is the longest pause between two messages to a follower.
+	idle         = clk.Second
 	applyDefault = 2 * clk.Second
 )
 
@@ -49,6 +50,8 @@
 	KeeperZones() map[word.Node]word.Zone
 	// SeatZones tells the zone of each seat of the roster that the keeper goes
 	// by, with its number, and Rounds whether it can ever become sure.
+	// Confirmed waits for a majority's confirmation that began after the call.
+	Confirmed(timeout clk.Span) bool
 	SeatZones() (uint64, map[word.Node]word.Zone)
 	Rounds() bool
 }
@@ -249,6 +252,22 @@
 	return out, h.num
 }
 
+const confirmTimeout = 2 * clk.Second
+
+// Confirm answers a relay that asks whether what it is fed is current: after a
+// majority's confirmation that began when the question was here, with the
+// number up to which the relay must have been fed by then.
+func (h *Hub) Confirm(m keep.Msg) keep.Msg {
+	timeout := confirmTimeout
+	if m.Left > 0 {
+		timeout = min(timeout, m.Left)
+	}
+	if !h.Status.Confirmed(timeout) {
+		return keep.Msg{Code: code.NoMajority}
+	}
+	return keep.Msg{OK: true, Life: h.Status.Life(), Num: h.Num(), Count: h.Status.Relays(), ListAge: h.Status.ListAge()}
+}
+
 // Follow feeds one relay until it is gone.
 func (h *Hub) Follow(m keep.Msg, push func(keep.Msg) error) {
 	f := &follower{has: map[word.Key]word.Place{}, name: m.From, addr: m.Addr, mark: spawn.NewMark()}
@@ -292,7 +311,7 @@
 		if out.Fresh {
 			f.num, first = out.Num, false
 		}
-		f.mark.Wait(beat)
+		f.mark.Wait(idle)
 	}
 }
 
--- a/internal/feed/hub_test.go
+++ b/internal/feed/hub_test.go
@@ -29,7 +29,8 @@
 func (s *status) SeatZones() (uint64, map[word.Node]word.Zone) {
 	return s.num, s.seats
 }
-func (s *status) Rounds() bool { return !s.seatless }
+func (s *status) Confirmed(clk.Span) bool { return s.sure }
+func (s *status) Rounds() bool            { return !s.seatless }
 
 func item(k word.Key, round, seq uint64, v string) keep.Item {
 	return keep.Item{Key: k, At: word.Place{Epoch: word.Epoch{Round: round, Node: "a"}, Seq: seq}, Val: []byte(v)}
--- a/internal/feed/tail.go
+++ b/internal/feed/tail.go
@@ -19,6 +19,10 @@
 const (
 	avoid     = 2 * clk.Second
 	firstWait = 500 * clk.Millisecond
+	// confirmPause is the pause between two questions whether the feed is
+	// current.
+	confirmPause = 600 * clk.Millisecond
+	retryPause   = 50 * clk.Millisecond
 )
 
 // Tail is the relay's end of the feed. It follows one keeper at a time and
@@ -53,10 +57,11 @@
 	if d <= 0 {
 		d = applyDefault
 	}
-	return max(d*65/100, 2*beat)
+	return max(d*3/4, 2*confirmPause)
 }
 
-// Fresh tells whether news came within d.
+// Fresh tells whether what was fed was current within d: the time counts from
+// when this relay asked, by its own clock, not from when an answer came.
 func (t *Tail) Fresh(d clk.Span) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -178,70 +183,140 @@
 	}
 }
 
+// following is how one keeper is followed. What the keeper says of itself
+// counts only as of the moment when it was asked.
+type following struct {
+	mu     sync.Mutex
+	mark   *spawn.Mark
+	begun  clk.Tick
+	fresh  clk.Tick
+	lost   bool
+	over   bool
+	asked  clk.Tick
+	answer keep.Msg
+}
+
 func (t *Tail) follow(a word.Addr) bool {
 	p := wire.NewPeer[keep.Msg](a)
 	defer p.Close()
-	k := spawn.NewMark()
-	var mu sync.Mutex
-	var last clk.Tick
-	lost, away := false, false
+	f := &following{mark: spawn.NewMark(), begun: clk.Now()}
 	t.mu.Lock()
 	m := keep.Msg{Kind: keep.Follow, From: t.Self, Life: t.life, Num: t.num, Zone: t.Zone, Addr: t.Addr}
 	t.mu.Unlock()
 	end, err := p.Stream(m, firstWait, func(m keep.Msg, ok bool) {
-		whole := true
 		if ok {
 			t.told(m)
 		}
-		if ok && m.Fresh {
-			whole = t.news(a, m)
+		whole := !ok || !m.Fresh || t.news(a, m)
+		f.mu.Lock()
+		switch {
+		case !ok || !whole:
+			f.lost = true
+		case m.Fresh && f.fresh == 0:
+			f.fresh = f.begun
+		case !m.Fresh && (f.fresh != 0 || m.Code == code.NotVoting):
+			f.lost = true
 		}
-		mu.Lock()
-		if !ok || !whole {
-			lost = true
-		} else if m.Fresh {
-			last = clk.Now()
-		} else if last != 0 || m.Code == code.NotVoting {
-			lost = true
-		}
-		mu.Unlock()
-		k.Set()
+		f.mu.Unlock()
+		t.count(f)
+		f.mark.Set()
 	})
 	if err != nil {
+		t.avoid(a)
 		return false
 	}
 	defer end()
-	begun := clk.Now()
+	defer f.end()
 	was := false
+	wait := firstWait
 	for {
-		k.Wait(min(t.stale()/2, firstWait))
-		mu.Lock()
-		gone, l := lost, last
-		mu.Unlock()
+		f.mark.Wait(wait)
+		f.mu.Lock()
+		gone, l := f.lost, f.fresh
+		f.mu.Unlock()
 		if l != 0 && !was {
 			was = true
-			if away = !t.home(a); away {
+			if !t.home(a) {
 				return true
 			}
 			note.State("following", "keeper", a)
 			t.mu.Lock()
 			t.peer = p
 			t.mu.Unlock()
+			spawn.Go(func() { t.confirm(p, f) })
 		}
-		if gone || (l == 0 && clk.Since(begun) > firstWait) || (l != 0 && clk.Since(l) > t.stale()) {
-			t.mu.Lock()
-			if t.bad == nil {
-				t.bad = map[word.Addr]clk.Tick{}
-			}
-			maps.DeleteFunc(t.bad, func(_ word.Addr, at clk.Tick) bool { return clk.Since(at) >= avoid })
-			t.bad[a] = clk.Now()
-			t.mu.Unlock()
+		if gone || (l == 0 && clk.Since(f.begun) > firstWait) || (l != 0 && clk.Since(l) > t.stale()) {
+			t.avoid(a)
 			if was {
 				note.State("keeper left", "keeper", a, "lost", gone)
 			}
 			return was
 		}
+		wait = firstWait
+		if l != 0 {
+			wait = max(clk.Until(l.Add(t.stale())), 0) + clk.Millisecond
+		}
+	}
+}
+
+func (t *Tail) avoid(a word.Addr) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.bad == nil {
+		t.bad = map[word.Addr]clk.Tick{}
+	}
+	maps.DeleteFunc(t.bad, func(_ word.Addr, at clk.Tick) bool { return clk.Since(at) >= avoid })
+	t.bad[a] = clk.Now()
+}
+
+func (f *following) end() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.over = true
+}
+
+// confirm asks the keeper again and again whether what it feeds is current,
+// until it is followed no more.
+func (t *Tail) confirm(p *wire.Peer[keep.Msg], f *following) {
+	for {
+		f.mu.Lock()
+		over := f.over
+		f.mu.Unlock()
+		if over {
+			p.Close()
+			return
+		}
+		asked := clk.Now()
+		a, err := p.Call(keep.Msg{Kind: keep.Confirm, Left: t.stale()}, t.stale())
+		f.mu.Lock()
+		switch {
+		case f.over || err != nil:
+		case a.OK:
+			f.asked, f.answer = asked, a
+		case a.Code == code.NoCall: // of the release before: its feed has to say it all
+			f.fresh = asked
+		}
+		f.mu.Unlock()
+		if err == nil && a.OK {
+			t.Heard(a.Count, a.ListAge)
+		}
+		t.count(f)
+		f.mark.Set()
+		clk.Sleep(max(clk.Until(asked.Add(confirmPause)), retryPause))
+	}
+}
+
+// count takes a confirmation in once this relay has been fed all that the
+// keeper knew at that time.
+func (t *Tail) count(f *following) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if f.asked == 0 || f.answer.Life != t.life || t.num < f.answer.Num {
+		return
 	}
+	f.fresh, t.fresh = max(f.fresh, f.asked), max(t.fresh, f.asked)
 }
 
 // Tell sends a message to the keeper that is followed, without waiting.
@@ -285,7 +360,6 @@
 	}
 	t.mu.Lock()
 	t.num = m.Num
-	t.fresh = clk.Now()
 	t.mu.Unlock()
 	t.Heard(m.Count, m.ListAge)
 	return true
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -464,9 +464,16 @@
 func TestCorruptDisk(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, 3, 0)
+	for i := range 3 { // the disk that goes bad has all three
+		f.until("the founding", func() bool { return f.keepers[i+1].Keeper.Acceptor().Voting() })
+	}
 	for e := range 3 {
 		is.Equal(f.insist(1, replace, e, doc(e+1, fmt.Sprintf("/p%d/", e))), 200)
 	}
+	f.until("the last at all disks", func() bool {
+		want := f.keepers[1].Keeper.Acceptor().Cell(word.Configuration).At
+		return f.keepers[2].Keeper.Acceptor().Cell(word.Configuration).At == want
+	})
 	f.stopKeepers(1, 2, 3)
 	p := f.dirs[2] + "/keep.log"
 	b, err := os.ReadFile(p)
--- a/internal/keep/acceptor.go
+++ b/internal/keep/acceptor.go
@@ -31,6 +31,8 @@
 	Cell   Cell
 	Roster *Roster
 	Voting bool
+	// Unvoted says that this disk was empty at the first start of the system.
+	Unvoted bool
 }
 
 func (e *entry) encode() []byte {
@@ -49,6 +51,8 @@
 	cells  map[word.Key]Cell
 	roster Roster
 	voting bool
+	// unvoted says that this disk never voted, nor one before it.
+	unvoted bool
 }
 
 const laneWait = 3 * clk.Second
@@ -79,6 +83,7 @@
 	if e.Voting {
 		a.voting = true
 	}
+	a.unvoted = (a.unvoted || e.Unvoted) && !a.voting
 }
 
 // Use tells the acceptor which store to write to.
@@ -128,6 +133,24 @@
 	return a.voting && a.st != nil
 }
 
+// First notes on an empty disk that it is one of the first start of the system:
+// until it votes, nothing of it was ever counted, whatever restarts come first.
+func (a *Acceptor) First() error {
+	if !a.lane.Take(laneWait) {
+		return code.New(code.DiskRefused, "busy")
+	}
+	defer a.lane.Give()
+	return a.write(&entry{Unvoted: true})
+}
+
+// Unvoted tells whether the disk has never voted, and is no successor of one
+// that may have.
+func (a *Acceptor) Unvoted() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.unvoted
+}
+
 // Roster is the roster that the acceptor goes by.
 func (a *Acceptor) Roster() Roster {
 	a.mu.Lock()
@@ -294,7 +317,7 @@
 
 func (a *Acceptor) records(cells map[word.Key]Cell) [][]byte {
 	r := a.Roster()
-	ps := [][]byte{(&entry{Roster: &r, Voting: a.Voting()}).encode()}
+	ps := [][]byte{(&entry{Roster: &r, Voting: a.Voting(), Unvoted: a.Unvoted()}).encode()}
 	for k, c := range sorted(cells) {
 		ps = append(ps, (&entry{Key: k, Cell: c}).encode())
 	}
--- a/internal/keep/beat.go
+++ b/internal/keep/beat.go
@@ -139,6 +139,7 @@
 	}
 	k.sure = begun
 	k.mu.Unlock()
+	k.confirmed()
 }
 
 type doubt struct {
@@ -309,6 +310,9 @@
 		}
 		return true
 	}
+	if k.acc.Unvoted() && r.Has(k.Self) {
+		return k.found(r)
+	}
 	k.mu.Lock()
 	waits := k.newcomer && r.Num != 0 && !r.Has(k.Self)
 	k.mu.Unlock()
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -73,6 +73,7 @@
 	seededAt clk.Tick
 	pulling  sync.Mutex
 	health   map[word.Node]health
+	waiters  []*spawn.Mark
 	orders   int
 	// newcomer says that this life of the keeper began before it had a seat, so
 	// that no promise of it can have been lost.
--- a/internal/keep/msg.go
+++ b/internal/keep/msg.go
@@ -29,6 +29,7 @@
 	Counts
 	Fold
 	Gossip
+	Confirm
 )
 
 // Mark is what one keeper has of one key.
@@ -109,6 +110,16 @@
 	Zone   word.Zone
 	Voting bool
 	Sure   bool
+	// Confirmed is how long ago the round began with which a majority last
+	// confirmed this keeper; negative if none has.
+	Confirmed clk.Span
+	// Answers tells whether orders are answered here: by the keeper itself, or by
+	// a seat that it hands them to.
+	Answers bool
+	// Seeds are the keepers that the settings name now, and Others those without
+	// a seat that this one exchanges rosters with.
+	Seeds  []word.Node
+	Others []word.Node
 	Roster Roster
 	Owners map[word.Key]word.Place
 	// Copies are the seats that have the newest value of each key on their disks.
--- a/internal/keep/seats_test.go
+++ b/internal/keep/seats_test.go
@@ -91,6 +91,36 @@
 	is.True(!d.Acceptor().Voting())
 }
 
+// A founder that is restarted before it has founded is no lost disk, though
+// another one is; one whose disk was lost is.
+func TestFounderRestarted(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		is := is.New(t)
+		c := &core{n: &net{ks: map[word.Node]*Keeper{}, cut: map[[2]word.Node]bool{}}, ks: map[word.Node]*Keeper{}, st: map[word.Node]*shelf{}, si: map[word.Node]*sink{}}
+		for _, n := range three.Seat {
+			is.NoErr(c.add(n, three.Seat).Acceptor().First())
+		}
+		is.True(c.ks["a"].Begin())
+		is.True(c.ks["b"].Begin())
+		is.True(!c.ks["a"].Acceptor().Unvoted()) // founded
+		is.True(c.put("a", 0, "1").OK)
+		c.add("b", three.Seat) // its disk is lost
+		if lost {
+			c.st["c"] = &shelf{}
+		}
+		k := c.start("c", three.Seat)
+		is.Equal(k.Acceptor().Unvoted(), !lost)
+		is.NoErr(k.Acceptor().Rewrite())
+		k = c.start("c", three.Seat)
+		k.Round() // hears of the roster
+		is.Equal(k.Regain(), !lost)
+		is.Equal(c.ks["b"].Regain(), !lost)
+		v, ok := c.get("c")
+		is.Equal(ok, !lost)
+		is.True(lost || v == "1")
+	}
+}
+
 // A keeper without a disk carries orders to those that have one, and is never
 // counted.
 func TestWithoutDisk(t *testing.T) {
--- a/internal/keep/trail.go
+++ b/internal/keep/trail.go
@@ -1,6 +1,8 @@
 package keep
 
 import (
+	"slices"
+
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/word"
 )
@@ -59,5 +61,18 @@
 	for n, at := range k.Sink.Known() {
 		r.Owners[n] = at
 	}
+	r.Answers = !k.Cut() && (r.Voting || !k.Rounds() && r.Roster.Num > 0)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	r.Confirmed = -1
+	if k.sure != 0 {
+		r.Confirmed = clk.Since(k.sure)
+	}
+	r.Seeds = slices.Clone(k.Founders)
+	for _, n := range slices.Concat(k.Founders, k.callers) {
+		if n != k.Self && !r.Roster.Has(n) && !slices.Contains(r.Others, n) {
+			r.Others = append(r.Others, n)
+		}
+	}
 	return r
 }
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -90,7 +91,7 @@
 		done.Wait(2 * timeout)
 	}
 	keepers, relays := map[string]word.Addr{}, map[string]word.Addr{}
-	for _, n := range r.Roster.All() {
+	for _, n := range slices.Concat(r.Roster.All(), r.Others) {
 		if n != r.Node {
 			keepers[string(n)] = word.Addr(n)
 		}
