A replica's machine that acknowledges nothing is given up after 0.5 s, not 1 s

Cause: a request sent on a resting connection to a machine without power was given up after a second, past the aim of 800 ms: repeatable requests were served late, and the price of what is held untried fell due. Change: TCP_USER_TIMEOUT towards replicas is 500 ms. It is the machine's silence that ends the wait, never the replica's.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -21,7 +21,7 @@
 	readSize    = 4096
 	idleDefault = 4 * clk.Second
 	idleMargin  = 500 * clk.Millisecond
-	alive       = clk.Second
+	unheard     = 500 * clk.Millisecond
 	strangers   = 2
 )
 
@@ -57,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	wire.Tune(c, alive)
+	wire.Tune(c, unheard)
 	k := &Conn{c: c, br: bufio.NewReaderSize(c, readSize)}
 	if t, ok := c.(*net.TCPConn); ok {
 		k.rc, _ = t.SyscallConn()
