Judges: no majority of seats without the newest configuration; messages bounded

Cause: a value may be lost long before anybody reads it back. Change: at each look the disks of all keepers, up or down, are held against the newest roster: no majority of its seats could be without the newest acknowledged configuration. Messages are bounded as threads are. The guard of forwarding is switched off whole.

--- a/internal/keep/found.go
+++ b/internal/keep/found.go
@@ -65,6 +65,10 @@
 // was asked least lately before the others.
 func (k *Keeper) seatsNear() []word.Node {
 	out := slices.DeleteFunc(k.acc.Roster().All(), func(n word.Node) bool { return n == k.Self })
+	if len(out) == 0 && guards.Off(guards.Hops) {
+		out, _ = k.seeds()
+		out = slices.DeleteFunc(slices.Clone(out), func(n word.Node) bool { return n == k.Self })
+	}
 	k.mu.Lock()
 	last := k.last
 	k.mu.Unlock()
@@ -99,7 +103,7 @@
 // forward hands an order to a seat, which hands it to nobody without one. A
 // keeper that knows no seat refuses it.
 func (k *Keeper) forward(key word.Key, o *Order, deadline clk.Tick) Msg {
-	if k.acc.Roster().Num == 0 && !k.pull() {
+	if k.acc.Roster().Num == 0 && !guards.Off(guards.Hops) && !k.pull() {
 		return Msg{Code: code.NotVoting, Text: "no seat is known here"}
 	}
 	tried := map[word.Node]bool{}
@@ -132,7 +136,7 @@
 func (k *Keeper) admit() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.orders >= OrdersMost {
+	if k.orders >= OrdersMost && !guards.Off(guards.Hops) {
 		return false
 	}
 	k.orders++
--- a/internal/sim/day.go
+++ b/internal/sim/day.go
@@ -76,6 +76,8 @@
 	slow    []span
 	judged  map[string]bool
 	touched map[int][]clk.Span
+	roster  keep.Roster
+	before  int64
 	resting []*pursuit
 }
 
@@ -97,6 +99,10 @@
 	born  clk.Span
 	seeds []int
 	gone  bool
+	// stopping says that it was told to end.
+	stopping bool
+	// has is what its disk is known to hold, while it does not run.
+	has holding
 }
 
 type relay struct {
@@ -195,7 +201,7 @@
 	}
 	spawn.Go(func() {
 		for {
-			clk.Sleep(200 * clk.Millisecond)
+			clk.Sleep(watchEach)
 			d.watch()
 		}
 	})
@@ -254,6 +260,7 @@
 		m.seeds = slices.Clone(d.seeds)
 	}
 	m.lives++
+	m.stopping = false
 	m.born = d.w.Time()
 	p := d.w.Process(fmt.Sprintf("k%d.%d", m.slot, m.lives))
 	p.PPM = spawn.Int64N(401) - 200
@@ -429,6 +436,7 @@
 	if m.proc == nil {
 		return
 	}
+	d.holds(m)
 	m.host.kill()
 	m.proc.Kill()
 	m.d = nil
@@ -438,6 +446,10 @@
 	if m.proc == nil {
 		return
 	}
+	d.holds(m)
+	if m.disk == nil {
+		m.has = holding{}
+	}
 	m.host.off()
 	m.proc.Kill()
 	m.d = nil
@@ -512,6 +524,7 @@
 			d.power(m)
 			if f.Kind == "wipe" && m.disk != nil {
 				m.disk.Wipe()
+				m.has = holding{}
 			}
 		}
 		clk.Sleep(f.For)
@@ -522,7 +535,7 @@
 	case "replace":
 		for _, m := range ms {
 			d.power(m)
-			m.gone = true
+			m.gone, m.has = true, holding{}
 		}
 		clk.Sleep(f.For)
 		for _, m := range ms {
@@ -533,7 +546,7 @@
 		clk.Sleep(clk.Second)
 		for _, m := range ms {
 			d.kill(m)
-			m.gone = true
+			m.gone, m.has = true, holding{}
 		}
 		clk.Sleep(f.For)
 		d.event()
@@ -556,6 +569,7 @@
 			d.power(m)
 			if slices.Contains(f.Wiped, m.slot) && m.disk != nil {
 				m.disk.Wipe()
+				m.has = holding{}
 			}
 		}
 		clk.Sleep(f.For)
@@ -690,6 +704,8 @@
 
 func (d *day) stop(ms []*machine) {
 	for _, m := range ms {
+		d.holds(m)
+		m.stopping = true
 		if k := m.d; k != nil {
 			m.proc.Go(k.Stop)
 		}
--- a/internal/sim/judge.go
+++ b/internal/sim/judge.go
@@ -10,6 +10,7 @@
 	"github.com/anishathalye/porcupine"
 
 	"spoolswitch/internal/clk"
+	"spoolswitch/internal/conf"
 	"spoolswitch/internal/keep"
 	"spoolswitch/internal/word"
 )
@@ -25,8 +26,9 @@
 		{"answers", "a settled core acknowledges a proper order in bound"},
 		{"found", "relays find a keeper again in bound"},
 		{"copies", "at rest every keeper with a seat has every standing value on its disk"},
+		{"kept", "at each moment no majority of the seats could be without the newest acknowledged configuration"},
 		{"seats", "at rest no change of seats is half done, and all go by one roster"},
-		{"bounded", "threads and connections stay bounded"},
+		{"bounded", "threads, connections and messages stay bounded"},
 		{"alive", "no keeper panics, stands still or does not start"},
 		{"explored", "something was acknowledged and some trouble struck"},
 	}
@@ -37,6 +39,8 @@
 	stepsMost   = 4_000_000
 	endsMost    = 4000
 	lateFor     = 2 * clk.Second
+	watchEach   = 200 * clk.Millisecond
+	chunksMost  = 2000
 )
 
 // watch judges what may be judged while the day goes on.
@@ -49,6 +53,11 @@
 			d.w.Stop()
 		}
 	}
+	if n := d.net.chunks - d.before; n > chunksMost {
+		d.broke("bounded", fmt.Sprintf("%d messages in %v", n, watchEach))
+	}
+	d.before = d.net.chunks
+	d.kept()
 	if len(d.net.ends) > endsMost {
 		d.broke("bounded", fmt.Sprint(len(d.net.ends), " ends of connections"))
 	}
@@ -76,6 +85,59 @@
 	}
 }
 
+// holding is what the disk of a keeper is known to hold.
+type holding struct {
+	votes   bool
+	at      word.Place
+	version word.Version
+}
+
+// holds notes what the disk of a keeper that runs holds.
+func (d *day) holds(m *machine) {
+	if m.d == nil {
+		return
+	}
+	a := m.d.Keeper.Acceptor()
+	c := a.Cell(word.Configuration)
+	if r := a.Roster(); r.Num > d.roster.Num {
+		d.roster = r
+	}
+	if !a.Ready() {
+		return
+	}
+	m.has.votes = a.Voting() || m.has.votes && m.stopping
+	if c.At == m.has.at {
+		return
+	}
+	s, err := conf.Decode(c.Val)
+	if err != nil {
+		d.broke("kept", err.Error())
+		return
+	}
+	m.has.at, m.has.version = c.At, s.Version
+}
+
+func (d *day) kept() {
+	for _, m := range d.slots {
+		d.holds(m)
+	}
+	var need word.Version
+	for _, a := range d.acked {
+		need = max(need, a.v)
+	}
+	without := func(n word.Node) bool {
+		for _, m := range d.slots {
+			if word.Node(m.inner()) == n {
+				return m.has.votes && m.has.version < need
+			}
+		}
+		return false
+	}
+	if need > 0 && d.roster.Majority(without) {
+		d.broke("kept", fmt.Sprintf("version %d was acknowledged, and a majority of roster %d has it on no disk", need, d.roster.Num))
+	}
+}
+
 func (d *day) fresh(r *relay) bool {
 	ok := false
 	r.proc.As(func() { ok = r.tail.Fresh(contact) })
