A value is told by its place to those that have it on disk

Cause: the memory of changes grew from 18 to 34 bytes each, and the owner sent each value twice to every seat: to be accepted, and again once it stood.

Change: seats whose acceptance was counted are told the place only, and take their own disk's value; one that has another place there takes nothing and finds it in its round. Seen to fail without the comparison of places: TestToldOfPlace. internal/keep passed whole.

--- a/internal/keep/beat.go
+++ b/internal/keep/beat.go
@@ -28,6 +28,13 @@
 }
 
 func (k *Keeper) learnFrom(m Msg) {
+	if m.Held {
+		c := k.acc.Cell(m.Key)
+		if c.At != m.At {
+			return
+		}
+		m.Val = c.Val
+	}
 	if m.Key == word.List {
 		k.mu.Lock()
 		k.listAt = clk.Now()
--- a/internal/keep/lease.go
+++ b/internal/keep/lease.go
@@ -95,7 +95,16 @@
 		}
 	}
 	k.learn(key, at, val)
-	k.tell(Msg{Kind: Learn, Key: key, At: at, Val: val})
+	var synced, rest []word.Node
+	for _, n := range k.peers() {
+		if got[n].OK {
+			synced = append(synced, n)
+		} else {
+			rest = append(rest, n)
+		}
+	}
+	k.askAllLater(synced, Msg{Kind: Learn, From: k.Self, Key: key, At: at, Held: true})
+	k.askAllLater(rest, Msg{Kind: Learn, From: k.Self, Key: key, At: at, Val: val})
 	return true
 }
 
--- a/internal/keep/msg.go
+++ b/internal/keep/msg.go
@@ -81,6 +81,8 @@
 	Code   code.Code
 	Text   string
 	Order  *Order
+	// Held says that the receiver has the value on its disk, and gets no other.
+	Held bool
 	// Left is how long the sender waits, from the sending on.
 	Left  clk.Span
 	Marks map[word.Key]Mark
--- a/internal/keep/repair_test.go
+++ b/internal/keep/repair_test.go
@@ -88,3 +88,30 @@
 	is.True(ok)
 	is.Equal(v, "22")
 }
+
+// A seat that is told of a place only takes its own disk's value, and nothing if
+// it has another place there.
+func TestToldOfPlace(t *testing.T) {
+	is := is.New(t)
+	c := newCore(t)
+	is.True(c.put("a", 0, "1").OK)
+	is.True(c.copied(kk, 3))
+	k := c.ks["c"]
+	at := k.Acceptor().Cell(kk).At
+	for _, n := range three.Seat {
+		for try := 0; ; try++ {
+			is.True(try < 2000)
+			if v, p := c.si[n].Value(kk); p == at {
+				is.Equal(string(v), "1")
+				break
+			}
+			c.ks[n].Round()
+		}
+	}
+	later := at
+	later.Seq++
+	k.Handle(Msg{Kind: Learn, From: "a", Key: kk, At: later, Held: true})
+	v, p := c.si["c"].Value(kk)
+	is.Equal(string(v), "1")
+	is.Equal(p, at)
+}
