--- a/internal/keep/acceptor.go
+++ b/internal/keep/acceptor.go
@@ -8,6 +8,7 @@
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
 	"spoolswitch/internal/disk"
+	"spoolswitch/internal/guards"
 	"spoolswitch/internal/spawn"
 	"spoolswitch/internal/word"
 )
@@ -31,6 +32,8 @@
 	Cell   Cell
 	Roster *Roster
 	Voting bool
+	// Unvoted says that this disk was empty at the first start of the system.
+	Unvoted bool
 }
 
 func (e *entry) encode() []byte {
@@ -49,6 +52,8 @@
 	cells  map[word.Key]Cell
 	roster Roster
 	voting bool
+	// unvoted says that this disk never voted, nor one before it.
+	unvoted bool
 }
 
 const laneWait = 3 * clk.Second
@@ -79,6 +84,7 @@
 	if e.Voting {
 		a.voting = true
 	}
+	a.unvoted = (a.unvoted || e.Unvoted) && !a.voting
 }
 
 // Use tells the acceptor which store to write to.
@@ -128,6 +134,24 @@
 	return a.voting && a.st != nil
 }
 
+// First notes on an empty disk that it is one of the first start of the system:
+// until it votes, nothing of it was ever counted, whatever restarts come first.
+func (a *Acceptor) First() error {
+	if !a.lane.Take(laneWait) {
+		return code.New(code.DiskRefused, "busy")
+	}
+	defer a.lane.Give()
+	return a.write(&entry{Unvoted: true})
+}
+
+// Unvoted tells whether the disk has never voted, and is no successor of one
+// that may have.
+func (a *Acceptor) Unvoted() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.unvoted
+}
+
 // Roster is the roster that the acceptor goes by.
 func (a *Acceptor) Roster() Roster {
 	a.mu.Lock()
@@ -210,7 +234,12 @@
 
 const floorKey word.Key = "floor"
 
-func (a *Acceptor) floor() word.Epoch { return a.Cell(floorKey).Promised }
+func (a *Acceptor) floor() word.Epoch {
+	if guards.Off(guards.Floor) {
+		return word.Epoch{}
+	}
+	return a.Cell(floorKey).Promised
+}
 
 // Raise makes the acceptor take nothing of an epoch before e, of any key.
 func (a *Acceptor) Raise(e word.Epoch) error {
@@ -224,6 +253,14 @@
 	return a.write(&entry{Key: floorKey, Cell: Cell{Promised: e}})
 }
 
+func (a *Acceptor) outdated(r Roster) bool {
+	return r.Num < a.Roster().Num && !guards.Off(guards.Roster)
+}
+
+func (a *Acceptor) earlier(e, promised word.Epoch) bool {
+	return e.Less(promised) && !guards.Off(guards.Epoch) || e.Less(a.floor())
+}
+
 // Vote asks for a promise to take nothing of an epoch before e.
 func (a *Acceptor) Vote(k word.Key, e word.Epoch, r Roster) Msg {
 	if !a.lane.Take(laneWait) {
@@ -234,7 +271,7 @@
 		return Msg{Code: code.NotVoting, Roster: a.Roster()}
 	}
 	c := a.Cell(k)
-	if r.Num < a.Roster().Num || e.Less(c.Promised) || e.Less(a.floor()) {
+	if a.outdated(r) || a.earlier(e, c.Promised) {
 		return a.result(k, false, code.NoMajority)
 	}
 	if c.Promised == e {
@@ -257,7 +294,7 @@
 		return Msg{Code: code.NotVoting, Roster: a.Roster()}
 	}
 	c := a.Cell(k)
-	if r.Num < a.Roster().Num || at.Epoch.Less(c.Promised) || at.Epoch.Less(a.floor()) || at.Less(c.At) {
+	if a.outdated(r) || a.earlier(at.Epoch, c.Promised) || at.Less(c.At) {
 		return a.result(k, false, code.NoMajority)
 	}
 	if c.At == at {
@@ -275,7 +312,7 @@
 	if !a.Voting() {
 		return Msg{Code: code.NotVoting, Roster: a.Roster()}
 	}
-	if r.Num < a.Roster().Num || a.Cell(k).Promised != e || e.Less(a.floor()) {
+	if a.outdated(r) || a.Cell(k).Promised != e || e.Less(a.floor()) {
 		return a.result(k, false, code.NoMajority)
 	}
 	return Msg{OK: true, Key: k}
@@ -294,7 +331,7 @@
 
 func (a *Acceptor) records(cells map[word.Key]Cell) [][]byte {
 	r := a.Roster()
-	ps := [][]byte{(&entry{Roster: &r, Voting: a.Voting()}).encode()}
+	ps := [][]byte{(&entry{Roster: &r, Voting: a.Voting(), Unvoted: a.Unvoted()}).encode()}
 	for k, c := range sorted(cells) {
 		ps = append(ps, (&entry{Key: k, Cell: c}).encode())
 	}
