--- a/cmd/spoolsim/hunt.go
+++ b/cmd/spoolsim/hunt.go
@@ -166,8 +166,8 @@
 		}
 		fmt.Println()
 	}
-	if len(o.Broken) > 0 || len(o.Differ) > 0 {
-		return exitBroken
+	if n := len(o.Broken) + len(o.Differ); n > 0 {
+		return broken(n)
 	}
 	return 0
 }
--- a/cmd/spoolsim/main.go
+++ b/cmd/spoolsim/main.go
@@ -47,6 +47,7 @@
 	shrinkSeed  = shrink.Arg("seed", "The seed.").Uint64()
 	shrinkPoint = shrink.Flag("point", "The mix of faults.").Default("0").Int()
 	shrinkPlan  = shrink.Flag("plan", "Make the plan in this file smaller.").String()
+	shrinkOff   = shrink.Flag("without", "Switch this guard off.").String()
 	shrinkMost  = shrink.Flag("days", "How many days to play at most.").Default("400").Int()
 	shrinkPut   = shrink.Flag("write-plan", "Write the plan to this file.").String()
 
@@ -143,6 +144,11 @@
 	}
 }
 
+func broken(n int) int {
+	fmt.Fprintln(os.Stderr, "spoolsim:", code.New(code.SimBroken, "%d", n))
+	return exitBroken
+}
+
 func runReplay() int {
 	p := plan(*replaySeed, *replayPoint, *replayPlan)
 	if *replayOff != "" {
@@ -161,7 +167,7 @@
 	r := sim.Play(p, log)
 	show(r)
 	if len(r.Broken) > 0 {
-		return exitBroken
+		return broken(1)
 	}
 	return 0
 }
--- a/cmd/spoolsim/shrink.go
+++ b/cmd/spoolsim/shrink.go
@@ -12,6 +12,9 @@
 
 func runShrink() int {
 	p := plan(*shrinkSeed, *shrinkPoint, *shrinkPlan)
+	if *shrinkOff != "" {
+		p.Without = missed(*shrinkOff).Guard
+	}
 	faults, orders := len(p.Faults), len(p.Orders)
 	p, r, played := sim.Shrink(p, *shrinkMost)
 	if *shrinkPut != "" {
@@ -28,7 +31,7 @@
 		}
 	}
 	if len(r.Broken) > 0 {
-		return exitBroken
+		return broken(1)
 	}
 	return 0
 }
