--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -41,7 +41,7 @@
 	// nothing is acknowledged for a while.
 	Patient bool
 
-	chunks, bytes int64
+	chunks, bytes, sent int64
 }
 
 type host struct {
@@ -193,6 +193,7 @@
 	}
 	c.at = max(last, e.n.w.Time()+e.n.delay(e.h, e.to.h))
 	e.q = append(e.q, c)
+	e.n.sent++
 	e.flying += len(c.b)
 	if !e.pumping && !e.stalled {
 		e.pumping = true
