--- a/internal/keep/change_test.go
+++ b/internal/keep/change_test.go
@@ -230,3 +230,30 @@
 	hear("")
 	is.Equal(k.beside(six, k.askers("d", "d")), []word.Node{"d"})
 }
+
+// Of two successors that start together none gets a seat a change before the other.
+func TestSuccessorsTogether(t *testing.T) {
+	is := is.New(t)
+	s := &clk.Sim{}
+	defer s.Use()()
+	s.Move(clk.Minute)
+	c := newCoreOf(t, six)
+	k := c.ks["a1"]
+	for _, n := range append(slices.Clone(six.Seat), "b3", "c3") {
+		k.others[n] = first(n)
+		k.heard[n] = clk.Now()
+	}
+	k.heard["b2"], k.heard["c1"] = clk.Now().Add(-4*clk.Second), clk.Now().Add(-4*clk.Second)
+	k.sure, k.steady = clk.Now(), 1
+	is.True(k.join("b3", "b").OK)
+	is.Equal(len(k.acc.Roster().Next), 0)
+	is.True(k.seating.TryLock()) // no change began
+	k.seating.Unlock()
+	is.True(!k.soon(nil))
+	is.True(k.soon([]word.Node{"b3"}))
+	out, in := k.instead(six, []word.Node{"b2", "c1"}, k.askers("c3", "c"))
+	is.Equal(len(out), 2)
+	is.Equal(in, []word.Node{"b3", "c3"})
+	s.Move(hereFor)
+	is.True(!k.soon(in)) // nor is one waited for that does not come
+}
--- a/internal/keep/join.go
+++ b/internal/keep/join.go
@@ -101,6 +101,14 @@
 	})
 }
 
+// soon tells whether one of the askers began to ask just now, so that others who
+// were started with it may be about to.
+func (k *Keeper) soon(in []word.Node) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.ContainsFunc(in, func(j word.Node) bool { return clk.Since(k.asked[j].from) < hereFor })
+}
+
 func (k *Keeper) join(j word.Node, z word.Zone) Msg {
 	r := k.acc.Roster()
 	if !k.acc.Voting() || !r.Has(k.Self) || !k.Sure(hereFor) {
@@ -118,7 +126,10 @@
 	if len(gone) == 0 {
 		in = r.Admit(k.beside(r, in), k.zoneOf, seats)
 	} else {
-		gone, in = k.instead(r, gone, in)
+		all := len(gone)
+		if gone, in = k.instead(r, gone, in); len(in) < all && k.soon(in) {
+			return Msg{OK: true}
+		}
 	}
 	if len(in) == 0 {
 		return Msg{OK: true}
