Guards can be switched off together; what is on its way outlives its sender

Cause: a guard that another covers is missed only with that one off as well, and bytes that are under way do not know that their sender lost power.

--- a/internal/guards/guards.go
+++ b/internal/guards/guards.go
@@ -3,7 +3,11 @@
 // switches.
 package guards
 
-import "sync/atomic"
+import (
+	"slices"
+	"strings"
+	"sync/atomic"
+)
 
 // Guard is something that keeps one kind of fault away.
 type Guard string
@@ -41,16 +45,17 @@
 	Hops Guard = "hops"
 )
 
-var off atomic.Pointer[Guard]
+var off atomic.Pointer[[]string]
 
 // Off tells whether a guard is switched off.
 func Off(g Guard) bool {
 	p := off.Load()
-	return p != nil && *p == g
+	return p != nil && slices.Contains(*p, string(g))
 }
 
-// Without switches a guard off and returns the way back.
+// Without switches a guard off, or several joined by +, and returns the way back.
 func Without(g Guard) func() {
-	off.Store(&g)
+	gs := strings.Split(string(g), "+")
+	off.Store(&gs)
 	return func() { off.Store(nil) }
 }
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -206,6 +206,10 @@
 	e.pumping = false
 	for len(e.q) > 0 {
 		if !e.n.through(e.h, e.to.h) {
+			if e.boot != e.h.boots {
+				e.q = nil // nobody is left to send it again
+				return
+			}
 			e.stalled = true
 			e.doubt()
 			return
@@ -219,7 +223,7 @@
 		e.q = e.q[1:]
 		e.flying -= len(c.b)
 		e.to.take(c)
-		if e.err != nil || e.boot != e.h.boots {
+		if e.err != nil {
 			e.q = nil
 			return
 		}
@@ -461,8 +465,7 @@
 	h.boots++
 	for _, e := range h.n.ends {
 		if e.h == h {
-			e.q = nil
-			e.rmark.Set()
+			e.rmark.Set() // what is on its way goes on
 		}
 	}
 	h.open = map[word.Addr]*listener{}
