A replica's word that it is full counts for 0.25 s, not 1.5 s

Cause: requests were refused though places had been free for long: of many relays each hears of a replica seldom, and took its last word, full, for 1.5 s. Change: an older word than 0.25 s still orders the replicas, but refuses nobody; what this relay itself holds there counts at all times. Seen failing before: pick.TestFullIsSoonOld.

--- a/internal/pick/choose_test.go
+++ b/internal/pick/choose_test.go
@@ -372,3 +372,32 @@
 	is.True(f.reps["i-4"].isCold(clk.Now()))
 	is.Equal(len(f.services["s"]), 3)
 }
+
+// What a replica told of its load orders it among others for a while, but that it
+// is full refuses requests only as long as the word is fresh.
+func TestFullIsSoonOld(t *testing.T) {
+	is := is.New(t)
+	f, sim := fleet(t, 2)
+	for _, r := range f.services["s"] {
+		f.Told(r, "100,4,100")
+	}
+	_, err := f.Choose(&Ask{Service: "s"})
+	is.True(err != nil)
+	sim.Move(300 * clk.Millisecond)
+	var held []*Rep
+	for range 8 {
+		r, err := f.Choose(&Ask{Service: "s"})
+		is.NoErr(err)
+		held = append(held, r)
+	}
+	is.True(held[0].press(clk.Now()) >= 100+4) // the word still orders
+	sim.Move(clk.Second)
+	for { // what is held here is known at all times
+		if _, err := f.Choose(&Ask{Service: "s"}); err != nil {
+			break
+		}
+		is.True(len(held) <= 2*100)
+		held = append(held, nil)
+	}
+	is.Equal(len(held), 2*100)
+}
--- a/internal/pick/rep.go
+++ b/internal/pick/rep.go
@@ -42,6 +42,9 @@
 
 const (
 	loadFresh = 1500 * clk.Millisecond
+	// a place is given back within a few requests' time; a word older than that
+	// orders replicas, but refuses nobody
+	fullFresh = 250 * clk.Millisecond
 	downFirst = 400 * clk.Millisecond
 	downMost  = 3 * clk.Second
 	coldSpan  = clk.Second + 60*clk.Millisecond
@@ -59,6 +62,9 @@
 	if slots <= 0 {
 		slots = 1 << 20
 	}
+	if r.loadAt != 0 && now.Sub(r.loadAt) > fullFresh {
+		return r.running >= slots
+	}
 	return r.press(now) >= slots
 }
 
