Orders in hand are bounded by number and bytes; a list read across a pause is not told

Cause: 256 connections may each have held a body of 16 MB before anything was decided, at a daemon of 244 MB. A reading of the list that its process stood still in was told as if it were of now, and its age counted from its end.

A reading that outlasts the keeper's confirmation or drain-ms is dropped; ages count from the beginning of a reading; a list told late that is no news makes nobody's age younger.

--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -123,7 +123,7 @@
 		}
 		return k.Handle(m), true
 	})
-	d.srv = &Server{Keeper: k, Zones: s.Zones}
+	d.srv = &Server{Keeper: k, Zones: s.Zones, room: room{most: s.Limits.MemoryMB << 20 / 8}}
 	m.Serve(d.srv, lc)
 	spawn.Go(func() {
 		for !d.over.Load() {
--- a/internal/ctl/server.go
+++ b/internal/ctl/server.go
@@ -21,7 +21,6 @@
 )
 
 const (
-	bodyMost  = 16 << 20
 	opTimeout = 850 * clk.Millisecond
 	// cutTimeout is how long an order is tried where no majority is seen: its
 	// client is to go on to another daemon soon.
@@ -37,6 +36,7 @@
 	Zones  map[string]string
 	mu     sync.Mutex
 	srv    *fasthttp.Server
+	room   room
 }
 
 var calls = new(match.Tree[call]).
@@ -70,7 +70,7 @@
 	s.srv = &fasthttp.Server{
 		Handler: s.handle, MaxRequestBodySize: bodyMost, ReadTimeout: 10 * clk.Second, IdleTimeout: 30 * clk.Second,
 		NoDefaultServerHeader: true, NoDefaultDate: true, ReadBufferSize: 16 << 10, Concurrency: 256,
-		CloseOnShutdown: true, Logger: quiet{},
+		StreamRequestBody: true, DisablePreParseMultipartForm: true, CloseOnShutdown: true, Logger: quiet{},
 	}
 	spawn.Go(func() { _ = s.srv.Serve(l) })
 }
@@ -133,10 +133,21 @@
 	if err != nil || b < 0 {
 		return response.Of(code.BadFields, "Base-Version is missing or no number")
 	}
-	if err := conf.Legible(x.PostBody()); err != nil {
+	n := length(x)
+	if n > bodyMost {
+		return response.Of(code.BodyTooLarge, "").Last()
+	}
+	if !s.room.take(n) {
+		return response.Of(code.QueueFull, "too many orders in hand").Later(comeAgain).Last()
+	}
+	defer s.room.give(n)
+	o := &keep.Order{Modify: modify, Base: word.Version(b)}
+	if o.Body, err = body(x); err != nil {
+		return response.Of(code.Of(err), err.Error()).Last()
+	}
+	if err := conf.Legible(o.Body); err != nil {
 		return response.Of(code.Of(err), err.Error())
 	}
-	o := &keep.Order{Modify: modify, Base: word.Version(b), Body: bytes.Clone(x.PostBody())}
 	return s.order(x, word.Configuration, o)
 }
 
--- a/internal/keep/beat.go
+++ b/internal/keep/beat.go
@@ -28,7 +28,7 @@
 }
 
 func (k *Keeper) learnFrom(m Msg) {
-	if m.Key == word.List {
+	if _, at := k.Sink.Value(word.List); m.Key == word.List && at.Less(m.At) {
 		k.mu.Lock()
 		k.listAt = clk.Now()
 		k.mu.Unlock()
@@ -36,11 +36,11 @@
 	k.learn(m.Key, m.At, m.Val)
 }
 
-// ListSeen says that the list was read just now.
-func (k *Keeper) ListSeen() {
+// ListSeen says that a reading of the list was begun at a time.
+func (k *Keeper) ListSeen(at clk.Tick) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.listAt = clk.Now()
+	k.listAt = max(k.listAt, at)
 }
 
 // ListAge is how long ago the list was last read, as far as is known here.
--- a/internal/list/duty.go
+++ b/internal/list/duty.go
@@ -73,24 +73,29 @@
 	if d.done != 0 && clk.Since(d.done) < d.pause()-Glance/2 {
 		return
 	}
-	d.done = clk.Now()
+	now := clk.Now()
+	d.done = now
 	rs, err := d.Read()
 	if err != nil {
 		note.Counter("list.failed").Add(1)
 		if d.fails++; d.fails <= patience {
-			k.ListSeen()
+			k.ListSeen(now)
 		}
 		return
 	}
 	d.fails = 0
-	now := clk.Now()
+	// a reading that this process stood still in tells of a list that is gone by
+	if !k.Sure(d.gone()) || clk.Since(now) > d.drain() {
+		note.Counter("list.overtaken").Add(1)
+		return
+	}
 	if d.seq > 0 && same(d.last, rs, now.Sub(d.at)) {
-		k.ListSeen()
+		k.ListSeen(now)
 		return
 	}
 	d.seq++
 	d.last, d.at = rs, now
-	k.ListSeen()
+	k.ListSeen(now)
 	k.Share(word.List, word.Place{Epoch: d.epoch, Seq: d.seq}, Encode(rs))
 }
 
--- a/internal/list/duty_test.go
+++ b/internal/list/duty_test.go
@@ -76,6 +76,38 @@
 	is.Equal(reads, n)
 }
 
+// A list that was read before its reader stood still is not told as if it were
+// read now, and its age counts from when the reading began.
+func TestReadBeforePause(t *testing.T) {
+	is := is.New(t)
+	d, w, sim := newDuty(t)
+	d.Read = func() ([]Replica, error) { return []Replica{{ID: "i-1", State: "in_service"}}, nil }
+	for range 3 {
+		sim.Move(clk.Second)
+		d.Keeper.Round()
+		d.Step()
+	}
+	was := w.items[word.List].At
+	is.True(!was.Zero())
+	d.Read = func() ([]Replica, error) {
+		sim.Move(4 * clk.Second)
+		return []Replica{{ID: "i-2", State: "in_service"}}, nil
+	}
+	sim.Move(clk.Second)
+	d.Keeper.Round()
+	d.Step()
+	is.Equal(w.items[word.List].At, was)
+	is.True(d.Keeper.ListAge() > 4*clk.Second)
+	d.Read = func() ([]Replica, error) {
+		sim.Move(400 * clk.Millisecond)
+		return []Replica{{ID: "i-2", State: "in_service"}}, nil
+	}
+	d.Keeper.Round()
+	d.Step()
+	is.True(was.Less(w.items[word.List].At))
+	is.Equal(d.Keeper.ListAge(), 400*clk.Millisecond)
+}
+
 // A platform that is down does not make the duty go round.
 func TestPlatformDown(t *testing.T) {
 	is := is.New(t)
