--- a/internal/ctl/server_test.go
+++ b/internal/ctl/server_test.go
@@ -11,6 +11,7 @@
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/feed"
 	"spoolswitch/internal/keep"
+	"spoolswitch/internal/spawn"
 	"spoolswitch/internal/wire"
 	"spoolswitch/internal/word"
 )
@@ -58,6 +59,12 @@
 // Without a majority nothing is answered that hangs on the state, good or bad,
 // and soon; what hangs on the text alone is answered at once.
 func TestCutSide(t *testing.T) {
+	w := spawn.NewWorld(1)
+	w.Died = func(_ *spawn.Process, what any, stack string) { t.Error(what, stack) }
+	w.Run(func() { cutSide(t) })
+}
+
+func cutSide(t *testing.T) {
 	const replace, modify = "/-/configuration/replace", "/-/configuration/modify"
 	for _, disk := range []bool{true, false} {
 		s := cutOff(t, disk)
