--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -585,11 +585,14 @@
 			}
 		}
 	})
-	g.configure(2, `{"name":"long","authority":"h.example","path-prefix":"/long/","route-class":"streaming","timeout-ms":600000,"target-ms":400,"service":"s","max-attempts":3}`)
-	r, err := g.ask("/long/", "id1")
-	is.NoErr(err)
-	is.Equal(r.Status, 502)
-	is.Equal(g.arrivals(), 1)
+	const route = `{"name":"%[1]s","authority":"h.example","path-prefix":"/%[1]s/","route-class":"streaming","timeout-ms":600000,"target-ms":400,"service":"s","max-attempts":3,"stream-resumption":%[2]v}`
+	g.configure(2, fmt.Sprintf(route, "once", false), fmt.Sprintf(route, "again", true))
+	for i, path := range []string{"/once/", "/again/"} {
+		r, err := g.ask(path, fmt.Sprint("id", i))
+		is.NoErr(err)
+		is.Equal(r.Status, 502)
+		is.Equal(g.arrivals(), i+1)
+	}
 }
 
 // A client that goes once it has its answer does not cut the connection that
