--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -15,7 +15,6 @@
 	"spoolswitch/internal/head"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/response"
-	"spoolswitch/internal/spawn"
 )
 
 // Client is a client's connection.
@@ -166,7 +165,11 @@
 		k.refuse(err)
 		return false
 	}
-	n := &Request{Head: q, Body: body, k: k, r: k.r, begun: begun, done: spawn.NewMark()}
+	n := newRequest(k, q, body, begun)
+	if !k.r.takes(begun) {
+		n.refuse(code.Leaving)
+		return false
+	}
 	k.r.enter()
 	defer k.r.exit()
 	if !k.r.senders.Try(func() {
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -36,7 +36,10 @@
 }
 
 const (
-	unready  = 3200 * clk.Millisecond
+	// intake is how long a relay takes requests after SIGTERM: the platform asks
+	// for readiness each second and goes by two misses. What is taken later may
+	// not be finished before the end of the grace period.
+	intake   = 2400 * clk.Millisecond
 	cutAfter = 3 * clk.Second
 	ownPause = 2 * clk.Second
 	glance   = 50 * clk.Millisecond
@@ -221,7 +224,7 @@
 // Stop ends the relay in order.
 func (d *Daemon) Stop() {
 	note.State("leaving")
-	d.Relay.Leave(d.settings().Grace()-500*clk.Millisecond, unready)
+	d.Relay.Leave(d.settings().Grace()-500*clk.Millisecond, intake)
 	d.Close()
 }
 
--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -286,7 +286,7 @@
 		p.t.Fatal(err)
 	}
 	k.got.Reset()
-	x.req = &Request{Head: q, Body: []byte("body"), k: &Client{c: k, r: p.r}, r: p.r, begun: clk.Now()}
+	x.req = newRequest(&Client{c: k, r: p.r}, q, []byte("body"), clk.Now())
 	x.req.run()
 	p.judge(x)
 	if k.shut || k.left || x.req.last {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,10 +35,12 @@
 	mu      sync.Mutex
 	leaving bool
 	closing bool
-	active  int
-	idles   map[*Client]bool
-	open    int
-	most    int
+	// intakeEnd is when a relay that leaves takes its last request.
+	intakeEnd clk.Tick
+	active    int
+	idles     map[*Client]bool
+	open      int
+	most      int
 }
 
 // NewRelay makes a relay that holds at most most connections of clients.
@@ -152,14 +154,27 @@
 	return !r.Leaving() && r.View.Table() != nil && r.Fleet.HasList()
 }
 
-// Leave ends the relay in order: unready first, then no more on connections
-// that are open, then what runs is finished, for at most grace.
-func (r *Relay) Leave(grace, unready clk.Span) {
+// takes tells whether a request whose head was read at a moment is taken. The
+// end of the intake is a moment on the steady clock, so that it also holds for
+// what a process reads after a pause, before Leave goes on.
+func (r *Relay) takes(begun clk.Tick) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.leaving || begun < r.intakeEnd
+}
+
+// Leave ends the relay in order. It turns unready at once and takes requests
+// for the time intake, as the platform still sends them here; later ones are
+// refused with the time to come back. Then idle connections are closed, and
+// what was taken is finished, until grace has passed since the call.
+func (r *Relay) Leave(grace, intake clk.Span) {
 	begun := clk.Now()
+	intake = min(intake, grace/2)
 	r.mu.Lock()
 	r.leaving = true
+	r.intakeEnd = begun.Add(intake)
 	r.mu.Unlock()
-	clk.Sleep(min(unready, grace/2))
+	clk.Sleep(intake)
 	r.mu.Lock()
 	r.closing = true
 	for k := range r.idles { // under the lock: one that has just got a request sets its own
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -49,9 +49,12 @@
 	skip   int64
 }
 
+func newRequest(k *Client, q *head.Request, body []byte, begun clk.Tick) *Request {
+	return &Request{Head: q, Body: body, k: k, r: k.r, begun: begun, id: bytes.Clone(q.Field(head.AttemptID)), done: spawn.NewMark()}
+}
+
 func (n *Request) run() {
 	n.last = n.Head.Close
-	n.id = bytes.Clone(n.Head.Field(head.AttemptID))
 	if !n.awake() {
 		n.refuse(code.NotReady)
 		return
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -165,9 +165,9 @@
 	if !n.hold(c) {
 		return deserted
 	}
-	set := []head.Set{{K: head.Expected, V: string(rep.ID)}}
-	if len(n.Head.Field(head.DeadlineMs)) > 0 {
-		set = append(set, head.Set{K: head.DeadlineMs, V: strconv.FormatInt(max(1, int64(left/clk.Millisecond)), 10)})
+	set := []head.Set{
+		{K: head.Expected, V: string(rep.ID)},
+		{K: head.DeadlineMs, V: strconv.FormatInt(max(1, int64(left/clk.Millisecond)), 10)},
 	}
 	if n.urgency != 0 && len(n.Head.Field(head.Urgency)) == 0 {
 		set = append(set, head.Set{K: head.Urgency, V: strconv.Itoa(n.urgency)})
