--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -65,6 +65,7 @@
 	wires := &keep.Wires{}
 	k := keep.New(self, acc, wires, hub)
 	k.Zone = s.Zone
+	wires.Far = k.Far
 	k.Decider = Decide
 	k.Seats = keep.Seats(s.Tolerance.Machines, len(s.Zones))
 	k.Disk = m.Disk != nil
@@ -104,7 +105,8 @@
 	})
 	opened.Wait(2 * clk.Second)
 	pools := newPools(s, k, hub)
-	d.in = wire.Serve(li, func(m keep.Msg, push func(keep.Msg) error) (keep.Msg, bool) {
+	far := func(m keep.Msg) bool { return m.Zone != "" && m.Zone != s.Zone || k.Far(m.From) }
+	d.in = wire.ServeZoned(li, far, func(m keep.Msg, push func(keep.Msg) error) (keep.Msg, bool) {
 		if m.Kind == keep.Trace {
 			r := k.Report(m.Key)
 			r.Feed, r.Relays, r.Counts = hub.Num(), hub.Relays(), note.Map()
--- a/internal/feed/tail.go
+++ b/internal/feed/tail.go
@@ -145,6 +145,14 @@
 	return t.seats[word.Node(a)]
 }
 
+// far tells whether a keeper is known to be in another zone.
+func (t *Tail) far(a word.Addr) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	z := t.zone(a)
+	return z != "" && z != t.Zone
+}
+
 // home tells whether a keeper is of the own zone, or none that is answers.
 func (t *Tail) home(a word.Addr) bool {
 	t.mu.Lock()
@@ -198,6 +206,7 @@
 
 func (t *Tail) follow(a word.Addr) bool {
 	p := wire.NewPeer[keep.Msg](a)
+	p.Far = func() bool { return t.far(a) }
 	defer p.Close()
 	f := &following{mark: spawn.NewMark(), begun: clk.Now()}
 	t.mu.Lock()
--- a/internal/keep/beat.go
+++ b/internal/keep/beat.go
@@ -401,6 +401,14 @@
 	return len(k.relays)
 }
 
+// Far tells whether a daemon is known to be in another zone.
+func (k *Keeper) Far(n word.Node) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	z := k.others[n]
+	return z != "" && z != k.Zone
+}
+
 // KeeperZones tells the zones of keepers.
 func (k *Keeper) KeeperZones() map[word.Node]word.Zone {
 	k.mu.Lock()
--- a/internal/keep/msg.go
+++ b/internal/keep/msg.go
@@ -1,6 +1,8 @@
 package keep
 
 import (
+	"strings"
+
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
 	"spoolswitch/internal/kvindex"
@@ -32,6 +34,25 @@
 	Confirm
 )
 
+var kindNames = [...]string{Vote: "vote", Accept: "accept", Hold: "hold", Learn: "learn", Digest: "digest", Fetch: "fetch",
+	Survey: "survey", Change: "change", Query: "query", Follow: "follow", Join: "join", Trace: "trace", Drift: "drift",
+	Forward: "forward", Counts: "counts", Fold: "fold", Gossip: "gossip", Confirm: "confirm"}
+
+// Subject names what the message is about: its kind and, where keys differ in
+// cost, the family of its key.
+func (m Msg) Subject() string {
+	if m.Kind <= 0 || int(m.Kind) >= len(kindNames) {
+		return "unknown"
+	}
+	name := kindNames[m.Kind]
+	switch m.Kind {
+	case Learn, Fetch, Accept:
+		family, _, _ := strings.Cut(string(m.Key), "/")
+		return name + "." + family
+	}
+	return name
+}
+
 // Mark is what one keeper has of one key.
 type Mark struct {
 	Promised word.Epoch
--- a/internal/keep/net.go
+++ b/internal/keep/net.go
@@ -16,6 +16,8 @@
 
 // Wires is a Net over the wire.
 type Wires struct {
+	// Far, if set, tells whether a daemon is in another zone.
+	Far   func(n word.Node) bool
 	mu    sync.Mutex
 	peers map[word.Node]*wire.Peer[Msg]
 	shut  bool
@@ -34,6 +36,9 @@
 	p := w.peers[to]
 	if p == nil {
 		p = wire.NewPeer[Msg](word.Addr(to))
+		if w.Far != nil {
+			p.Far = func() bool { return w.Far(to) }
+		}
 		w.peers[to] = p
 	}
 	w.mu.Unlock()
--- a/internal/wire/call_test.go
+++ b/internal/wire/call_test.go
@@ -97,10 +97,10 @@
 	is.True(given.err != nil)
 	next := ask(p, 2, 20*clk.Second)
 	f := s.next(t)
-	is.NoErr(s.p.put(&Frame[msg]{ID: old.ID, M: msg{N: 100}}))
-	is.NoErr(s.p.put(&Frame[msg]{ID: old.ID, M: msg{N: 101}}))
-	is.NoErr(s.p.put(&Frame[msg]{ID: f.ID + 1, M: msg{N: 102}})) // the number of a call to come
-	is.NoErr(s.p.put(&Frame[msg]{ID: f.ID, M: msg{N: 2}}))
+	is.NoErr(s.p.put(&Frame[msg]{ID: old.ID, M: msg{N: 100}}, "test", false))
+	is.NoErr(s.p.put(&Frame[msg]{ID: old.ID, M: msg{N: 101}}, "test", false))
+	is.NoErr(s.p.put(&Frame[msg]{ID: f.ID + 1, M: msg{N: 102}}, "test", false)) // the number of a call to come
+	is.NoErr(s.p.put(&Frame[msg]{ID: f.ID, M: msg{N: 2}}, "test", false))
 	is.True(next.done.Wait(10 * clk.Second))
 	is.NoErr(next.err)
 	is.Equal(next.a.N, 2)
@@ -110,8 +110,8 @@
 	again := ask(p, 3, 20*clk.Second)
 	f = s.next(t)
 	is.True(f.ID > old.ID) // a number is never used again, on the next wire neither
-	_ = wire.put(&Frame[msg]{ID: f.ID, M: msg{N: 103}})
-	is.NoErr(s.p.put(&Frame[msg]{ID: f.ID, M: msg{N: 3}}))
+	_ = wire.put(&Frame[msg]{ID: f.ID, M: msg{N: 103}}, "test", false)
+	is.NoErr(s.p.put(&Frame[msg]{ID: f.ID, M: msg{N: 3}}, "test", false))
 	is.True(again.done.Wait(10 * clk.Second))
 	is.Equal(again.a.N, 3)
 }
@@ -142,7 +142,7 @@
 		p := NewPeer[msg](word.Addr(s.l.Addr().String()))
 		r := ask(p, 0, 10*clk.Second)
 		f := s.next(t)
-		is.NoErr(s.p.put(&Frame[msg]{ID: f.ID, M: msg{}}))
+		is.NoErr(s.p.put(&Frame[msg]{ID: f.ID, M: msg{}}, "test", false))
 		is.True(r.done.Wait(10 * clk.Second))
 		var rs []*result
 		for i := range 4 {
--- a/internal/wire/form_test.go
+++ b/internal/wire/form_test.go
@@ -63,7 +63,7 @@
 	f := s.next(t)
 	s.p.told = true // as releases before this did
 	before := otherRelease.Get()
-	is.NoErr(s.p.put(&Frame[msg]{ID: f.ID, M: msg{N: 2}}))
+	is.NoErr(s.p.put(&Frame[msg]{ID: f.ID, M: msg{N: 2}}, "test", false))
 	is.True(r.done.Wait(10 * clk.Second))
 	is.True(r.err != nil)
 	is.Equal(otherRelease.Get(), before+1)
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -32,6 +32,7 @@
 type pipe[M any] struct {
 	c   net.Conn
 	mu  spawn.Mutex
+	m   *metered
 	w   *bufio.Writer
 	enc *gob.Encoder
 	dec *gob.Decoder
@@ -40,32 +41,12 @@
 	told, heard bool
 }
 
-// metered counts what goes between daemons.
-type metered struct{ net.Conn }
-
-var (
-	bytesIn  = note.Counter("wire.bytes-in")
-	bytesOut = note.Counter("wire.bytes-out")
-	sent     = note.Counter("wire.sent")
-
-	otherRelease = note.Counter("wire.other-release")
-)
-
-func (m metered) Read(b []byte) (int, error) {
-	n, err := m.Conn.Read(b)
-	bytesIn.Add(int64(n))
-	return n, err
-}
-
-func (m metered) Write(b []byte) (int, error) {
-	n, err := m.Conn.Write(b)
-	bytesOut.Add(int64(n))
-	return n, err
-}
+var otherRelease = note.Counter("wire.other-release")
 
 func newPipe[M any](c net.Conn) *pipe[M] {
-	w := bufio.NewWriterSize(metered{c}, 2048)
-	return &pipe[M]{c: c, w: w, enc: gob.NewEncoder(w), dec: gob.NewDecoder(bufio.NewReaderSize(metered{c}, 2048)), form: Form[M]()}
+	m := &metered{Conn: c}
+	w := bufio.NewWriterSize(m, 2048)
+	return &pipe[M]{c: c, m: m, w: w, enc: gob.NewEncoder(w), dec: gob.NewDecoder(bufio.NewReaderSize(m, 2048)), form: Form[M]()}
 }
 
 // get reads the next frame. One from a daemon whose messages have another form
@@ -91,9 +72,12 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &n) || isClosed(err)
 }
 
-func (p *pipe[M]) put(f *Frame[M]) error {
+// put sends a frame; its bytes are counted under a subject.
+func (p *pipe[M]) put(f *Frame[M], subject string, leavesZone bool) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	before := p.m.written
+	defer func() { countSent(subject, leavesZone, p.m.written-before) }()
 	_ = p.c.SetWriteDeadline(clk.Now().Add(silent).Deadline())
 	sent.Add(1)
 	if !p.told {
@@ -109,6 +93,8 @@
 // Peer is the client's end of the wire to one daemon. It dials when needed.
 type Peer[M any] struct {
 	Addr word.Addr
+	// Far, if set, tells whether the daemon is in another zone.
+	Far  func() bool
 	turn spawn.Turn
 	mu   sync.Mutex
 	p    *pipe[M]
@@ -210,7 +196,7 @@
 		delete(r.open, id)
 		r.mu.Unlock()
 	}
-	if err := p.put(&Frame[M]{ID: id, M: m}); err != nil {
+	if err := p.put(&Frame[M]{ID: id, M: m}, subject(m), r.Far != nil && r.Far()); err != nil {
 		end()
 		r.drop(p)
 		return nil, code.New(code.PeerLost, "%v", err)
--- a/internal/wire/serve.go
+++ b/internal/wire/serve.go
@@ -110,6 +110,7 @@
 
 // Server answers the calls that come in at one address.
 type Server[M any] struct {
+	far  func(m M) bool
 	l    net.Listener
 	h    Handler[M]
 	mu   sync.Mutex
@@ -119,7 +120,13 @@
 
 // Serve answers the calls that come in at l.
 func Serve[M any](l net.Listener, h Handler[M]) *Server[M] {
-	s := &Server[M]{l: l, h: h}
+	return ServeZoned(l, nil, h)
+}
+
+// ServeZoned is Serve with a function that tells whether the sender of a
+// message is in another zone, for the counters of bytes.
+func ServeZoned[M any](l net.Listener, far func(m M) bool, h Handler[M]) *Server[M] {
+	s := &Server[M]{far: far, l: l, h: h}
 	spawn.Go(s.accept)
 	return s
 }
@@ -176,8 +183,9 @@
 			return
 		}
 		spawn.Go(func() {
-			a, ok := s.h(f.M, func(m M) error { return p.put(&Frame[M]{ID: f.ID, M: m}) })
-			if ok && p.put(&Frame[M]{ID: f.ID, M: a}) != nil {
+			name, leaves := subject(f.M)+answer, s.far != nil && s.far(f.M)
+			reply := func(m M) error { return p.put(&Frame[M]{ID: f.ID, M: m}, name, leaves) }
+			if a, ok := s.h(f.M, reply); ok && reply(a) != nil {
 				_ = c.Close()
 			}
 		})
--- /dev/null
+++ b/internal/wire/traffic.go
@@ -0,0 +1,62 @@
+package wire
+
+import (
+	"net"
+
+	"spoolswitch/internal/note"
+)
+
+// Subject is implemented by messages whose bytes are counted by what they are
+// about.
+type Subject interface {
+	// Subject is a short name, one of few.
+	Subject() string
+}
+
+const (
+	unnamed = "other"
+	// answer marks the subjects of answers, far those of bytes that leave the zone.
+	answer = ".answer"
+	far    = ".far"
+)
+
+func subject(m any) string {
+	if s, ok := m.(Subject); ok {
+		return s.Subject()
+	}
+	return unnamed
+}
+
+// countSent counts the bytes of one message under wire.out.SUBJECT, and again
+// under wire.out.SUBJECT.far if they go to another zone.
+func countSent(subject string, leavesZone bool, bytes int64) {
+	note.Counter("wire.out." + subject).Add(bytes)
+	if leavesZone {
+		note.Counter("wire.out." + subject + far).Add(bytes)
+	}
+}
+
+var (
+	bytesIn  = note.Counter("wire.bytes-in")
+	bytesOut = note.Counter("wire.bytes-out")
+	sent     = note.Counter("wire.sent")
+)
+
+// metered counts what a connection between daemons carries. Writers take turns.
+type metered struct {
+	net.Conn
+	written int64
+}
+
+func (m *metered) Read(b []byte) (int, error) {
+	n, err := m.Conn.Read(b)
+	bytesIn.Add(int64(n))
+	return n, err
+}
+
+func (m *metered) Write(b []byte) (int, error) {
+	n, err := m.Conn.Write(b)
+	m.written += int64(n)
+	bytesOut.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/wire/traffic_test.go
@@ -0,0 +1,47 @@
+package wire
+
+import (
+	"bytes"
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/note"
+	"spoolswitch/internal/word"
+)
+
+type named struct{ Name, Text string }
+
+func (n named) Subject() string { return n.Name }
+
+// Every byte between daemons is counted once by its subject, and once more if
+// it leaves the zone.
+func TestBytesBySubject(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	s := ServeZoned(l, func(m named) bool { return m.Text == "" }, func(m named, _ func(named) error) (named, bool) {
+		return named{Text: string(bytes.Repeat([]byte("a"), 300))}, true
+	})
+	defer s.Close()
+	p := NewPeer[named](word.Addr(l.Addr().String()))
+	defer p.Close()
+	counts := func(name string) int64 { return note.Counter("wire.out." + name).Get() }
+	total := bytesOut.Get()
+	far := false
+	p.Far = func() bool { return far }
+	_, err = p.Call(named{"near", "x"}, clk.Minute)
+	is.NoErr(err)
+	is.True(counts("near") > 0)
+	is.Equal(counts("near.far"), int64(0))
+	is.True(counts("near.answer") > 300)
+	is.Equal(counts("near.answer.far"), int64(0))
+	far = true
+	_, err = p.Call(named{"away", ""}, clk.Minute)
+	is.NoErr(err)
+	is.Equal(counts("away"), counts("away.far"))
+	is.True(counts("away.answer.far") > 300)
+	is.Equal(bytesOut.Get()-total, counts("near")+counts("near.answer")+counts("away")+counts("away.answer"))
+}
