--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -75,12 +75,7 @@
 		k.Founders = append(k.Founders, word.Node(s.Keeper(a)))
 	}
 	hub.Status = k
-	hub.Diff = func(key word.Key, old, fresh []byte) []byte {
-		if key != word.List {
-			return nil
-		}
-		return list.Diff(old, fresh)
-	}
+	hub.Diff, k.Diff, k.Patch = diff, diff, patch
 	hub.Trim = func(key word.Key, val []byte) []byte {
 		if key != word.Configuration {
 			return val
@@ -255,3 +250,22 @@
 	}
 	return ""
 }
+
+// diff tells what changed from one value of a key to the next.
+func diff(key word.Key, old, fresh []byte) []byte {
+	switch key {
+	case word.List:
+		return list.Diff(old, fresh)
+	case word.Configuration:
+		return conf.Delta(old, fresh)
+	}
+	return nil
+}
+
+// patch makes the value of a key that a change from another leads to.
+func patch(key word.Key, old, change []byte) ([]byte, bool) {
+	if key != word.List {
+		return nil, false
+	}
+	return list.Patch(old, change)
+}
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -3,6 +3,7 @@
 package feed
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"sort"
@@ -26,7 +27,14 @@
 type kept struct {
 	it    keep.Item
 	since clk.Tick
-	// fed is what followers get of the value
+	// fed is what followers get of the value, packed the same compressed, nil if
+	// that is not worth it or was not asked for yet.
+	fed, packed []byte
+}
+
+// version is an earlier value of a key, as followers got it.
+type version struct {
+	at  word.Place
 	fed []byte
 }
 
@@ -69,16 +77,16 @@
 	Trim func(key word.Key, val []byte) []byte
 
 	mu    sync.Mutex
-	past  map[word.Key][]keep.Item
+	past  map[word.Key][]version
 	steps map[step][]byte
 	num   uint64
 	sure  bool
-	items map[word.Key]kept
+	items map[word.Key]*kept
 	who   []*follower
 }
 
 // NewHub makes an empty hub.
-func NewHub() *Hub { return &Hub{items: map[word.Key]kept{}} }
+func NewHub() *Hub { return &Hub{items: map[word.Key]*kept{}, past: map[word.Key][]version{}} }
 
 func (h *Hub) freshFor() clk.Span {
 	if h.Apply > 0 {
@@ -96,18 +104,12 @@
 	}
 	h.num++
 	it.Num = h.num
-	if h.Diff != nil && it.Key.Shared() {
-		if h.past == nil {
-			h.past = map[word.Key][]keep.Item{}
-		}
-		p := append(h.past[it.Key], it)
-		h.past[it.Key] = p[max(0, len(p)-pastKept):]
-	}
-	v := kept{it, clk.Now(), it.Val}
+	v := &kept{it: it, since: clk.Now(), fed: it.Val}
 	if h.Trim != nil {
 		v.fed = h.Trim(it.Key, it.Val)
 	}
 	h.items[it.Key] = v
+	h.remember(v)
 	for _, f := range h.who {
 		f.mark.Set()
 	}
@@ -144,8 +146,11 @@
 func (h *Hub) Value(k word.Key) ([]byte, word.Place) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	it := h.items[k].it
-	return it.Val, it.At
+	v := h.items[k]
+	if v == nil {
+		return nil, word.Place{}
+	}
+	return v.it.Val, v.it.At
 }
 
 // Num is the number of the newest change.
@@ -189,40 +194,55 @@
 
 const briefFor = 10 * clk.Second
 
-type step struct{ from, to word.Place }
+type step struct {
+	key      word.Key
+	from, to word.Place
+}
+
+// remember keeps a value so that later ones can be told as changes from it.
+func (h *Hub) remember(v *kept) {
+	if v.it.Brief() || h.Diff == nil {
+		return
+	}
+	p := append(h.past[v.it.Key], version{v.it.At, v.fed})
+	h.past[v.it.Key] = p[max(0, len(p)-pastKept):]
+}
 
 // diff tells a change, worked out once for all followers.
-func (h *Hub) diff(o, it keep.Item) []byte {
-	k := step{o.At, it.At}
+func (h *Hub) diff(old version, v *kept) []byte {
+	k := step{v.it.Key, old.at, v.it.At}
 	if d, ok := h.steps[k]; ok {
 		return d
 	}
 	if len(h.steps) >= pastKept || h.steps == nil {
 		h.steps = map[step][]byte{}
 	}
-	d := h.Diff(it.Key, o.Val, it.Val)
+	d := h.Diff(v.it.Key, old.fed, v.fed)
 	h.steps[k] = d
 	return d
 }
 
-// change makes an item the change from what the follower has, where that is
-// known.
-func (h *Hub) change(f *follower, it keep.Item) keep.Item {
-	if h.Diff == nil || !it.Key.Shared() {
-		return it
+// item is a value as a follower gets it: the change from what it has, where that
+// is known, and else the whole.
+func (h *Hub) item(f *follower, v *kept) keep.Item {
+	it := v.it
+	it.Age = clk.Since(v.since)
+	at := f.has[it.Key]
+	if !it.Brief() {
+		f.has[it.Key] = it.At
 	}
-	if at, ok := f.has[it.Key]; ok {
-		for _, o := range h.past[it.Key] {
-			if o.At != at {
-				continue
-			}
-			if d := h.diff(o, it); d != nil {
-				it.Base, it.Val = at, d
-			}
-			break
+	if i := slices.IndexFunc(h.past[it.Key], func(o version) bool { return o.at == at }); i >= 0 {
+		old := h.past[it.Key][i]
+		if bytes.Equal(old.fed, v.fed) {
+			it.Base, it.Val, it.Same = at, nil, true
+			return it
+		}
+		if d := h.diff(old, v); d != nil {
+			it.Base, it.Val = at, d
+			return it
 		}
 	}
-	f.has[it.Key] = it.At
+	it.Val, it.Packed = v.whole()
 	return it
 }
 
@@ -237,10 +257,8 @@
 	}
 	for _, k := range slices.Sorted(maps.Keys(h.items)) {
 		v := h.items[k]
-		if v.it.Num > n && v.it.Key != word.Roster && !v.it.Key.Duty() {
-			it := v.it
-			it.Val, it.Age = v.fed, clk.Since(v.since)
-			out = append(out, h.change(f, it))
+		if v.it.Num > n && v.it.Key != word.Roster && !v.it.Key.Duty() && f.has[k].Less(v.it.At) {
+			out = append(out, h.item(f, v))
 		}
 	}
 	sort.Slice(out, func(i, j int) bool {
@@ -271,6 +289,7 @@
 // Follow feeds one relay until it is gone.
 func (h *Hub) Follow(m keep.Msg, push func(keep.Msg) error) {
 	f := &follower{has: map[word.Key]word.Place{}, name: m.From, addr: m.Addr, mark: spawn.NewMark()}
+	maps.Copy(f.has, m.Places)
 	if m.Life == h.Status.Life() {
 		f.num = m.Num
 	}
--- a/internal/feed/tail.go
+++ b/internal/feed/tail.go
@@ -33,7 +33,9 @@
 	IP    string
 	Zone  word.Zone
 	Seeds func() []word.Addr
-	Take  func(it keep.Item)
+	// Take takes a value in, or the change from the last one of its key; false if
+	// the change cannot be taken, and the whole is wanted.
+	Take func(it keep.Item) bool
 	// Apply is the time within which a change has to be in force everywhere.
 	Apply clk.Span
 	Heard func(count int, listAge clk.Span)
@@ -98,8 +100,43 @@
 	t.places[it.Key] = it.At
 	t.mu.Unlock()
 	newsTaken.Add(1)
-	t.Take(it)
-	return true
+	if it.Same || t.take(it) {
+		return true
+	}
+	t.Forget(it.Key)
+	return false
+}
+
+func (t *Tail) take(it keep.Item) bool {
+	if it.Packed {
+		val, err := unpack(it.Val)
+		if err != nil {
+			note.Trouble("value not legible", "key", it.Key, "err", err)
+			return false
+		}
+		it.Val, it.Packed = val, false
+	}
+	return t.Take(it)
+}
+
+// Forget says that what this relay goes by is no longer what it was fed under a
+// key: the next value has to be fed whole.
+func (t *Tail) Forget(key word.Key) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.places, key)
+	t.life, t.num = 0, 0
+}
+
+// had are the places of the values that a keeper need not feed again.
+func (t *Tail) had() map[word.Key]word.Place {
+	out := map[word.Key]word.Place{}
+	for key, at := range t.places {
+		if key.Kept() || key.Shared() {
+			out[key] = at
+		}
+	}
+	return out
 }
 
 func (t *Tail) order() []word.Addr {
@@ -210,7 +247,7 @@
 	defer p.Close()
 	f := &following{mark: spawn.NewMark(), begun: clk.Now()}
 	t.mu.Lock()
-	m := keep.Msg{Kind: keep.Follow, From: t.Self, Life: t.life, Num: t.num, Zone: t.Zone, Addr: t.Addr}
+	m := keep.Msg{Kind: keep.Follow, From: t.Self, Life: t.life, Num: t.num, Zone: t.Zone, Addr: t.Addr, Places: t.had()}
 	t.mu.Unlock()
 	end, err := p.Stream(m, firstWait, func(m keep.Msg, ok bool) {
 		if ok {
--- a/internal/keep/acceptor.go
+++ b/internal/keep/acceptor.go
@@ -229,7 +229,11 @@
 	if f := a.floor(); cell.Promised.Less(f) {
 		cell.Promised = f
 	}
-	return Msg{OK: ok, Code: c, Key: k, Epoch: cell.Promised, At: cell.At, Val: cell.Val, Roster: a.Roster()}
+	m := Msg{OK: ok, Code: c, Key: k, Epoch: cell.Promised, At: cell.At, Roster: a.Roster()}
+	if ok { // who is refused has no use for the value
+		m.Val = cell.Val
+	}
+	return m
 }
 
 const floorKey word.Key = "floor"
--- a/internal/keep/beat.go
+++ b/internal/keep/beat.go
@@ -27,20 +27,36 @@
 	}
 }
 
-func (k *Keeper) learnFrom(m Msg) {
+// learnFrom takes in what another keeper tells of a value; false if that is a
+// change from a value that this one does not have.
+func (k *Keeper) learnFrom(m Msg) bool {
 	if m.Held {
 		c := k.acc.Cell(m.Key)
 		if c.At != m.At {
-			return
+			return true
 		}
 		m.Val = c.Val
 	}
+	if !m.Base.Zero() {
+		cur, at := k.Sink.Value(m.Key)
+		if !at.Less(m.At) {
+			return true
+		}
+		if at != m.Base || k.Patch == nil {
+			return false
+		}
+		ok := false
+		if m.Val, ok = k.Patch(m.Key, cur, m.Val); !ok {
+			return false
+		}
+	}
 	if _, at := k.Sink.Value(word.List); m.Key == word.List && at.Less(m.At) {
 		k.mu.Lock()
 		k.listAt = clk.Now()
 		k.mu.Unlock()
 	}
 	k.learn(m.Key, m.At, m.Val)
+	return true
 }
 
 // ListSeen says that a reading of the list was begun at a time.
@@ -60,10 +76,25 @@
 	return clk.Since(k.listAt)
 }
 
-// Share tells the other keepers of a value that is not kept on disks.
+// Share tells the other keepers of a value that is not kept on disks: the change
+// from the last one, and the whole to those that do not have that.
 func (k *Keeper) Share(key word.Key, at word.Place, val []byte) {
+	whole := Msg{Kind: Learn, From: k.Self, Key: key, At: at, Val: val}
+	change := whole
+	if old, base := k.Sink.Value(key); key.Shared() && !base.Zero() && k.Diff != nil {
+		if d := k.Diff(key, old, val); d != nil {
+			change.Base, change.Val = base, d
+		}
+	}
 	k.learn(key, at, val)
-	k.tell(Msg{Kind: Learn, Key: key, At: at, Val: val})
+	for _, n := range k.peers() {
+		spawn.Go(func() {
+			a, ok := k.Net.Ask(n, change, askTimeout)
+			if ok && !a.OK && !change.Base.Zero() {
+				k.Net.Ask(n, whole, askTimeout)
+			}
+		})
+	}
 }
 
 func (k *Keeper) digest() Msg {
--- a/internal/keep/join.go
+++ b/internal/keep/join.go
@@ -1,6 +1,8 @@
 package keep
 
 import (
+	"fmt"
+	"hash/fnv"
 	"slices"
 
 	"spoolswitch/internal/clk"
@@ -23,6 +25,12 @@
 	hereFor   = 1200 * clk.Millisecond
 	copyWait  = 10 * clk.Second
 	copyPause = 50 * clk.Millisecond
+	// seatTimeout bounds one try to end a change of seats. A seat takes up a
+	// change that another has not ended after reseatAfter, and one reseatStep
+	// later for each seat that comes before it.
+	seatTimeout = 4 * clk.Second
+	reseatAfter = 2 * clk.Second
+	reseatStep  = 1500 * clk.Millisecond
 )
 
 func (k *Keeper) wantSeat(r Roster) {
@@ -218,8 +226,12 @@
 	if len(r.Next) == 0 {
 		return
 	}
-	deadline := clk.Now().Add(4 * clk.Second)
+	deadline := clk.Now().Add(seatTimeout)
 	keys, ok := k.keysOf(r)
+	for !ok && k.acc.Roster().Num == r.Num && clk.Until(deadline) > 0 {
+		clk.Sleep(copyPause) // new seats may not have read the others yet
+		keys, ok = k.keysOf(r)
+	}
 	if !ok {
 		return
 	}
@@ -323,14 +335,34 @@
 	return k.Own(key, deadline, func([]byte) ([]byte, Msg) { return nil, Msg{OK: true} })
 }
 
+// turnToSeat counts the seats that come before this one when a change of seats
+// is to be taken up: seats that do so at once take each other's leases. The
+// order is drawn anew for each roster, and silent seats are passed over.
+func (k *Keeper) turnToSeat(r Roster) int {
+	rank := func(n word.Node) uint64 {
+		h := fnv.New64a()
+		fmt.Fprint(h, r.Num, "|", n)
+		return h.Sum64()
+	}
+	before := 0
+	for _, n := range r.All() {
+		if n != k.Self && rank(n) < rank(k.Self) && k.recent(n, hereFor) {
+			before++
+		}
+	}
+	return before
+}
+
+// reseat takes up a change of seats that another seat has begun and not ended.
 func (k *Keeper) reseat() {
 	r := k.acc.Roster()
 	k.mu.Lock()
 	if len(r.Next) == 0 || k.joint.num != r.Num {
 		k.joint.num, k.joint.since = r.Num, clk.Now()
 	}
-	old := clk.Since(k.joint.since) > 2*clk.Second
+	since := k.joint.since
 	k.mu.Unlock()
+	old := clk.Since(since) > reseatAfter+clk.Span(k.turnToSeat(r))*reseatStep
 	if len(r.Next) == 0 || !old || !r.Has(k.Self) || !k.acc.Voting() || !k.seating.TryLock() {
 		return
 	}
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -33,6 +33,11 @@
 	Net     Net
 	Sink    Sink
 	Decider func(key word.Key, o *Order) Decide
+	// Diff tells what changed from one value of a key to the next, nil if that
+	// cannot be told or is not worth it, and Patch makes the next value of it.
+	// Without them shared values go to other keepers whole.
+	Diff  func(key word.Key, old, fresh []byte) []byte
+	Patch func(key word.Key, old, change []byte) ([]byte, bool)
 	// Label names what a value is, for the trace.
 	Label func(key word.Key, val []byte) string
 	// Pauses, if set, tell which orders of other daemons may be too old.
@@ -74,6 +79,7 @@
 	seededAt clk.Tick
 	pulling  sync.Mutex
 	health   map[word.Node]health
+	digests  digests
 	waiters  []*spawn.Mark
 	orders   int
 	// newcomer says that this life of the keeper began before it had a seat, so
@@ -293,7 +299,7 @@
 	case Hold:
 		return k.acc.Hold(m.Key, m.Epoch, m.Roster)
 	case Digest:
-		return k.digest()
+		return k.summed(k.digest(), m.Sum)
 	}
 	return Msg{Code: code.NoCall}
 }
@@ -311,8 +317,7 @@
 		}
 		return k.local(m)
 	case Learn:
-		k.learnFrom(m)
-		return Msg{OK: true}
+		return Msg{OK: k.learnFrom(m)}
 	case Digest:
 		return k.local(m)
 	case Fetch:
--- a/internal/keep/msg.go
+++ b/internal/keep/msg.go
@@ -69,6 +69,10 @@
 	Num uint64
 	// Base, if set, is the place of the value that Val is the change from.
 	Base word.Place
+	// Same says that the value is the one at Base, with another place.
+	Same bool
+	// Packed says that Val is compressed.
+	Packed bool
 }
 
 // Brief tells whether the item is news that only matters while it is new.
@@ -105,10 +109,19 @@
 	Order  *Order
 	// Held says that the receiver has the value on its disk, and gets no other.
 	Held bool
+	// Base, if set, is the place of the value that Val is the change from.
+	Base word.Place
+	// Places are those of the values that a relay has been fed already.
+	Places map[word.Key]word.Place
 	// Left is how long the sender waits, from the sending on.
 	Left  clk.Span
 	Marks map[word.Key]Mark
 	Cells map[word.Key]Cell
+	// Sum stands for a digest's marks, roster and relays: in a question for those
+	// that the asker has, in an answer for those that count. Same says that they
+	// are the ones that the asker has, and left out.
+	Sum  uint64
+	Same bool
 
 	Life        uint64
 	Num         uint64
--- a/internal/keep/net.go
+++ b/internal/keep/net.go
@@ -78,7 +78,7 @@
 			if n == k.Self {
 				a = k.local(m)
 			} else {
-				a, ok = k.Net.Ask(n, m, timeout)
+				a, ok = k.ask(n, m, timeout)
 			}
 			p.mu.Lock()
 			defer p.mu.Unlock()
--- a/internal/list/delta.go
+++ b/internal/list/delta.go
@@ -5,6 +5,7 @@
 	"encoding/gob"
 	"maps"
 	"slices"
+	"strings"
 
 	"spoolswitch/internal/word"
 )
@@ -30,8 +31,8 @@
 	}
 	for _, r := range b {
 		// how cold a replica was counts from when that was read, so one that is
-		// cold is always told of
-		if o := had[r.ID]; o == nil || !alike(o, &r) || r.ColdMs > 0 {
+		// or was cold is always told of
+		if o := had[r.ID]; o == nil || !alike(o, &r) || r.ColdMs > 0 || o.ColdMs > 0 {
 			d.Up = append(d.Up, r)
 		}
 		delete(had, r.ID)
@@ -44,6 +45,26 @@
 	return out.Bytes()
 }
 
+// Patch makes the encoded list that a change from another leads to.
+func Patch(old, change []byte) ([]byte, bool) {
+	rs, ok := Decode(old)
+	d, ok2 := DecodeDelta(change)
+	if !ok || !ok2 {
+		return nil, false
+	}
+	gone := map[word.Replica]bool{}
+	for _, id := range d.Gone {
+		gone[id] = true
+	}
+	for _, r := range d.Up {
+		gone[r.ID] = true
+	}
+	rs = slices.DeleteFunc(rs, func(r Replica) bool { return gone[r.ID] })
+	rs = append(rs, d.Up...)
+	slices.SortFunc(rs, func(a, b Replica) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return Encode(rs), true
+}
+
 // DecodeDelta reads what changed.
 func DecodeDelta(b []byte) (Delta, bool) {
 	var d Delta
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -156,6 +156,13 @@
 		note.Counter("list.failed").Add(1)
 		return
 	}
+	d.ownList(rs)
+}
+
+// ownList takes in a list that this relay has read itself. A change of the list
+// that keepers fed before does not lead on from it.
+func (d *Daemon) ownList(rs []list.Replica) {
+	d.Tail.Forget(word.List)
 	d.Relay.Fleet.Listed(rs, 0)
 }
 
@@ -169,7 +176,7 @@
 	clk.Sleep(firstOwn)
 	if !d.Relay.Fleet.HasList() {
 		if rs, err := rd.Read(); err == nil && !d.Relay.Fleet.HasList() {
-			d.Relay.Fleet.Listed(rs, 0)
+			d.ownList(rs)
 		}
 	}
 	return d.Relay.Fleet.HasList()
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -23,6 +23,7 @@
 	Fleet *pick.Fleet
 	mu    sync.Mutex
 	table *conf.Table
+	doc   *conf.Doc
 	when  map[string]clk.Tick
 	rests []rest
 }
@@ -63,15 +64,30 @@
 	return v.table
 }
 
-// Take takes one item of the feed in.
-func (v *View) Take(it keep.Item) {
+// Take takes one item of the feed in; false if it is a change that cannot be
+// taken, so that the whole is wanted.
+func (v *View) Take(it keep.Item) bool {
+	if it.Base.Zero() {
+		v.takeWhole(it)
+		return true
+	}
+	switch it.Key {
+	case word.Configuration:
+		return v.reconfigure(it.Val)
+	case word.List:
+		d, ok := list.DecodeDelta(it.Val)
+		if ok {
+			v.Fleet.Relisted(d, it.Age)
+		}
+		return ok
+	}
+	return false
+}
+
+func (v *View) takeWhole(it keep.Item) {
 	switch {
 	case it.Key == word.Configuration:
 		v.configure(it.Val)
-	case it.Key == word.List && !it.Base.Zero():
-		if d, ok := list.DecodeDelta(it.Val); ok {
-			v.Fleet.Relisted(d, it.Age)
-		}
 	case it.Key == word.List:
 		if rs, ok := list.Decode(it.Val); ok {
 			v.Fleet.Listed(rs, it.Age)
@@ -113,13 +129,36 @@
 		note.Trouble("configuration unreadable", "err", errs[0])
 		return
 	}
+	v.enforce(d)
+}
+
+// reconfigure takes a change of the configuration in; false if it does not lead
+// from the document here to the one that its maker has.
+func (v *View) reconfigure(change []byte) bool {
+	v.mu.Lock()
+	doc := v.doc
+	v.mu.Unlock()
+	if doc == nil {
+		return false
+	}
+	d, ok := doc.ApplyDelta(change)
+	if !ok {
+		note.Counter("feed.changes-unfit").Add(1)
+		return false
+	}
+	v.enforce(d)
+	return true
+}
+
+// enforce puts a configuration in force, unless a later one is.
+func (v *View) enforce(d *conf.Doc) {
 	t := conf.NewTable(d)
 	v.mu.Lock()
 	if v.table != nil && v.table.Version >= t.Version {
 		v.mu.Unlock()
 		return
 	}
-	v.table = t
+	v.table, v.doc = t, d
 	if n := len(v.rests) - restsKept + 1; n > 0 {
 		v.rests = v.rests[n:]
 	}
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -60,8 +60,10 @@
 	ChangeCPU                       clk.Span
 	// ListItems and ListIn are the same for a change of the list, of one replica.
 	ListItems, ListIn float64
-	// Snapshot is the bytes that a relay got to begin with.
+	// Snapshot is the bytes that a relay got to begin with, and Listed how many
+	// replicas the relay with the fewest knew then.
 	Snapshot float64
+	Listed   int
 	// Memory is a keeper's at its peak, in bytes.
 	Memory int64
 }
@@ -70,13 +72,21 @@
 	mu    sync.Mutex
 	items map[word.Key]int
 	at    map[word.Key]word.Place
+	// listed is how many replicas the last whole list had.
+	listed int
 }
 
-func (h *hollow) take(it keep.Item) {
+func (h *hollow) take(it keep.Item) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.items[it.Key]++
 	h.at[it.Key] = it.At
+	if it.Key == word.List && it.Base.Zero() {
+		replicas, ok := list.Decode(it.Val)
+		h.listed = len(replicas)
+		return ok
+	}
+	return true
 }
 
 type run struct {
@@ -181,6 +191,7 @@
 		return nil, code.New(code.PeerLost, "relays without a snapshot")
 	}
 	out.Snapshot = per(bytesIn()-in0, s.Relays)
+	out.Listed = r.fewestListed()
 	r.idle(out)
 	if err := r.change(out); err != nil {
 		return nil, err
@@ -194,6 +205,16 @@
 	return out, nil
 }
 
+func (r *run) fewestListed() int {
+	fewest := r.size.Replicas
+	for _, h := range r.relays {
+		h.mu.Lock()
+		fewest = min(fewest, h.listed)
+		h.mu.Unlock()
+	}
+	return fewest
+}
+
 func per(n float64, of int) float64 { return n / float64(max(1, of)) }
 
 func until(fn func() bool) bool {
