--- a/internal/head/body.go
+++ b/internal/head/body.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"math"
 
 	"spoolswitch/internal/code"
 )
@@ -19,7 +20,13 @@
 
 // NewBody makes the reader of a body.
 func NewBody(br *bufio.Reader, f Framing) *Body {
-	return &Body{br: br, f: f, left: f.Length, done: f.None || (!f.Chunked && f.Length == 0)}
+	b := &Body{br: br, f: f, left: f.Length}
+	if f.UntilClose {
+		b.left = math.MaxInt64
+		return b
+	}
+	b.done = f.None || (!f.Chunked && f.Length == 0)
+	return b
 }
 
 // Whole tells whether the body was read to its end.
@@ -46,11 +53,13 @@
 	if b.left == 0 && !b.f.Chunked {
 		b.done = true
 	}
-	if err == io.EOF {
-		err = io.ErrUnexpectedEOF
-	}
-	if n > 0 {
+	switch {
+	case n > 0:
 		err = nil
+	case err == io.EOF && b.f.UntilClose:
+		b.done = true
+	case err == io.EOF:
+		err = io.ErrUnexpectedEOF
 	}
 	return n, err
 }
--- a/internal/head/response.go
+++ b/internal/head/response.go
@@ -55,8 +55,11 @@
 		if err := a.codec.Read(br); err != nil {
 			return nil, code.New(code.ReplicaBroke, "%v", err)
 		}
-		if st == 204 || st == 304 {
+		switch {
+		case st == 204 || st == 304:
 			a.Framing = Framing{}
+		case a.None && st != 101:
+			a.UntilClose, a.Close = true, true
 		}
 		return a, nil
 	}
--- a/internal/head/scan.go
+++ b/internal/head/scan.go
@@ -17,11 +17,13 @@
 	endHead = []byte("\r\n\r\n")
 )
 
-// Framing tells how long a body is.
+// Framing tells how long a body is. Where the head says nothing of it, None is
+// set; the body of an answer then goes on until its connection ends.
 type Framing struct {
-	Length  int64
-	Chunked bool
-	None    bool
+	Length     int64
+	Chunked    bool
+	None       bool
+	UntilClose bool
 }
 
 func peek(br *bufio.Reader) ([]byte, error) {
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -107,7 +107,7 @@
 	switch {
 	case a.Status == 421:
 		return misdirected
-	case a.None:
+	case a.None && !a.UntilClose:
 		return malformed
 	case len(a.Field(head.NotExecuted)) > 0:
 		return turnedAway
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -146,6 +146,17 @@
 	}
 }
 
+// Reset plays bytes as they are, ID standing for the try's, and resets the connection.
+func Reset(s string) Play {
+	return func(w net.Conn, g Got) bool {
+		_, _ = w.Write([]byte(strings.ReplaceAll(s, "ID", g.ID)))
+		if t, ok := w.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		return false
+	}
+}
+
 // Break reads and closes.
 func Break(net.Conn, Got) bool { return false }
 
