--- a/internal/check/house_test.go
+++ b/internal/check/house_test.go
@@ -15,7 +15,7 @@
 var layers = [][]string{
 	{"clk", "word", "code", "guards"},
 	{"spawn", "note", "check"},
-	{"match", "response", "disk", "head", "conf", "cal", "lru"},
+	{"match", "response", "disk", "head", "conf", "cal", "lru", "deflate"},
 	{"wire", "boot", "kvindex"},
 	{"keep", "link", "evidence"},
 	{"feed", "list", "oper", "pool"},
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -12,6 +12,7 @@
 
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
+	"spoolswitch/internal/deflate"
 	"spoolswitch/internal/keep"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/spawn"
@@ -27,9 +28,18 @@
 type kept struct {
 	it    keep.Item
 	since clk.Tick
-	// fed is what followers get of the value, packed the same compressed, nil if
-	// that is not worth it or was not asked for yet.
-	fed, packed []byte
+	// fed is what followers get of the value, and whole the same as it is sent,
+	// nil before the first time; packed says whether that is compressed.
+	fed, whole []byte
+	packed     bool
+}
+
+// toSend is the value as a new follower gets it. It is compressed once for all.
+func (v *kept) toSend() (whole []byte, packed bool) {
+	if v.whole == nil {
+		v.whole, v.packed = deflate.Pack(v.fed)
+	}
+	return v.whole, v.packed
 }
 
 // version is an earlier value of a key, as followers got it.
@@ -56,6 +66,9 @@
 	Relays() int
 	ListAge() clk.Span
 	KeeperZones() map[word.Node]word.Zone
+	// FedElsewhere tells whether a zone is another than the keeper's and has a
+	// keeper that feeds.
+	FedElsewhere(z word.Zone) bool
 	// SeatZones tells the zone of each seat of the roster that the keeper goes
 	// by, with its number, and Rounds whether it can ever become sure.
 	// Confirmed waits for a majority's confirmation that began after the call.
@@ -242,7 +255,7 @@
 			return it
 		}
 	}
-	it.Val, it.Packed = v.whole()
+	it.Val, it.Packed = v.toSend()
 	return it
 }
 
@@ -286,6 +299,23 @@
 	return keep.Msg{OK: true, Life: h.Status.Life(), Num: h.Num(), Count: h.Status.Relays(), ListAge: h.Status.ListAge()}
 }
 
+// homeWait is how long a relay of another zone has to go over to a keeper of its
+// own before it is fed.
+const homeWait = 200 * clk.Millisecond
+
+// homeFirst tells whether a relay that has not yet looked for a keeper of its own
+// zone will find one: a whole snapshot need not cross zones for it.
+func (h *Hub) homeFirst(m keep.Msg) bool {
+	return m.Stray && h.Status.Sure(h.freshFor()) && h.Status.FedElsewhere(m.Zone)
+}
+
+// greeting names the keepers, and feeds nothing.
+func (h *Hub) greeting() keep.Msg {
+	m := keep.Msg{Kind: keep.Follow, Life: h.Status.Life(), Greeting: true, KeeperZones: h.Status.KeeperZones()}
+	m.Roster.Num, m.SeatZones = h.Status.SeatZones()
+	return m
+}
+
 // Follow feeds one relay until it is gone.
 func (h *Hub) Follow(m keep.Msg, push func(keep.Msg) error) {
 	f := &follower{has: map[word.Key]word.Place{}, name: m.From, addr: m.Addr, mark: spawn.NewMark()}
@@ -301,6 +331,12 @@
 		h.who = slices.DeleteFunc(h.who, func(o *follower) bool { return o == f })
 		h.mu.Unlock()
 	}()
+	if h.homeFirst(m) {
+		if push(h.greeting()) != nil {
+			return
+		}
+		f.mark.Wait(homeWait)
+	}
 	first := true
 	zones := -1
 	var seats map[word.Node]word.Zone
--- a/internal/feed/hub_test.go
+++ b/internal/feed/hub_test.go
@@ -27,6 +27,7 @@
 func (s *status) Relays() int                          { return 3 }
 func (s *status) ListAge() clk.Span                    { return 0 }
 func (s *status) KeeperZones() map[word.Node]word.Zone { return nil }
+func (s *status) FedElsewhere(z word.Zone) bool        { return z == "fed" }
 func (s *status) SeatZones() (uint64, map[word.Node]word.Zone) {
 	return s.num, s.seats
 }
@@ -247,3 +248,29 @@
 	is.Equal(took, []string{"one", "two"})
 	is.True(!tail.Taken(keep.Item{Key: "k", At: item("", 3, 1, "").At, Val: []byte("no flate"), Packed: true}))
 }
+
+// A relay of a zone that has a keeper is told of it before a snapshot crosses
+// zones, once; one that stays is fed.
+func TestGreeting(t *testing.T) {
+	is := is.New(t)
+	h := NewHub()
+	st := &status{life: 7, sure: true}
+	h.Status = st
+	h.Publish(item(word.List, 1, 1, "list"))
+	follow := func(m keep.Msg, most int) (got []keep.Msg) {
+		h.Follow(m, func(m keep.Msg) error {
+			if got = append(got, m); len(got) == most {
+				return errEnd
+			}
+			return nil
+		})
+		return got
+	}
+	got := follow(keep.Msg{Zone: "fed", Stray: true}, 2)
+	is.True(got[0].Greeting)
+	is.Equal(len(got[0].Items), 0)
+	is.Equal(len(got[1].Items), 1)
+	is.True(!got[1].Greeting)
+	is.Equal(len(follow(keep.Msg{Zone: "fed"}, 1)[0].Items), 1)                // has looked already
+	is.Equal(len(follow(keep.Msg{Zone: "other", Stray: true}, 1)[0].Items), 1) // nowhere else to go
+}
--- a/internal/feed/tail.go
+++ b/internal/feed/tail.go
@@ -9,6 +9,7 @@
 
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
+	"spoolswitch/internal/deflate"
 	"spoolswitch/internal/keep"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/spawn"
@@ -109,7 +110,7 @@
 
 func (t *Tail) take(it keep.Item) bool {
 	if it.Packed {
-		val, err := unpack(it.Val)
+		val, err := deflate.Unpack(it.Val)
 		if err != nil {
 			note.Trouble("value not legible", "key", it.Key, "err", err)
 			return false
@@ -231,12 +232,14 @@
 // following is how one keeper is followed. What the keeper says of itself
 // counts only as of the moment when it was asked.
 type following struct {
-	mu     sync.Mutex
-	mark   *spawn.Mark
-	begun  clk.Tick
-	fresh  clk.Tick
-	lost   bool
-	over   bool
+	mu    sync.Mutex
+	mark  *spawn.Mark
+	begun clk.Tick
+	fresh clk.Tick
+	lost  bool
+	over  bool
+	// away says that the keeper named one of the relay's own zone.
+	away   bool
 	asked  clk.Tick
 	answer keep.Msg
 }
@@ -247,12 +250,16 @@
 	defer p.Close()
 	f := &following{mark: spawn.NewMark(), begun: clk.Now()}
 	t.mu.Lock()
-	m := keep.Msg{Kind: keep.Follow, From: t.Self, Life: t.life, Num: t.num, Zone: t.Zone, Addr: t.Addr, Places: t.had()}
+	m := keep.Msg{Kind: keep.Follow, From: t.Self, Life: t.life, Num: t.num, Zone: t.Zone, Addr: t.Addr, Places: t.had(), Stray: len(t.zones) == 0}
 	t.mu.Unlock()
 	end, err := p.Stream(m, firstWait, func(m keep.Msg, ok bool) {
 		if ok {
 			t.told(m)
 		}
+		if ok && m.Greeting {
+			f.greeted(!t.home(a))
+			return
+		}
 		whole := !ok || !m.Fresh || t.news(a, m)
 		f.mu.Lock()
 		switch {
@@ -278,8 +285,11 @@
 	for {
 		f.mark.Wait(wait)
 		f.mu.Lock()
-		gone, l := f.lost, f.fresh
+		gone, l, away := f.lost, f.fresh, f.away
 		f.mu.Unlock()
+		if away {
+			return true
+		}
 		if l != 0 && !was {
 			was = true
 			if !t.home(a) {
@@ -315,6 +325,13 @@
 	t.bad[a] = clk.Now()
 }
 
+func (f *following) greeted(away bool) {
+	f.mu.Lock()
+	f.away = away
+	f.mu.Unlock()
+	f.mark.Set()
+}
+
 func (f *following) end() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -382,6 +399,9 @@
 	if len(m.SeatZones) > 0 && m.Roster.Num >= t.roster {
 		t.seats, t.roster = m.SeatZones, m.Roster.Num
 	}
+	if m.Greeting {
+		t.zones = m.KeeperZones
+	}
 }
 
 func (t *Tail) news(a word.Addr, m keep.Msg) bool {
--- a/internal/feed/tail_test.go
+++ b/internal/feed/tail_test.go
@@ -127,3 +127,31 @@
 	soon(t, "a confirmation", func() bool { return tail.Fresh(clk.Minute) })
 	is.True(away.follows.Load() < 5)
 }
+
+// A relay that is told of a keeper of its own zone goes there unfed; if that one
+// is down it comes back and is fed where it was greeted.
+func TestGreeted(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		is := is.New(t)
+		home, away := newKeeper(t), newKeeper(t)
+		homeAddr := home.addr
+		if down {
+			homeAddr = "127.0.0.1:1"
+		}
+		zones := map[word.Node]word.Zone{word.Node(away.addr): "y", word.Node(homeAddr): "z"}
+		home.pushes.Store(&keep.Msg{Fresh: true, Life: 1, Num: 1, KeeperZones: zones})
+		home.answers.Store(&keep.Msg{OK: true, Life: 1, Num: 1})
+		away.pushes.Store(&keep.Msg{Greeting: true, Life: 2, KeeperZones: zones})
+		away.answers.Store(&keep.Msg{OK: true, Life: 2, Num: 4})
+		tail := newTail(away.addr)
+		tail.Zone = "z"
+		tail.Run()
+		if down {
+			soon(t, "the greeting", func() bool { return away.follows.Load() > 1 })
+			away.pushes.Store(&keep.Msg{Fresh: true, Life: 2, Num: 4, KeeperZones: zones})
+		}
+		soon(t, "a confirmation", func() bool { return tail.Fresh(clk.Minute) })
+		at, _, _ := tail.Place()
+		is.Equal(at == away.addr, down)
+	}
+}
--- a/internal/keep/beat.go
+++ b/internal/keep/beat.go
@@ -6,6 +6,7 @@
 
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
+	"spoolswitch/internal/deflate"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/spawn"
 	"spoolswitch/internal/word"
@@ -30,6 +31,9 @@
 // learnFrom takes in what another keeper tells of a value; false if that is a
 // change from a value that this one does not have.
 func (k *Keeper) learnFrom(m Msg) bool {
+	if !m.unpack() {
+		return false
+	}
 	if m.Held {
 		c := k.acc.Cell(m.Key)
 		if c.At != m.At {
@@ -87,6 +91,10 @@
 		}
 	}
 	k.learn(key, at, val)
+	whole.Val, whole.Packed = deflate.Pack(whole.Val)
+	if change.Base.Zero() {
+		change = whole
+	}
 	for _, n := range k.peers() {
 		spawn.Go(func() {
 			a, ok := k.Net.Ask(n, change, askTimeout)
@@ -245,6 +253,9 @@
 		if !ok || a.At != at {
 			return false
 		}
+		if !a.unpack() {
+			return false
+		}
 		c.Val = a.Val
 	}
 	k.learn(key, at, c.Val)
@@ -432,6 +443,21 @@
 	return len(k.relays)
 }
 
+// FedElsewhere tells whether a zone is another than this keeper's and has a seat
+// that was heard of lately.
+func (k *Keeper) FedElsewhere(z word.Zone) bool {
+	if z == k.Zone {
+		return false
+	}
+	seats := k.acc.Roster().All()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.ContainsFunc(seats, func(n word.Node) bool {
+		at, ok := k.heard[n]
+		return k.others[n] == z && ok && clk.Since(at) < hereFor
+	})
+}
+
 // Far tells whether a daemon is known to be in another zone.
 func (k *Keeper) Far(n word.Node) bool {
 	k.mu.Lock()
--- a/internal/keep/join.go
+++ b/internal/keep/join.go
@@ -29,6 +29,9 @@
 	// change that another has not ended after reseatAfter, and one reseatStep
 	// later for each seat that comes before it.
 	seatTimeout = 4 * clk.Second
+	// votersWait is how long new seats may take to read the others' disks, before
+	// they vote.
+	votersWait = 1200 * clk.Millisecond
 	reseatAfter = 2 * clk.Second
 	reseatStep  = 1500 * clk.Millisecond
 )
@@ -227,9 +230,10 @@
 		return
 	}
 	deadline := clk.Now().Add(seatTimeout)
+	begun := clk.Now()
 	keys, ok := k.keysOf(r)
-	for !ok && k.acc.Roster().Num == r.Num && clk.Until(deadline) > 0 {
-		clk.Sleep(copyPause) // new seats may not have read the others yet
+	for !ok && k.acc.Roster().Num == r.Num && clk.Since(begun) < votersWait {
+		clk.Sleep(copyPause)
 		keys, ok = k.keysOf(r)
 	}
 	if !ok {
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -7,6 +7,7 @@
 
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
+	"spoolswitch/internal/deflate"
 	"spoolswitch/internal/guards"
 	"spoolswitch/internal/note"
 	"spoolswitch/internal/spawn"
@@ -325,7 +326,9 @@
 		if m.Key.Shared() {
 			c.Val, c.At = k.Sink.Value(m.Key)
 		}
-		return Msg{OK: true, Key: m.Key, At: c.At, Val: c.Val}
+		a := Msg{OK: true, Key: m.Key, At: c.At}
+		a.Val, a.Packed = deflate.Pack(c.Val)
+		return a
 	case Survey:
 		return k.survey(m)
 	case Drift:
--- a/internal/keep/msg.go
+++ b/internal/keep/msg.go
@@ -5,7 +5,9 @@
 
 	"spoolswitch/internal/clk"
 	"spoolswitch/internal/code"
+	"spoolswitch/internal/deflate"
 	"spoolswitch/internal/kvindex"
+	"spoolswitch/internal/note"
 	"spoolswitch/internal/word"
 )
 
@@ -53,6 +55,20 @@
 	return name
 }
 
+// unpack makes a compressed value whole; false if it is none.
+func (m *Msg) unpack() bool {
+	if !m.Packed {
+		return true
+	}
+	val, err := deflate.Unpack(m.Val)
+	if err != nil {
+		note.Trouble("value not legible", "key", m.Key, "from", m.From, "err", err)
+		return false
+	}
+	m.Val, m.Packed = val, false
+	return true
+}
+
 // Mark is what one keeper has of one key.
 type Mark struct {
 	Promised word.Epoch
@@ -111,6 +127,11 @@
 	Held bool
 	// Base, if set, is the place of the value that Val is the change from.
 	Base word.Place
+	// Packed says that Val is compressed.
+	Packed bool
+	// Stray says that a relay has not yet looked for a keeper of its own zone, and
+	// Greeting that the answer names the keepers and feeds nothing.
+	Stray, Greeting bool
 	// Places are those of the values that a relay has been fed already.
 	Places map[word.Key]word.Place
 	// Left is how long the sender waits, from the sending on.
