--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -91,7 +91,7 @@
 
 	mu    sync.Mutex
 	past  map[word.Key][]version
-	steps map[step][]byte
+	steps map[step]change
 	num   uint64
 	sure  bool
 	items map[word.Key]*kept
@@ -221,16 +221,26 @@
 	h.past[v.it.Key] = p[max(0, len(p)-pastKept):]
 }
 
+// change is the way from one value of a key to another; val is nil if there is
+// none.
+type change struct {
+	val    []byte
+	packed bool
+}
+
 // diff tells a change, worked out once for all followers.
-func (h *Hub) diff(old version, v *kept) []byte {
+func (h *Hub) diff(old version, v *kept) change {
 	k := step{v.it.Key, old.at, v.it.At}
 	if d, ok := h.steps[k]; ok {
 		return d
 	}
 	if len(h.steps) >= pastKept || h.steps == nil {
-		h.steps = map[step][]byte{}
+		h.steps = map[step]change{}
+	}
+	var d change
+	if val := h.Diff(v.it.Key, old.fed, v.fed); val != nil {
+		d.val, d.packed = deflate.Pack(val)
 	}
-	d := h.Diff(v.it.Key, old.fed, v.fed)
 	h.steps[k] = d
 	return d
 }
@@ -250,8 +260,8 @@
 			it.Base, it.Val, it.Same = at, nil, true
 			return it
 		}
-		if d := h.diff(old, v); d != nil {
-			it.Base, it.Val = at, d
+		if d := h.diff(old, v); d.val != nil {
+			it.Base, it.Val, it.Packed = at, d.val, d.packed
 			return it
 		}
 	}
--- a/internal/keep/beat.go
+++ b/internal/keep/beat.go
@@ -87,7 +87,8 @@
 	change := whole
 	if old, base := k.Sink.Value(key); key.Shared() && !base.Zero() && k.Diff != nil {
 		if d := k.Diff(key, old, val); d != nil {
-			change.Base, change.Val = base, d
+			change.Base = base
+			change.Val, change.Packed = deflate.Pack(d)
 		}
 	}
 	k.learn(key, at, val)
--- a/internal/keep/digest.go
+++ b/internal/keep/digest.go
@@ -50,6 +50,7 @@
 	if had == m.Sum {
 		m.Same = true
 		m.Marks, m.Relays, m.Roster = nil, nil, Roster{}
+		m.From, m.Zone = "", "" // told with the whole
 	}
 	return m
 }
--- a/internal/keep/gossip.go
+++ b/internal/keep/gossip.go
@@ -207,5 +207,6 @@
 	}
 	maps.DeleteFunc(k.others, func(n word.Node, _ word.Zone) bool { return gone(n) })
 	maps.DeleteFunc(k.heard, func(n word.Node, _ clk.Tick) bool { return gone(n) })
+	maps.DeleteFunc(k.rounding, func(n word.Node, _ clk.Tick) bool { return gone(n) })
 	maps.DeleteFunc(k.health, func(n word.Node, _ health) bool { return gone(n) })
 }
--- a/internal/keep/join.go
+++ b/internal/keep/join.go
@@ -31,7 +31,7 @@
 	seatTimeout = 4 * clk.Second
 	// votersWait is how long new seats may take to read the others' disks, before
 	// they vote.
-	votersWait = 1200 * clk.Millisecond
+	votersWait  = 1200 * clk.Millisecond
 	reseatAfter = 2 * clk.Second
 	reseatStep  = 1500 * clk.Millisecond
 )
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -56,8 +56,10 @@
 	round  uint64
 	life   uint64
 	heard  map[word.Node]clk.Tick
-	local0 clk.Tick
-	sure   clk.Tick
+	// rounding is when other daemons last held a round here.
+	rounding map[word.Node]clk.Tick
+	local0   clk.Tick
+	sure     clk.Tick
 	// steady is when the rounds began that have followed each other since
 	steady  clk.Tick
 	odd     map[word.Key]doubt
@@ -91,7 +93,7 @@
 // New makes a keeper over an acceptor.
 func New(self word.Node, acc *Acceptor, net Net, sink Sink) *Keeper {
 	return &Keeper{Self: self, Disk: true, asked: map[word.Node]asked{}, acc: acc, Net: net, Sink: sink, life: spawn.Uint64() | 1,
-		leases: map[word.Key]*lease{}, tried: map[word.Key]word.Epoch{}, heard: map[word.Node]clk.Tick{},
+		leases: map[word.Key]*lease{}, tried: map[word.Key]word.Epoch{}, heard: map[word.Node]clk.Tick{}, rounding: map[word.Node]clk.Tick{},
 		odd: map[word.Key]doubt{}, mending: map[word.Key]bool{}, barred: map[word.Key]doubt{}, sights: map[word.Node]sight{},
 		others: map[word.Node]word.Zone{}, relays: map[word.Node]clk.Tick{},
 		contacts: map[word.Node]contact{}, health: map[word.Node]health{}, local0: clk.Now(), seededAt: clk.Now()}
@@ -137,6 +139,9 @@
 	k.askAllLater(k.peers(), m)
 }
 
+// peers are the daemons that keep values with this one: the seats, and others
+// that hold rounds, which those do that have a disk. Who only forwards orders
+// needs to be told nothing.
 func (k *Keeper) peers() []word.Node {
 	var out []word.Node
 	add := func(n word.Node) {
@@ -154,7 +159,7 @@
 			add(n)
 		}
 	}
-	for n, at := range sorted(k.heard) {
+	for n, at := range sorted(k.rounding) {
 		if clk.Since(at) < 10*clk.Second {
 			add(n)
 		}
@@ -354,6 +359,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.heard[m.From] = clk.Now()
+	if m.Kind == Digest {
+		k.rounding[m.From] = clk.Now()
+	}
 	k.trim(r)
 	if m.Zone != "" {
 		k.others[m.From] = m.Zone
--- a/internal/list/duty.go
+++ b/internal/list/duty.go
@@ -25,6 +25,8 @@
 	wait  clk.Span
 	done  clk.Tick
 	fails int
+	// clock names the clock that readings are told by.
+	clock uint64
 }
 
 const (
@@ -96,7 +98,11 @@
 	d.seq++
 	d.last, d.at = rs, now
 	k.ListSeen(now)
-	k.Share(word.List, word.Place{Epoch: d.epoch, Seq: d.seq}, Encode(rs))
+	if d.clock == 0 {
+		d.clock = spawn.Uint64() | 1
+	}
+	read := Reading{Clock: d.clock, AtMs: float64(now) / float64(clk.Millisecond)}
+	k.Share(word.List, word.Place{Epoch: d.epoch, Seq: d.seq}, EncodeRead(rs, read))
 }
 
 func (d *Duty) vacant(at word.Place) bool {
@@ -119,7 +125,7 @@
 		if !alike(x, y) {
 			return false
 		}
-		if y.ColdMs > max(0, x.ColdMs-float64(d/clk.Millisecond))+250 {
+		if y.ColdMs > warmed(x.ColdMs, float64(d/clk.Millisecond))+coldSlackMs {
 			return false
 		}
 	}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -103,6 +103,18 @@
 	return true
 }
 
+// leaves waits for the client to leave, or for the read deadline. What the client
+// sends meanwhile stays in the buffer; once that is full nobody can tell.
+func (k *Client) leaves() bool {
+	for k.br.Buffered() < k.br.Size() {
+		_, err := k.br.Peek(k.br.Buffered() + 1)
+		if err != nil {
+			return !errors.Is(err, os.ErrDeadlineExceeded)
+		}
+	}
+	return false
+}
+
 func (k *Client) deadline(t clk.Tick) { _ = k.c.SetReadDeadline(t.Deadline()) }
 
 func (k *Client) refuse(err error) {
@@ -187,18 +199,16 @@
 	return !n.last && !k.gone.Load()
 }
 
+// watch waits for the end of a request, and abandons it if its client leaves
+// before that.
 func (k *Client) watch(n *Request) {
-	if k.br.Buffered() == 0 {
-		_ = k.c.SetReadDeadline(clk.NoDeadline())
-		k.mu.Lock()
-		over := k.dead
-		k.mu.Unlock()
-		if !over {
-			if _, err := k.br.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-				k.gone.Store(true)
-				n.abandon()
-			}
-		}
+	_ = k.c.SetReadDeadline(clk.NoDeadline())
+	k.mu.Lock()
+	over := k.dead
+	k.mu.Unlock()
+	if !over && k.leaves() {
+		k.gone.Store(true)
+		n.abandon()
 	}
 	n.done.Wait(clk.Span(1<<62 - 1))
 	k.mu.Lock()
--- /dev/null
+++ b/internal/relay/gone_test.go
@@ -0,0 +1,65 @@
+package relay
+
+import (
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"spoolswitch/internal/clk"
+	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/standin"
+)
+
+const goneRequest = "POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\nContent-Length: 4\r\n\r\nbody"
+
+// GONE: a client that leaves while its request is held for news, or that sent
+// the next request already, takes its request along.
+func TestClientGone(t *testing.T) {
+	t.Run("held", func(t *testing.T) {
+		is := is.New(t)
+		g := newRig(t, standin.Well)
+		g.r.Current = func() bool { return false }
+		k := standin.Call(g.addr)
+		k.Put(goneRequest)
+		until(t, "the request", func() bool { return g.r.Active() == 1 })
+		k.Close()
+		until(t, "the end", func() bool { return g.r.Active() == 0 })
+		is.Equal(g.arrivals(), 0)
+	})
+	t.Run("with the next one sent", func(t *testing.T) {
+		is := is.New(t)
+		in, cut := spawn.NewMark(), spawn.NewMark()
+		g := newRig(t, func(w net.Conn, g standin.Got) bool {
+			in.Set()
+			var b [1]byte
+			_, _ = w.Read(b[:])
+			cut.Set()
+			return false
+		})
+		k := standin.Call(g.addr)
+		k.Put(goneRequest + goneRequest[:20])
+		is.True(in.Wait(10 * clk.Second))
+		k.Put(goneRequest[20:])
+		k.Close()
+		is.True(cut.Wait(10 * clk.Second))
+		until(t, "the end", func() bool { return g.r.Active() == 0 })
+		is.Equal(g.arrivals(), 1)
+	})
+}
+
+// UNASKED: what a request says of its prompt reaches the replica as the client
+// said it, also on a second replica.
+func TestPromptFieldsUnchanged(t *testing.T) {
+	is := is.New(t)
+	want := []string{"Model: m", "Token-Counts: 1460,80", "Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250"}
+	g := newRig(t, standin.Full, standin.Full)
+	_, err := g.ask("/resume/", "id", want...)
+	is.NoErr(err)
+	is.Equal(g.arrivals(), 2)
+	for _, r := range g.reps {
+		for _, got := range r.Got() {
+			is.Equal([]string{"Model: " + got.Model, "Token-Counts: " + got.Tokens, "Prompt-Prefix: " + got.Prefix}, want)
+		}
+	}
+}
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -17,6 +17,7 @@
 // Got is a request as a replica received it.
 type Got struct {
 	ID, Method, URI, Host, Expect, LastEvent, Deadline, Body string
+	Model, Tokens, Prefix                                    string
 }
 
 // Play answers one request; false closes the connection.
@@ -101,7 +102,8 @@
 		}
 		f := func(k string) string { return string(q.Field(k)) }
 		g := Got{ID: f(head.AttemptID), Method: q.Method, URI: q.URI, Host: q.Host, Expect: f(head.Expected),
-			LastEvent: f(head.LastEvent), Deadline: f(head.DeadlineMs), Body: string(b)}
+			LastEvent: f(head.LastEvent), Deadline: f(head.DeadlineMs), Body: string(b),
+			Model: f(head.Model), Tokens: f(head.Tokens), Prefix: f(head.Prefix)}
 		r.mu.Lock()
 		r.got = append(r.got, g)
 		p := r.play
