--- a/cmd/keepd/main.go
+++ b/cmd/keepd/main.go
@@ -2,12 +2,12 @@
 package main
 
 import (
-	"spoolswitch/internal/boot"
-	"spoolswitch/internal/ctl"
-	"spoolswitch/internal/proc"
+	"spoolswitch/internal/control"
+	"spoolswitch/internal/daemon"
+	"spoolswitch/internal/settings"
 )
 
 func main() {
-	proc.Main("keepd", "Keeps the control state of a router fleet and feeds it to its relays.",
-		func(s *boot.Settings) (proc.Daemon, error) { return ctl.Start(s) })
+	daemon.Main("keepd", "Keeps the control state of a router fleet and feeds it to its relays.",
+		func(s *settings.Settings) (daemon.Daemon, error) { return control.Start(s) })
 }
--- a/cmd/relayd/main.go
+++ b/cmd/relayd/main.go
@@ -2,12 +2,12 @@
 package main
 
 import (
-	"spoolswitch/internal/boot"
-	"spoolswitch/internal/proc"
+	"spoolswitch/internal/daemon"
 	"spoolswitch/internal/relay"
+	"spoolswitch/internal/settings"
 )
 
 func main() {
-	proc.Main("relayd", "Carries the traffic of a router fleet.",
-		func(s *boot.Settings) (proc.Daemon, error) { return relay.Start(s) })
+	daemon.Main("relayd", "Carries the traffic of a router fleet.",
+		func(s *settings.Settings) (daemon.Daemon, error) { return relay.Start(s) })
 }
--- a/cmd/spoolctl/main.go
+++ b/cmd/spoolctl/main.go
@@ -9,16 +9,16 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/oper"
-	"spoolswitch/internal/proc"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/daemon"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/operator"
 	"spoolswitch/internal/trace"
-	"spoolswitch/internal/word"
 )
 
 func main() {
 	app := kingpin.New("spoolctl", "Checks the settings and configurations of a router fleet, calls it as an operator does, and follows changes through it.")
-	app.Version(proc.Release)
+	app.Version(daemon.Release)
 	app.HelpFlag.Short('h')
 	limit := app.Flag("limit", "How long to try.").Default("5s").Duration()
 	t := &tool{}
@@ -38,10 +38,10 @@
 		x.Flag("control", "A control address, IP:PORT; may be given again.").Short('c').Required().StringsVar(&control)
 		return x
 	}
-	client := func() *oper.Client {
-		o := &oper.Client{Limit: *limit}
+	client := func() *operator.Client {
+		o := &operator.Client{Limit: *limit}
 		for _, a := range control {
-			o.Addrs = append(o.Addrs, word.Addr(a))
+			o.Addrs = append(o.Addrs, ids.Addr(a))
 		}
 		return o
 	}
@@ -68,22 +68,22 @@
 		return x
 	}
 	s := asks("status", "Tell how all daemons are.")
-	s.Action(t.do(func() error { return t.status(trace.Wire, word.Addr(keeper), asJSON, *limit) }))
+	s.Action(t.do(func() error { return t.status(trace.Wire, ids.Addr(keeper), asJSON, *limit) }))
 	po := asks("pools", "Tell how replicas are divided into pools, what was counted, and the last moves.")
-	po.Action(t.do(func() error { return t.pools(trace.Wire, word.Addr(keeper), asJSON, *limit) }))
+	po.Action(t.do(func() error { return t.pools(trace.Wire, ids.Addr(keeper), asJSON, *limit) }))
 	tr := asks("trace", "Follow one change through all daemons.")
 	version := tr.Flag("config-version", "A version of the configuration.").Int64()
 	zone := tr.Flag("evacuation", "A zone, for its evacuation.").String()
 	state := tr.Flag("state", "Which change of the evacuation: on or off.").Default("on").Enum("on", "off")
 	tr.Action(t.do(func() error {
-		key, label := word.Configuration, fmt.Sprint(*version)
+		key, label := ids.Configuration, fmt.Sprint(*version)
 		switch {
 		case *zone != "":
-			key, label = word.Evacuation(word.Zone(*zone)), *state
+			key, label = ids.Evacuation(ids.Zone(*zone)), *state
 		case *version <= 0:
-			return code.New(code.UnknownChange, "give --config-version or --evacuation")
+			return codes.New(codes.UnknownChange, "give --config-version or --evacuation")
 		}
-		return t.trace(trace.Wire, word.Addr(keeper), key, label, asJSON, min(*limit, 2*time.Second))
+		return t.trace(trace.Wire, ids.Addr(keeper), key, label, asJSON, min(*limit, 2*time.Second))
 	}))
 
 	kingpin.MustParse(app.Parse(os.Args[1:]))
--- a/cmd/spoolctl/tool.go
+++ b/cmd/spoolctl/tool.go
@@ -10,14 +10,14 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"spoolswitch/internal/boot"
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/conf"
-	"spoolswitch/internal/keep"
-	"spoolswitch/internal/oper"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/configuration"
+	"spoolswitch/internal/consensus"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/operator"
+	"spoolswitch/internal/settings"
 	"spoolswitch/internal/trace"
-	"spoolswitch/internal/word"
 )
 
 type tool struct {
@@ -38,13 +38,13 @@
 func (t *tool) check() error {
 	b, err := os.ReadFile(*t.file)
 	if err != nil {
-		return code.New(code.NoSettings, "%v", err)
+		return codes.New(codes.NoSettings, "%v", err)
 	}
 	var errs []error
 	if x := bytes.TrimSpace(b); len(x) > 0 && x[0] == '{' {
-		_, errs = conf.Read(b)
+		_, errs = configuration.Read(b)
 	} else {
-		_, errs = boot.Parse(b)
+		_, errs = settings.Parse(b)
 	}
 	for _, err := range errs {
 		fmt.Fprintln(os.Stderr, err)
@@ -57,12 +57,12 @@
 	return nil
 }
 
-func read(p string) (*conf.Doc, error) {
+func read(p string) (*configuration.Doc, error) {
 	b, err := os.ReadFile(p)
 	if err != nil {
-		return nil, code.New(code.NoSettings, "%v", err)
+		return nil, codes.New(codes.NoSettings, "%v", err)
 	}
-	d, errs := conf.Read(b)
+	d, errs := configuration.Read(b)
 	if len(errs) > 0 {
 		return nil, errs[0]
 	}
@@ -85,7 +85,7 @@
 	return nil
 }
 
-func (t *tool) get(o *oper.Client) error {
+func (t *tool) get(o *operator.Client) error {
 	b, err := o.Call("GET", "/-/configuration/retrieve", -1, nil)
 	if err == nil {
 		fmt.Println(string(b))
@@ -93,10 +93,10 @@
 	return err
 }
 
-func (t *tool) send(o *oper.Client, how, file string, base int64) error {
+func (t *tool) send(o *operator.Client, how, file string, base int64) error {
 	b, err := os.ReadFile(file)
 	if err != nil {
-		return code.New(code.NoSettings, "%v", err)
+		return codes.New(codes.NoSettings, "%v", err)
 	}
 	if _, err := o.Call("POST", "/-/configuration/"+how, base, b); err != nil {
 		return err
@@ -105,7 +105,7 @@
 	return nil
 }
 
-func (t *tool) evacuate(o *oper.Client, how, zone string) error {
+func (t *tool) evacuate(o *operator.Client, how, zone string) error {
 	end := map[string]string{"evacuate": "/initiate", "return": "/terminate"}[how]
 	if _, err := o.Call("POST", "/-/evacuation/"+zone+end, -1, nil); err != nil {
 		return err
@@ -122,7 +122,7 @@
 	return err
 }
 
-func (t *tool) trace(ask trace.Ask, keeper word.Addr, key word.Key, label string, asJSON bool, timeout clk.Span) error {
+func (t *tool) trace(ask trace.Ask, keeper ids.Addr, key ids.Key, label string, asJSON bool, timeout clock.Span) error {
 	r, err := trace.Change(ask, keeper, key, label, timeout)
 	if err != nil {
 		return err
@@ -135,7 +135,7 @@
 }
 
 // copies tells on how many disks of which seats a key's newest value lies.
-func copies(r *keep.Report, k word.Key) string {
+func copies(r *consensus.Report, k ids.Key) string {
 	if !k.Kept() || r.Role != "keeper" {
 		return ""
 	}
@@ -144,10 +144,10 @@
 
 // state tells how a keeper is: whether it may answer and since when, and whom
 // it knows.
-func state(r *keep.Report) string {
+func state(r *consensus.Report) string {
 	confirmed := "by none yet"
 	if r.Confirmed >= 0 {
-		confirmed = fmt.Sprintf("%d ms ago", r.Confirmed/clk.Millisecond)
+		confirmed = fmt.Sprintf("%d ms ago", r.Confirmed/clock.Millisecond)
 	}
 	if !r.Roster.Has(r.Node) {
 		confirmed = "without a seat"
@@ -156,8 +156,8 @@
 		r.Node, r.Zone, r.Answers, r.Voting, r.Sure, confirmed, r.Feed, len(r.Relays), r.Roster.Num, r.Roster.Seat, r.Roster.Next, r.Seeds, r.Others)
 }
 
-func (t *tool) status(ask trace.Ask, keeper word.Addr, asJSON bool, timeout clk.Span) error {
-	rs, silent, err := trace.Fleet(ask, keeper, word.Configuration, timeout)
+func (t *tool) status(ask trace.Ask, keeper ids.Addr, asJSON bool, timeout clock.Span) error {
+	rs, silent, err := trace.Fleet(ask, keeper, ids.Configuration, timeout)
 	if err != nil {
 		return err
 	}
@@ -168,7 +168,7 @@
 		if r.Role == "keeper" {
 			fmt.Print(state(r))
 			for _, k := range sorted(r.Owners) {
-				fmt.Printf("  %s: lease %s%s\n", k, r.Owners[word.Key(k)], copies(r, word.Key(k)))
+				fmt.Printf("  %s: lease %s%s\n", k, r.Owners[ids.Key(k)], copies(r, ids.Key(k)))
 			}
 		} else {
 			fmt.Printf("relay %s in %s: current %v, version %d, from %s, feed at %d\n", r.Node, r.Zone, r.Sure, r.Version, r.Keeper, r.Feed)
@@ -194,13 +194,13 @@
 	return nil
 }
 
-func (t *tool) pools(ask trace.Ask, keeper word.Addr, asJSON bool, timeout clk.Span) error {
-	rs, _, err := trace.Fleet(ask, keeper, word.Plan, timeout)
+func (t *tool) pools(ask trace.Ask, keeper ids.Addr, asJSON bool, timeout clock.Span) error {
+	rs, _, err := trace.Fleet(ask, keeper, ids.Plan, timeout)
 	if err != nil {
 		return err
 	}
 	plans := map[string]int{}
-	var held *keep.Report
+	var held *consensus.Report
 	for _, r := range rs {
 		switch {
 		case r.Role == "relay":
@@ -235,7 +235,7 @@
 	return nil
 }
 
-func sorted(m map[word.Key]word.Place) []string {
+func sorted(m map[ids.Key]ids.Place) []string {
 	var out []string
 	for k := range m {
 		out = append(out, string(k))
--- a/cmd/spoolscale/main.go
+++ b/cmd/spoolscale/main.go
@@ -14,10 +14,10 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"spoolswitch/internal/boot"
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/proc"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/daemon"
 	"spoolswitch/internal/scale"
+	"spoolswitch/internal/settings"
 )
 
 type child struct {
@@ -37,12 +37,12 @@
 }
 
 // CPU adds up what all threads have run, to the nanosecond.
-func (c *child) CPU() (d clk.Span) {
+func (c *child) CPU() (d clock.Span) {
 	ts, _ := os.ReadDir(fmt.Sprintf("/proc/%d/task", c.cmd.Process.Pid))
 	for _, t := range ts {
 		if f := strings.Fields(c.read("task/" + t.Name() + "/schedstat")); len(f) > 0 {
 			n, _ := strconv.ParseInt(f[0], 10, 64)
-			d += clk.Span(n)
+			d += clock.Span(n)
 		}
 	}
 	return d
@@ -59,9 +59,9 @@
 }
 
 func starter(keepd, dir string) scale.Starter {
-	return func(node, settings string) (scale.Daemon, error) {
+	return func(node, text string) (scale.Daemon, error) {
 		p := filepath.Join(dir, node+".toml")
-		if err := os.WriteFile(p, []byte(settings), 0o600); err != nil {
+		if err := os.WriteFile(p, []byte(text), 0o600); err != nil {
 			return nil, err
 		}
 		log, err := os.Create(filepath.Join(dir, node+".log"))
@@ -69,7 +69,7 @@
 			return nil, err
 		}
 		cmd := exec.Command(keepd)
-		cmd.Env = append(os.Environ(), boot.Env+"="+p, "GOMAXPROCS=1")
+		cmd.Env = append(os.Environ(), settings.Env+"="+p, "GOMAXPROCS=1")
 		cmd.Stdout, cmd.Stderr = log, log
 		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 		if err := cmd.Start(); err != nil {
@@ -81,7 +81,7 @@
 
 func main() {
 	app := kingpin.New("spoolscale", "Measures how what daemons need grows with the fleet: real keepers, hollow relays, listed replicas, on loopback. Ends by itself.")
-	app.Version(proc.Release)
+	app.Version(daemon.Release)
 	app.HelpFlag.Short('h')
 	keepd := app.Flag("keepd", "The keeper's program.").Default("target/keepd").ExistingFile()
 	relays := app.Flag("relays", "How many hollow relays; the replicas are three for each.").Default("45", "90", "180", "370").Ints()
--- a/cmd/spoolsim/guards.go
+++ b/cmd/spoolsim/guards.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"os"
 
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/codes"
 	"spoolswitch/internal/sim"
 )
 
@@ -14,7 +14,7 @@
 			return g
 		}
 	}
-	fail(code.New(code.BadSimFlags, "there is no guard %s", name))
+	fail(codes.New(codes.BadSimFlags, "there is no guard %s", name))
 	return sim.Missed{}
 }
 
--- a/cmd/spoolsim/hunt.go
+++ b/cmd/spoolsim/hunt.go
@@ -12,9 +12,9 @@
 	"sync"
 	"syscall"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/concurrency"
 )
 
 // outcome sums a hunt up.
@@ -35,7 +35,7 @@
 	mu    sync.Mutex
 	out   outcome
 	live  bool
-	begun clk.Tick
+	begun clock.Tick
 }
 
 func isTerminal() bool {
@@ -61,7 +61,7 @@
 		}
 	}
 	if h.live {
-		fmt.Fprintf(os.Stderr, "\r%d played, %d broken, %.0f s ", o.Played, len(o.Broken), clk.Since(h.begun).Seconds())
+		fmt.Fprintf(os.Stderr, "\r%d played, %d broken, %.0f s ", o.Played, len(o.Broken), clock.Since(h.begun).Seconds())
 	}
 }
 
@@ -72,7 +72,7 @@
 }
 
 // strided plays every jobs-th seed in a process of its own.
-func (h *hunter) strided(self string, job, jobs int, point int, from, seeds uint64, till clk.Span, twice bool, without string) {
+func (h *hunter) strided(self string, job, jobs int, point int, from, seeds uint64, till clock.Span, twice bool, without string) {
 	n := seeds / uint64(jobs)
 	if uint64(job) < seeds%uint64(jobs) {
 		n++
@@ -97,7 +97,7 @@
 		err = cmd.Start()
 	}
 	if err != nil {
-		fail(code.New(code.BadSimFlags, "%v", err))
+		fail(codes.New(codes.BadSimFlags, "%v", err))
 	}
 	sc := bufio.NewScanner(out)
 	sc.Buffer(nil, 8<<20)
@@ -109,7 +109,7 @@
 			got++
 			h.take(p)
 		}
-		if (till > 0 && clk.Since(h.begun) > till || without != "" && h.found()) && got < n {
+		if (till > 0 && clock.Since(h.begun) > till || without != "" && h.found()) && got < n {
 			stopped = true
 			_ = cmd.Process.Kill()
 			break
@@ -125,19 +125,19 @@
 }
 
 func newHunter(point int) *hunter {
-	return &hunter{live: isTerminal(), begun: clk.Now(), out: outcome{Point: point, Judges: map[string]int{}}}
+	return &hunter{live: isTerminal(), begun: clock.Now(), out: outcome{Point: point, Judges: map[string]int{}}}
 }
 
 // hunt plays many seeds at a time.
-func (h *hunter) hunt(jobs, point int, from, seeds uint64, till clk.Span, twice bool, without string) *outcome {
+func (h *hunter) hunt(jobs, point int, from, seeds uint64, till clock.Span, twice bool, without string) *outcome {
 	self, err := os.Executable()
 	if err != nil {
-		fail(code.New(code.BadSimFlags, "%v", err))
+		fail(codes.New(codes.BadSimFlags, "%v", err))
 	}
 	var left sync.WaitGroup
 	for j := range jobs {
 		left.Add(1)
-		spawn.Go(func() {
+		concurrency.Go(func() {
 			defer left.Done()
 			h.strided(self, j, jobs, point, from, seeds, till, twice, without)
 		})
@@ -147,7 +147,7 @@
 		fmt.Fprintln(os.Stderr)
 	}
 	slices.Sort(h.out.Broken)
-	h.out.Seconds = clk.Since(h.begun).Seconds()
+	h.out.Seconds = clock.Since(h.begun).Seconds()
 	return &h.out
 }
 
--- a/cmd/spoolsim/main.go
+++ b/cmd/spoolsim/main.go
@@ -11,8 +11,8 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
 	"spoolswitch/internal/sim"
 )
 
@@ -70,7 +70,7 @@
 	app.Terminate(nil)
 	cmd, err := app.Parse(os.Args[1:])
 	if err != nil {
-		fail(code.New(code.BadSimFlags, "%v", err))
+		fail(codes.New(codes.BadSimFlags, "%v", err))
 	}
 	if cmd == "" {
 		return
@@ -98,11 +98,11 @@
 func check(point, jobs int, seeds uint64) {
 	switch {
 	case point < 0 || point >= sim.Points:
-		fail(code.New(code.BadSimFlags, "there is no point %d", point))
+		fail(codes.New(codes.BadSimFlags, "there is no point %d", point))
 	case jobs < 1 || jobs > 64:
-		fail(code.New(code.BadSimFlags, "%d jobs", jobs))
+		fail(codes.New(codes.BadSimFlags, "%d jobs", jobs))
 	case seeds < 1:
-		fail(code.New(code.BadSimFlags, "no seeds"))
+		fail(codes.New(codes.BadSimFlags, "no seeds"))
 	}
 }
 
@@ -117,7 +117,7 @@
 	}
 	b, err := os.ReadFile(file)
 	if err != nil {
-		fail(code.New(code.BadSimPlan, "%v", err))
+		fail(codes.New(codes.BadSimPlan, "%v", err))
 	}
 	p, err := sim.ReadPlan(b)
 	if err != nil {
@@ -137,15 +137,15 @@
 		return
 	}
 	fmt.Printf("seed %d point %d: %d faults, %d calls, %d acknowledged, %.1f s, %d steps, %d messages, digest %s\n",
-		r.Seed, r.Point, r.Struck, r.Calls, r.Acked, float64(r.Virtual)/float64(clk.Second), r.Steps, r.Chunks, r.Digest)
+		r.Seed, r.Point, r.Struck, r.Calls, r.Acked, float64(r.Virtual)/float64(clock.Second), r.Steps, r.Chunks, r.Digest)
 	for _, b := range r.Broken {
 		t, _, _ := strings.Cut(b.Text, "\n")
-		fmt.Printf("  %.3f s %s: %s\n", float64(b.At)/float64(clk.Second), b.Judge, t)
+		fmt.Printf("  %.3f s %s: %s\n", float64(b.At)/float64(clock.Second), b.Judge, t)
 	}
 }
 
 func broken(n int) int {
-	fmt.Fprintln(os.Stderr, "spoolsim:", code.New(code.SimBroken, "%d", n))
+	fmt.Fprintln(os.Stderr, "spoolsim:", codes.New(codes.SimBroken, "%d", n))
 	return exitBroken
 }
 
@@ -157,7 +157,7 @@
 	if *replayPut != "" {
 		b, _ := json.MarshalIndent(p, "", " ")
 		if err := os.WriteFile(*replayPut, append(b, '\n'), 0o600); err != nil {
-			fail(code.New(code.BadSimPlan, "%v", err))
+			fail(codes.New(codes.BadSimPlan, "%v", err))
 		}
 	}
 	var log func(string)
--- a/cmd/spoolsim/shrink.go
+++ b/cmd/spoolsim/shrink.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"os"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
 	"spoolswitch/internal/sim"
 )
 
@@ -20,14 +20,14 @@
 	if *shrinkPut != "" {
 		b, _ := json.MarshalIndent(p, "", " ")
 		if err := os.WriteFile(*shrinkPut, append(b, '\n'), 0o600); err != nil {
-			fail(code.New(code.BadSimPlan, "%v", err))
+			fail(codes.New(codes.BadSimPlan, "%v", err))
 		}
 	}
 	show(r)
 	if !*asJSON {
 		fmt.Printf("%d days played: %d faults of %d, %d orders of %d\n", played, len(p.Faults), faults, len(p.Orders), orders)
 		for _, f := range p.Faults {
-			fmt.Printf("  %.3f s %s %v for %.3f s %s %s\n", float64(f.At)/float64(clk.Second), f.Kind, f.Nodes, float64(f.For)/float64(clk.Second), f.Way, f.Call)
+			fmt.Printf("  %.3f s %s %v for %.3f s %s %s\n", float64(f.At)/float64(clock.Second), f.Kind, f.Nodes, float64(f.For)/float64(clock.Second), f.Way, f.Call)
 		}
 	}
 	if len(r.Broken) > 0 {
--- a/internal/clk/clk.go
+++ b/internal/clock/clock.go
@@ -1,6 +1,6 @@
-// Package clk is the only place that reads a clock. Everything that decides
+// Package clock is the only place that reads a clock. Everything that decides
 // anything uses the steady clock; the time of day is offered to calendars only.
-package clk
+package clock
 
 import (
 	"sync/atomic"
--- a/internal/clk/sim.go
+++ b/internal/clock/sim.go
@@ -1,4 +1,4 @@
-package clk
+package clock
 
 import (
 	"sync/atomic"
--- a/internal/code/code.go
+++ b/internal/codes/codes.go
@@ -1,5 +1,5 @@
-// Package code numbers the results that daemons and tools report.
-package code
+// Package codes numbers the results that daemons and tools report.
+package codes
 
 import (
 	"errors"
--- a/internal/code/code_test.go
+++ b/internal/codes/codes_test.go
@@ -1,4 +1,4 @@
-package code
+package codes
 
 import (
 	"errors"
--- a/internal/spawn/spawn.go
+++ b/internal/concurrency/goroutines.go
@@ -1,6 +1,6 @@
-// Package spawn starts every goroutine of the programs and holds the few
+// Package concurrency starts every goroutine of the programs and holds the few
 // waits that need channels, each written once.
-package spawn
+package concurrency
 
 import (
 	"os"
@@ -10,7 +10,7 @@
 
 	"github.com/alitto/pond/v2"
 
-	"spoolswitch/internal/clk"
+	"spoolswitch/internal/clock"
 )
 
 // Go runs fn on a thread of its own.
@@ -61,7 +61,7 @@
 }
 
 // Wait waits until the mark is set and clears it; false after d without.
-func (m *Mark) Wait(d clk.Span) bool {
+func (m *Mark) Wait(d clock.Span) bool {
 	if w := world.Load(); w != nil {
 		return w.wait(m, d)
 	}
@@ -84,10 +84,10 @@
 }
 
 // Every calls fn each d, for good, until fn returns false.
-func Every(d clk.Span, fn func() bool) {
+func Every(d clock.Span, fn func() bool) {
 	Go(func() {
 		for fn() {
-			clk.Sleep(d)
+			clock.Sleep(d)
 		}
 	})
 }
--- a/internal/spawn/mutex.go
+++ b/internal/concurrency/mutex.go
@@ -1,4 +1,4 @@
-package spawn
+package concurrency
 
 import "sync"
 
--- a/internal/spawn/turn.go
+++ b/internal/concurrency/turn.go
@@ -1,9 +1,9 @@
-package spawn
+package concurrency
 
 import (
 	"sync"
 
-	"spoolswitch/internal/clk"
+	"spoolswitch/internal/clock"
 )
 
 // Turn lets one client in at a time, in the order of arrival, queue at most
@@ -21,7 +21,7 @@
 }
 
 // Take waits for the turn; false if the line is full or d has passed.
-func (t *Turn) Take(d clk.Span) bool {
+func (t *Turn) Take(d clock.Span) bool {
 	t.mu.Lock()
 	if !t.busy {
 		t.busy = true
--- a/internal/spawn/turn_test.go
+++ b/internal/concurrency/turn_test.go
@@ -1,23 +1,23 @@
-package spawn
+package concurrency
 
 import (
 	"testing"
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
+	"spoolswitch/internal/clock"
 )
 
 func TestTurn(t *testing.T) {
 	is := is.New(t)
 	tn := &Turn{Max: 2}
 	is.True(tn.Take(0))
-	is.True(!tn.Take(clk.Millisecond)) // gives its place up
+	is.True(!tn.Take(clock.Millisecond)) // gives its place up
 	in, out := NewMark(), NewMark()
 	Go(func() {
-		if tn.Take(10 * clk.Second) {
+		if tn.Take(10 * clock.Second) {
 			in.Set()
-			out.Wait(10 * clk.Second)
+			out.Wait(10 * clock.Second)
 			tn.Give()
 			in.Set()
 		}
@@ -26,10 +26,10 @@
 		is.True(!tn.Take(0))
 	}
 	tn.Give()
-	is.True(in.Wait(10 * clk.Second))
+	is.True(in.Wait(10 * clock.Second))
 	is.True(!tn.Take(0)) // the next has it
 	out.Set()
-	is.True(in.Wait(10 * clk.Second))
+	is.True(in.Wait(10 * clock.Second))
 	is.True(tn.Take(0))
 }
 
@@ -43,7 +43,7 @@
 	is := is.New(t)
 	tn := &Turn{}
 	is.True(tn.Take(0))
-	is.True(!tn.Take(clk.Second)) // at once: none may wait
+	is.True(!tn.Take(clock.Second)) // at once: none may wait
 	tn.Give()
 	is.True(tn.Take(0))
 }
@@ -54,8 +54,8 @@
 	is.True(!m.Wait(0))
 	m.Set()
 	m.Set()
-	is.True(m.Wait(clk.Second))
-	is.True(!m.Wait(clk.Millisecond))
+	is.True(m.Wait(clock.Second))
+	is.True(!m.Wait(clock.Millisecond))
 }
 
 func TestPoolIsBounded(t *testing.T) {
@@ -64,9 +64,9 @@
 	in, out := NewMark(), NewMark()
 	is.True(p.Try(func() {
 		in.Set()
-		out.Wait(10 * clk.Second)
+		out.Wait(10 * clock.Second)
 	}))
-	is.True(in.Wait(10 * clk.Second))
+	is.True(in.Wait(10 * clock.Second))
 	is.True(p.Try(func() {}))
 	is.True(!p.Try(func() {})) // one runs, one is held
 	out.Set()
--- a/internal/spawn/world.go
+++ b/internal/concurrency/world.go
@@ -1,4 +1,4 @@
-package spawn
+package concurrency
 
 import (
 	"container/heap"
@@ -9,11 +9,11 @@
 	"sync/atomic"
 	"time"
 
-	"spoolswitch/internal/clk"
+	"spoolswitch/internal/clock"
 )
 
 const (
-	forever   = clk.Span(1 << 62)
+	forever   = clock.Span(1 << 62)
 	sameSteps = 1 << 20
 )
 
@@ -30,7 +30,7 @@
 	MostSteps   uint64
 
 	rnd    *rand.Rand
-	now    clk.Span
+	now    clock.Span
 	seq    uint64
 	steps  uint64
 	same   int
@@ -52,11 +52,11 @@
 	// PPM is how many millionths its steady clock runs fast.
 	PPM int64
 	// Lag bounds how late each of its threads goes on.
-	Lag clk.Span
+	Lag clock.Span
 
 	w       *World
-	born    clk.Span
-	offset  clk.Tick
+	born    clock.Span
+	offset  clock.Tick
 	dead    bool
 	frozen  bool
 	held    []*thread
@@ -72,7 +72,7 @@
 }
 
 type timer struct {
-	at  clk.Span
+	at  clock.Span
 	seq uint64
 	fn  func()
 }
@@ -106,7 +106,7 @@
 // Run runs fn as the world's own process, and all that it starts, until fn
 // returns, Stop is called, or nothing is left that could ever go on.
 func (w *World) Run(fn func()) {
-	back := clk.Use(w)
+	back := clock.Use(w)
 	world.Store(w)
 	w.start(w.root, func() {
 		defer w.Stop()
@@ -131,7 +131,7 @@
 }
 
 // Time is the world's own time.
-func (w *World) Time() clk.Span { return w.now }
+func (w *World) Time() clock.Span { return w.now }
 
 // Steps counts how often a thread went on.
 func (w *World) Steps() uint64 { return w.steps }
@@ -149,13 +149,13 @@
 
 // Process starts a process without a thread.
 func (w *World) Process(name string) *Process {
-	p := &Process{Name: name, w: w, born: w.now, offset: clk.Tick(w.rnd.Int64N(int64(clk.Millisecond))) + 1}
+	p := &Process{Name: name, w: w, born: w.now, offset: clock.Tick(w.rnd.Int64N(int64(clock.Millisecond))) + 1}
 	w.procs = append(w.procs, p)
 	return p
 }
 
 // After calls fn once d has passed. It must not wait.
-func (w *World) After(d clk.Span, fn func()) {
+func (w *World) After(d clock.Span, fn func()) {
 	w.seq++
 	heap.Push(&w.timers, timer{w.now + max(d, 0), w.seq, fn})
 }
@@ -238,21 +238,21 @@
 	p.held = nil
 }
 
-func (p *Process) tick(at clk.Span) clk.Tick {
+func (p *Process) tick(at clock.Span) clock.Tick {
 	d := at - p.born
-	return p.offset + clk.Tick(d) + clk.Tick(int64(d)/1_000_000*p.PPM)
+	return p.offset + clock.Tick(d) + clock.Tick(int64(d)/1_000_000*p.PPM)
 }
 
 // Now reads the steady clock of the process whose thread runs.
-func (w *World) Now() clk.Tick { return w.Seen().tick(w.now) }
+func (w *World) Now() clock.Tick { return w.Seen().tick(w.now) }
 
 // Moment is t, of the process whose thread runs, as a connection deadline.
-func (w *World) Moment(t clk.Tick) clk.Moment {
+func (w *World) Moment(t clock.Tick) clock.Moment {
 	return time.Unix(0, 0).Add(w.now + t.Sub(w.Now()))
 }
 
 // Left is how long it is until a connection deadline; false if there is none.
-func (w *World) Left(m clk.Moment) (clk.Span, bool) {
+func (w *World) Left(m clock.Moment) (clock.Span, bool) {
 	if m.IsZero() {
 		return 0, false
 	}
@@ -260,7 +260,7 @@
 }
 
 // Sleep has the thread that runs wait for d.
-func (w *World) Sleep(d clk.Span) {
+func (w *World) Sleep(d clock.Span) {
 	w.park(max(d, 0))
 }
 
@@ -321,7 +321,7 @@
 	t.leave()
 	if t.p.Lag > 0 {
 		gen := t.gen
-		w.After(clk.Span(w.rnd.Int64N(int64(t.p.Lag))), func() {
+		w.After(clock.Span(w.rnd.Int64N(int64(t.p.Lag))), func() {
 			if t.gen == gen && !t.p.dead {
 				w.queue(t)
 			}
@@ -394,7 +394,7 @@
 
 // park has the thread that runs wait until it is woken, for d at most; it tells
 // whether it was woken before that.
-func (w *World) park(d clk.Span) bool {
+func (w *World) park(d clock.Span) bool {
 	t := w.cur
 	if t == nil {
 		panic(fmt.Sprint("a timer may not wait", "\n", string(debug.Stack())))
@@ -405,7 +405,7 @@
 	t.woken = false
 	if d < forever/2 {
 		gen := t.gen
-		d -= clk.Span(int64(d) / 1_000_000 * t.p.PPM)
+		d -= clock.Span(int64(d) / 1_000_000 * t.p.PPM)
 		w.After(d, func() {
 			if t.gen == gen && !t.p.dead {
 				w.wake(t)
@@ -434,7 +434,7 @@
 	t.woken = true
 }
 
-func (w *World) wait(m *Mark, d clk.Span) bool {
+func (w *World) wait(m *Mark, d clock.Span) bool {
 	if m.set {
 		m.set = false
 		return true
--- a/internal/spawn/world_test.go
+++ b/internal/concurrency/world_test.go
@@ -1,4 +1,4 @@
-package spawn
+package concurrency
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
+	"spoolswitch/internal/clock"
 )
 
 func play(seed uint64) string {
@@ -18,16 +18,16 @@
 		m, end := NewMark(), NewMark()
 		for i := range 5 {
 			Go(func() {
-				out += fmt.Sprint(i, m.Wait(clk.Span(IntN(100))*clk.Millisecond), w.Time(), " ")
+				out += fmt.Sprint(i, m.Wait(clock.Span(IntN(100))*clock.Millisecond), w.Time(), " ")
 				if end.Set(); i == 3 {
 					m.Set()
 				}
 			})
 		}
 		for range 3 {
-			end.Wait(clk.Second)
+			end.Wait(clock.Second)
 		}
-		clk.Sleep(clk.Minute)
+		clock.Sleep(clock.Minute)
 	})
 	return out
 }
@@ -54,18 +54,18 @@
 			mu.Lock()
 			defer mu.Unlock()
 			defer func() { freed = true }()
-			Every(clk.Second, func() bool { n++; return true })
-			NewMark().Wait(clk.Minute * 60)
+			Every(clock.Second, func() bool { n++; return true })
+			NewMark().Wait(clock.Minute * 60)
 		})
-		b.Go(func() { Every(clk.Second, func() bool { m++; return true }) })
-		clk.Sleep(10*clk.Second + clk.Millisecond)
+		b.Go(func() { Every(clock.Second, func() bool { m++; return true }) })
+		clock.Sleep(10*clock.Second + clock.Millisecond)
 		is.Equal([]int{n, m}, []int{11, 11})
 		b.Freeze()
-		clk.Sleep(10 * clk.Second)
+		clock.Sleep(10 * clock.Second)
 		is.Equal([]int{n, m}, []int{21, 11})
 		b.Thaw()
 		a.Kill()
-		clk.Sleep(10 * clk.Second)
+		clock.Sleep(10 * clock.Second)
 		is.Equal([]int{n, m}, []int{21, 21})
 		is.True(freed)
 		is.Equal(a.Threads(), 0)
@@ -98,11 +98,11 @@
 				defer mu.Unlock()
 				in++
 				most = max(most, in)
-				clk.Sleep(clk.Second)
+				clock.Sleep(clock.Second)
 				in--
 			})
 		}
-		clk.Sleep(clk.Minute)
+		clock.Sleep(clock.Minute)
 	})
 	is.Equal([]int{most, in}, []int{1, 0})
 }
--- a/internal/conf/delta.go
+++ b/internal/configuration/delta.go
@@ -1,4 +1,4 @@
-package conf
+package configuration
 
 import (
 	"bytes"
--- a/internal/conf/delta_test.go
+++ b/internal/configuration/delta_test.go
@@ -1,4 +1,4 @@
-package conf
+package configuration
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
 )
 
 func routeText(name string, timeout int) string {
@@ -17,7 +17,7 @@
 
 func stateOf(version int, limits string, routes ...string) []byte {
 	text := fmt.Sprintf(`{"version":%d,"route-table":[%s],"service-table":[{"name":"s"}],"limits":{%s}}`, version, strings.Join(routes, ","), limits)
-	return (&State{Version: word.Version(version), JSON: []byte(text)}).Encode()
+	return (&State{Version: ids.Version(version), JSON: []byte(text)}).Encode()
 }
 
 // However routes are added, changed, removed and put into another order, the
@@ -58,7 +58,7 @@
 		got, ok := DocOf(old).ApplyDelta(change)
 		is.True(ok)
 		is.Equal(got.Sum(), DocOf(fresh).Sum())
-		is.Equal(got.Version, word.Version(version))
+		is.Equal(got.Version, ids.Version(version))
 		_, ok = DocOf(stateOf(version-1, "", have[1:]...)).ApplyDelta(change)
 		is.True(!ok) // from another document it leads elsewhere
 		old = fresh
--- a/internal/conf/doc.go
+++ b/internal/configuration/doc.go
@@ -1,4 +1,4 @@
-package conf
+package configuration
 
 import (
 	"bytes"
@@ -11,8 +11,8 @@
 
 	"github.com/go-playground/validator/v10"
 
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/ids"
 )
 
 const (
@@ -23,7 +23,7 @@
 
 // Doc is a configuration, both as it was sent and as it was read.
 type Doc struct {
-	Version  word.Version
+	Version  ids.Version
 	Routes   []*Route
 	Services []*Service
 	Limits   Limits
@@ -42,11 +42,11 @@
 // Read reads and checks a whole configuration; every fault is returned.
 func Read(b []byte) (*Doc, []error) {
 	if err := whole(b); err != nil {
-		return nil, []error{code.New(code.Unreadable, "%v", err)}
+		return nil, []error{codes.New(codes.Unreadable, "%v", err)}
 	}
 	raw := map[string]json.RawMessage{}
 	if err := json.Unmarshal(b, &raw); err != nil {
-		return nil, []error{code.New(code.Unreadable, "%v", err)}
+		return nil, []error{codes.New(codes.Unreadable, "%v", err)}
 	}
 	return build(raw)
 }
@@ -55,16 +55,16 @@
 // nothing but its text: it cannot be read whole, or has no version.
 func Legible(b []byte) error {
 	if err := whole(b); err != nil {
-		return code.New(code.Unreadable, "%v", err)
+		return codes.New(codes.Unreadable, "%v", err)
 	}
 	var v struct {
-		Version *word.Version `json:"version"`
+		Version *ids.Version `json:"version"`
 	}
 	if err := json.Unmarshal(b, &v); err != nil {
-		return code.New(code.Unreadable, "%v", err)
+		return codes.New(codes.Unreadable, "%v", err)
 	}
 	if v.Version == nil {
-		return code.New(code.Unreadable, "no version")
+		return codes.New(codes.Unreadable, "no version")
 	}
 	return nil
 }
@@ -86,7 +86,7 @@
 			continue
 		}
 		if err := json.Unmarshal(b, v); err != nil {
-			return nil, []error{code.New(code.Unreadable, "%s: %v", k, err)}
+			return nil, []error{codes.New(codes.Unreadable, "%s: %v", k, err)}
 		}
 	}
 	return d, d.faults()
@@ -94,66 +94,66 @@
 
 func (d *Doc) faults() []error {
 	var out []error
-	add := func(c code.Code, f string, a ...any) { out = append(out, code.New(c, f, a...)) }
+	add := func(c codes.Code, f string, a ...any) { out = append(out, codes.New(c, f, a...)) }
 	if d.Version <= 0 {
-		add(code.OldVersion, "version %d", d.Version)
+		add(codes.OldVersion, "version %d", d.Version)
 	}
 	tags := func(what string, v any) {
 		err := check.Struct(v)
 		var ve validator.ValidationErrors
 		if errors.As(err, &ve) {
 			for _, f := range ve {
-				add(code.BadItem, "%s: %s does not hold %s", what, f.Field(), f.ActualTag())
+				add(codes.BadItem, "%s: %s does not hold %s", what, f.Field(), f.ActualTag())
 			}
 		}
 	}
 	tags("limits", d.Limits)
-	names := map[word.Service]bool{}
+	names := map[ids.Service]bool{}
 	for _, s := range d.Services {
 		if s == nil {
-			add(code.BadItem, "a service is null")
+			add(codes.BadItem, "a service is null")
 			continue
 		}
 		tags("service "+string(s.Name), s)
 		if names[s.Name] {
-			add(code.SamePlace, "two services are named %s", s.Name)
+			add(codes.SamePlace, "two services are named %s", s.Name)
 		}
 		names[s.Name] = true
 	}
 	routes, places := map[string]bool{}, map[string]string{}
 	for _, r := range d.Routes {
 		if r == nil {
-			add(code.BadItem, "a route is null")
+			add(codes.BadItem, "a route is null")
 			continue
 		}
 		tags("route "+r.Name, r)
 		if routes[r.Name] {
-			add(code.SamePlace, "two routes are named %s", r.Name)
+			add(codes.SamePlace, "two routes are named %s", r.Name)
 		}
 		routes[r.Name] = true
 		p := strings.ToLower(r.Authority) + r.Prefix
 		if o, ok := places[p]; ok {
-			add(code.SamePlace, "%s and %s share %s", o, r.Name, p)
+			add(codes.SamePlace, "%s and %s share %s", o, r.Name, p)
 		}
 		places[p] = r.Name
 		if r.TimeoutMs == 0 {
-			add(code.NoTimeout, "route %s", r.Name)
+			add(codes.NoTimeout, "route %s", r.Name)
 		}
 		if r.Service == "" && len(r.Shares) == 0 {
-			add(code.NoService, "route %s names none", r.Name)
+			add(codes.NoService, "route %s names none", r.Name)
 		}
 		if r.Service != "" && !names[r.Service] {
-			add(code.NoService, "route %s: %s", r.Name, r.Service)
+			add(codes.NoService, "route %s: %s", r.Name, r.Service)
 		}
 		var sum float64
 		for _, s := range r.Shares {
 			sum += s.Weight
 			if !names[s.Service] {
-				add(code.NoService, "route %s: %s", r.Name, s.Service)
+				add(codes.NoService, "route %s: %s", r.Name, s.Service)
 			}
 		}
 		if r.Shares != nil && sum <= 0 {
-			add(code.NoWeight, "route %s", r.Name)
+			add(codes.NoWeight, "route %s", r.Name)
 		}
 	}
 	return out
@@ -207,7 +207,7 @@
 }
 
 type change struct {
-	Version *word.Version              `json:"version"`
+	Version *ids.Version               `json:"version"`
 	Upsert  map[string]json.RawMessage `json:"upsert"`
 	Remove  map[string][]string        `json:"remove"`
 }
@@ -215,14 +215,14 @@
 // Modify makes the document that the change b turns d into.
 func (d *Doc) Modify(b []byte) (*Doc, []error) {
 	if err := whole(b); err != nil {
-		return nil, []error{code.New(code.Unreadable, "%v", err)}
+		return nil, []error{codes.New(codes.Unreadable, "%v", err)}
 	}
 	var c change
 	if err := json.Unmarshal(b, &c); err != nil {
-		return nil, []error{code.New(code.Unreadable, "%v", err)}
+		return nil, []error{codes.New(codes.Unreadable, "%v", err)}
 	}
 	if c.Version == nil {
-		return nil, []error{code.New(code.Unreadable, "no version")}
+		return nil, []error{codes.New(codes.Unreadable, "no version")}
 	}
 	raw := map[string]json.RawMessage{}
 	for k, v := range d.raw {
@@ -230,7 +230,7 @@
 	}
 	e, err := json.Marshal(*c.Version)
 	if err != nil {
-		return nil, []error{code.New(code.Unreadable, "%v", err)}
+		return nil, []error{codes.New(codes.Unreadable, "%v", err)}
 	}
 	raw[versionField] = e
 	for k, v := range c.Upsert {
@@ -239,12 +239,12 @@
 			continue
 		}
 		if raw[k], err = merge(raw[k], v, nil); err != nil {
-			return nil, []error{code.New(code.Unreadable, "%s: %v", k, err)}
+			return nil, []error{codes.New(codes.Unreadable, "%s: %v", k, err)}
 		}
 	}
 	for k, names := range c.Remove {
 		if raw[k], err = merge(raw[k], nil, names); err != nil {
-			return nil, []error{code.New(code.Unreadable, "%s: %v", k, err)}
+			return nil, []error{codes.New(codes.Unreadable, "%s: %v", k, err)}
 		}
 	}
 	return build(raw)
--- a/internal/conf/doc_test.go
+++ b/internal/configuration/doc_test.go
@@ -1,4 +1,4 @@
-package conf
+package configuration
 
 import (
 	"fmt"
@@ -7,8 +7,8 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/ids"
 )
 
 const route = `{"name":"%s","authority":"%s","path-prefix":"%s","route-class":"safe","timeout-ms":%d,"service":"s"}`
@@ -26,27 +26,27 @@
 	}
 	for name, c := range map[string]struct {
 		doc  string
-		want code.Code
+		want codes.Code
 	}{
-		"cut short":        {good[:len(good)-4], code.Unreadable},
-		"more behind":      {good + "{}", code.Unreadable},
-		"empty":            {"", code.Unreadable},
-		"no object":        {"[]", code.Unreadable},
-		"field twice":      {strings.Replace(good, `"odd":"kept"`, `"version":2`, 1), code.Unreadable},
-		"wrong type":       {strings.Replace(good, `"timeout-ms":100`, `"timeout-ms":"x"`, 1), code.Unreadable},
-		"no service":       {strings.Replace(good, `"service":"s"`, `"service":"t"`, 1), code.NoService},
-		"none named":       {strings.Replace(good, `,"service":"s"`, ``, 1), code.NoService},
-		"same place":       {doc(1, r("a", "h", "/a/"), r("b", "H", "/a/")), code.SamePlace},
-		"same name":        {doc(1, r("a", "h", "/a/"), r("a", "h", "/b/")), code.SamePlace},
-		"no weight":        {strings.Replace(good, `"service":"s"`, `"distribution":[{"service":"s","weight":0}]`, 1), code.NoWeight},
-		"empty weights":    {strings.Replace(good, `"service":"s"`, `"service":"s","distribution":[]`, 1), code.NoWeight},
-		"minus weight":     {strings.Replace(good, `"service":"s"`, `"distribution":[{"service":"s","weight":-1},{"service":"s","weight":2}]`, 1), code.BadItem},
-		"split unknown":    {strings.Replace(good, `"service":"s"`, `"distribution":[{"service":"t","weight":1}]`, 1), code.NoService},
-		"no timeout":       {strings.Replace(good, `"timeout-ms":100`, `"timeout-ms":0`, 1), code.NoTimeout},
-		"absent timeout":   {strings.Replace(good, `"timeout-ms":100,`, ``, 1), code.NoTimeout},
-		"odd class":        {strings.Replace(good, `"safe"`, `"odd"`, 1), code.BadItem},
-		"prefix unslashed": {strings.Replace(good, `"/a/"`, `"/a"`, 1), code.BadItem},
-		"no version":       {strings.Replace(good, `"version":1,`, ``, 1), code.OldVersion},
+		"cut short":        {good[:len(good)-4], codes.Unreadable},
+		"more behind":      {good + "{}", codes.Unreadable},
+		"empty":            {"", codes.Unreadable},
+		"no object":        {"[]", codes.Unreadable},
+		"field twice":      {strings.Replace(good, `"odd":"kept"`, `"version":2`, 1), codes.Unreadable},
+		"wrong type":       {strings.Replace(good, `"timeout-ms":100`, `"timeout-ms":"x"`, 1), codes.Unreadable},
+		"no service":       {strings.Replace(good, `"service":"s"`, `"service":"t"`, 1), codes.NoService},
+		"none named":       {strings.Replace(good, `,"service":"s"`, ``, 1), codes.NoService},
+		"same place":       {doc(1, r("a", "h", "/a/"), r("b", "H", "/a/")), codes.SamePlace},
+		"same name":        {doc(1, r("a", "h", "/a/"), r("a", "h", "/b/")), codes.SamePlace},
+		"no weight":        {strings.Replace(good, `"service":"s"`, `"distribution":[{"service":"s","weight":0}]`, 1), codes.NoWeight},
+		"empty weights":    {strings.Replace(good, `"service":"s"`, `"service":"s","distribution":[]`, 1), codes.NoWeight},
+		"minus weight":     {strings.Replace(good, `"service":"s"`, `"distribution":[{"service":"s","weight":-1},{"service":"s","weight":2}]`, 1), codes.BadItem},
+		"split unknown":    {strings.Replace(good, `"service":"s"`, `"distribution":[{"service":"t","weight":1}]`, 1), codes.NoService},
+		"no timeout":       {strings.Replace(good, `"timeout-ms":100`, `"timeout-ms":0`, 1), codes.NoTimeout},
+		"absent timeout":   {strings.Replace(good, `"timeout-ms":100,`, ``, 1), codes.NoTimeout},
+		"odd class":        {strings.Replace(good, `"safe"`, `"odd"`, 1), codes.BadItem},
+		"prefix unslashed": {strings.Replace(good, `"/a/"`, `"/a"`, 1), codes.BadItem},
+		"no version":       {strings.Replace(good, `"version":1,`, ``, 1), codes.OldVersion},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -54,7 +54,7 @@
 			is.True(len(errs) > 0)
 			found := false
 			for _, err := range errs {
-				found = found || code.Of(err) == c.want
+				found = found || codes.Of(err) == c.want
 			}
 			is.True(found)
 		})
@@ -74,7 +74,7 @@
 	is.Equal(len(errs), 0)
 	n, errs := d.Modify([]byte(`{"version":3,"upsert":{"route-table":[` + r("b", "h", "/bb/") + `,` + r("c", "h", "/c/") + `]},"remove":{"route-table":["a","none"]}}`))
 	is.Equal(len(errs), 0)
-	is.Equal(n.Version, word.Version(3))
+	is.Equal(n.Version, ids.Version(3))
 	is.Equal(len(n.Routes), 2)
 	is.Equal(n.Routes[0].Prefix, "/bb/")
 	is.Equal(n.Routes[1].Name, "c")
--- a/internal/conf/service.go
+++ b/internal/configuration/service.go
@@ -1,6 +1,6 @@
-package conf
+package configuration
 
-import "spoolswitch/internal/word"
+import "spoolswitch/internal/ids"
 
 // Engine tells what the replicas of a service are made of, if they are engines.
 type Engine struct {
@@ -11,14 +11,14 @@
 
 // Service is one service of a configuration.
 type Service struct {
-	Name     word.Service `json:"name" validate:"required"`
-	Health   string       `json:"health-path"`
-	MaxConns int          `json:"max-connections" validate:"gte=0"`
-	Protocol string       `json:"protocol"`
-	TLS      bool         `json:"tls"`
-	ColdS    float64      `json:"cold-start-s" validate:"gte=0"`
-	ColdPerS float64      `json:"cold-per-s" validate:"gte=0"`
-	Engine   *Engine      `json:"inference-engine"`
+	Name     ids.Service `json:"name" validate:"required"`
+	Health   string      `json:"health-path"`
+	MaxConns int         `json:"max-connections" validate:"gte=0"`
+	Protocol string      `json:"protocol"`
+	TLS      bool        `json:"tls"`
+	ColdS    float64     `json:"cold-start-s" validate:"gte=0"`
+	ColdPerS float64     `json:"cold-per-s" validate:"gte=0"`
+	Engine   *Engine     `json:"inference-engine"`
 }
 
 // Limits bound what a client may send and how long it may take.
--- a/internal/conf/state.go
+++ b/internal/configuration/state.go
@@ -1,4 +1,4 @@
-package conf
+package configuration
 
 import (
 	"bytes"
@@ -7,9 +7,9 @@
 	"encoding/gob"
 	"slices"
 
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/codes"
 	"spoolswitch/internal/guards"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
 )
 
 // Digest tells orders apart: SHA-256 over their kind, base and body.
@@ -18,18 +18,18 @@
 // Taken remembers one change that was taken, so that a client who sends it
 // again is told so.
 type Taken struct {
-	Base   word.Version
+	Base   ids.Version
 	Digest Digest
 }
 
 // State is the value of the configuration's register.
 type State struct {
-	Version word.Version
+	Version ids.Version
 	JSON    []byte
 	// Taken are the newest changes, oldest first: at most 512, 20 KiB in all.
 	Taken []Taken
 	// Oldest is the base from which on every change is in Taken.
-	Oldest word.Version
+	Oldest ids.Version
 }
 
 const takenKept = 512
@@ -37,11 +37,11 @@
 // stored is a state as any release has written it: the first called a version
 // an edition, and those before Digests kept sums that could collide.
 type stored struct {
-	Version, Edition, Oldest word.Version
+	Version, Edition, Oldest ids.Version
 	JSON                     []byte
-	Bases                    []word.Version
+	Bases                    []ids.Version
 	Digests                  []byte
-	Taken                    []struct{ Base word.Version }
+	Taken                    []struct{ Base ids.Version }
 }
 
 // Decode reads a state; no bytes are the state before the first change.
@@ -52,10 +52,10 @@
 	}
 	var d stored
 	if err := gob.NewDecoder(bytes.NewReader(b)).Decode(&d); err != nil {
-		return nil, code.New(code.DiskCorrupt, "%v", err)
+		return nil, codes.New(codes.DiskCorrupt, "%v", err)
 	}
 	if len(d.Digests) != len(d.Bases)*sha256.Size {
-		return nil, code.New(code.DiskCorrupt, "%d bases, %d bytes of digests", len(d.Bases), len(d.Digests))
+		return nil, codes.New(codes.DiskCorrupt, "%d bases, %d bytes of digests", len(d.Bases), len(d.Digests))
 	}
 	s.Version, s.JSON, s.Oldest = max(d.Version, d.Edition), d.JSON, d.Oldest
 	for i, base := range d.Bases {
@@ -94,7 +94,7 @@
 // Order is a change of the configuration that an operator asks for.
 type Order struct {
 	Modify bool
-	Base   word.Version
+	Base   ids.Version
 	Body   []byte
 }
 
@@ -110,7 +110,7 @@
 }
 
 // Version reads the version that the order would bring, 0 if it has none.
-func (o *Order) Version() word.Version {
+func (o *Order) Version() ids.Version {
 	d, _ := Read(o.Body)
 	if d == nil {
 		return 0
@@ -130,18 +130,18 @@
 	var errs []error
 	if o.Modify {
 		if err := whole(o.Body); err != nil {
-			return nil, code.New(code.Unreadable, "%v", err)
+			return nil, codes.New(codes.Unreadable, "%v", err)
 		}
 	} else if d, errs = Read(o.Body); len(errs) > 0 {
 		return nil, errs[0]
 	}
 	switch {
 	case o.Base < s.Oldest:
-		return nil, code.New(code.TooOld, "%d is current, changes are remembered from %d on, not %d", s.Version, s.Oldest, o.Base)
+		return nil, codes.New(codes.TooOld, "%d is current, changes are remembered from %d on, not %d", s.Version, s.Oldest, o.Base)
 	case o.Base != s.Version:
-		return nil, code.New(code.OtherVersion, "%d is current, not %d", s.Version, o.Base)
+		return nil, codes.New(codes.OtherVersion, "%d is current, not %d", s.Version, o.Base)
 	case o.Modify && s.Version == 0:
-		return nil, code.New(code.Nothing, "no configuration to modify")
+		return nil, codes.New(codes.Nothing, "no configuration to modify")
 	case o.Modify:
 		cur, errs := Read(s.JSON)
 		if cur == nil {
@@ -152,7 +152,7 @@
 		}
 	}
 	if d.Version <= s.Version {
-		return nil, code.New(code.OldVersion, "%d is current, %d was sent", s.Version, d.Version)
+		return nil, codes.New(codes.OldVersion, "%d is current, %d was sent", s.Version, d.Version)
 	}
 	b := o.Body
 	if o.Modify {
--- a/internal/conf/state_test.go
+++ b/internal/configuration/state_test.go
@@ -1,4 +1,4 @@
-package conf
+package configuration
 
 import (
 	"bytes"
@@ -8,8 +8,8 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/ids"
 )
 
 func TestApply(t *testing.T) {
@@ -19,7 +19,7 @@
 	first := &Order{Body: []byte(doc(4, r("a", "h", "/a/")))}
 	s1, err := s.Apply(first)
 	is.NoErr(err)
-	is.Equal(s1.Version, word.Version(4))
+	is.Equal(s1.Version, ids.Version(4))
 	is.Equal(string(s1.JSON), string(first.Body)) // read back as it was sent
 
 	again, err := s1.Apply(first)
@@ -27,15 +27,15 @@
 	is.True(again == nil) // the very order was taken
 
 	_, err = s1.Apply(&Order{Body: []byte(doc(6, r("b", "h", "/a/")))})
-	is.Equal(code.Of(err), code.OtherVersion) // on an older base
+	is.Equal(codes.Of(err), codes.OtherVersion) // on an older base
 
 	_, err = s1.Apply(&Order{Base: 4, Body: []byte(doc(4, r("b", "h", "/a/")))})
-	is.Equal(code.Of(err), code.OldVersion)
+	is.Equal(codes.Of(err), codes.OldVersion)
 
 	mod := &Order{Modify: true, Base: 4, Body: []byte(`{"version":7,"remove":{"route-table":["a"]}}`)}
 	s2, err := s1.Apply(mod)
 	is.NoErr(err)
-	is.Equal(s2.Version, word.Version(7))
+	is.Equal(s2.Version, ids.Version(7))
 	for _, o := range []*Order{first, mod} { // also after later ones
 		n, err := s2.Apply(o)
 		is.NoErr(err)
@@ -43,7 +43,7 @@
 	}
 	lost := &Order{Modify: true, Base: 4, Body: []byte(`{"version":8,"remove":{"route-table":["a"]}}`)}
 	_, err = s2.Apply(lost)
-	is.Equal(code.Of(err), code.OtherVersion)
+	is.Equal(codes.Of(err), codes.OtherVersion)
 
 	back, err := Decode(s2.Encode())
 	is.NoErr(err)
@@ -53,27 +53,27 @@
 func TestModifyNothing(t *testing.T) {
 	is := is.New(t)
 	_, err := (&State{}).Apply(&Order{Modify: true, Body: []byte(`{"version":1}`)})
-	is.Equal(code.Of(err), code.Nothing)
+	is.Equal(codes.Of(err), codes.Nothing)
 }
 
 // Disks that earlier releases wrote are read. Their sums could collide: what
 // was taken by them is neither acknowledged again nor refused.
 func TestEarlierReleases(t *testing.T) {
 	type first struct {
-		Edition, Base word.Version
+		Edition, Base ids.Version
 		Sum           uint64
 	}
 	type second struct {
-		Version, Base word.Version
+		Version, Base ids.Version
 		Sum           uint64
 	}
 	body := []byte(doc(7, r("a", "h", "/a/")))
 	for _, old := range []any{struct {
-		Edition word.Version
+		Edition ids.Version
 		JSON    []byte
 		Taken   []first
 	}{7, body, []first{{7, 3, 99}}}, struct {
-		Version word.Version
+		Version ids.Version
 		JSON    []byte
 		Taken   []second
 	}{7, body, []second{{7, 3, 99}}}} {
@@ -83,9 +83,9 @@
 		s, err := Decode(b.Bytes())
 		is.NoErr(err)
 		is.Equal(s, &State{Version: 7, JSON: body, Oldest: 7})
-		for _, base := range []word.Version{0, 3} {
+		for _, base := range []ids.Version{0, 3} {
 			_, err = s.Apply(&Order{Base: base, Body: body})
-			is.Equal(code.Of(err), code.TooOld)
+			is.Equal(codes.Of(err), codes.TooOld)
 		}
 		o := &Order{Base: 7, Body: []byte(doc(8, r("a", "h", "/a/")))}
 		s, err = s.Apply(o)
@@ -107,7 +107,7 @@
 	s := &State{}
 	var taken []*Order
 	for n := range takenKept + 200 {
-		v := word.Version(3*n + 1)
+		v := ids.Version(3*n + 1)
 		o := &Order{Base: s.Version, Body: []byte(doc(int(v), r("a", "h", "/a/")))}
 		if n%3 == 1 {
 			o = &Order{Base: s.Version, Modify: true, Body: fmt.Appendf(nil, `{"version":%d}`, v)}
@@ -125,13 +125,13 @@
 		if n >= 200 {
 			is.NoErr(err)
 			_, err = s.Apply(&Order{Base: o.Base, Modify: o.Modify, Body: append([]byte(" "), o.Body...)})
-			is.Equal(code.Of(err), code.OtherVersion)
+			is.Equal(codes.Of(err), codes.OtherVersion)
 			continue
 		}
-		is.Equal(code.Of(err), code.TooOld)
+		is.Equal(codes.Of(err), codes.TooOld)
 	}
 	_, err := s.Apply(&Order{Base: 1, Body: []byte(doc(2))[1:]})
-	is.Equal(code.Of(err), code.Unreadable) // an invalid one stays so
+	is.Equal(codes.Of(err), codes.Unreadable) // an invalid one stays so
 	is.True(len(s.Encode())-len(s.JSON) < 20<<10)
 	b := Brief(s.Encode())
 	is.True(len(b) < len(s.JSON)+400)
--- a/internal/conf/table.go
+++ b/internal/configuration/table.go
@@ -1,17 +1,17 @@
-package conf
+package configuration
 
 import (
 	"strings"
 
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
 )
 
 // Table is a configuration as relays use it.
 type Table struct {
-	Version  word.Version
+	Version  ids.Version
 	Limits   Limits
 	Routes   []*Route
-	Services map[word.Service]*Service
+	Services map[ids.Service]*Service
 	places   map[string]*Route
 	hosts    map[string]bool
 }
@@ -19,7 +19,7 @@
 // NewTable makes the table of a document that has been checked.
 func NewTable(d *Doc) *Table {
 	t := &Table{Version: d.Version, Limits: d.Limits.Whole(), Routes: d.Routes,
-		Services: map[word.Service]*Service{}, places: map[string]*Route{}, hosts: map[string]bool{}}
+		Services: map[ids.Service]*Service{}, places: map[string]*Route{}, hosts: map[string]bool{}}
 	for _, s := range d.Services {
 		t.Services[s.Name] = s
 	}
--- a/internal/conf/table_test.go
+++ b/internal/configuration/table_test.go
@@ -1,11 +1,11 @@
-package conf
+package configuration
 
 import (
 	"testing"
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
 )
 
 func TestLongestPrefix(t *testing.T) {
@@ -29,7 +29,7 @@
 func TestWeights(t *testing.T) {
 	is := is.New(t)
 	rt := &Route{Shares: []Share{{"a", 90}, {"z", 0}, {"b", 10}}}
-	n := map[word.Service]int{}
+	n := map[ids.Service]int{}
 	for i := range 1000 {
 		n[rt.Choose(float64(i)/1000)]++
 	}
--- a/internal/keep/acceptor.go
+++ b/internal/consensus/acceptor.go
@@ -1,22 +1,22 @@
-package keep
+package consensus
 
 import (
 	"bytes"
 	"encoding/gob"
 	"sync"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/concurrency"
 	"spoolswitch/internal/disk"
 	"spoolswitch/internal/guards"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
 )
 
 // Cell is what an acceptor has of one key.
 type Cell struct {
-	Promised word.Epoch
-	At       word.Place
+	Promised ids.Epoch
+	At       ids.Place
 	Val      []byte
 }
 
@@ -28,7 +28,7 @@
 }
 
 type entry struct {
-	Key    word.Key
+	Key    ids.Key
 	Cell   Cell
 	Roster *Roster
 	Voting bool
@@ -46,21 +46,21 @@
 
 // Acceptor promises and accepts for one disk.
 type Acceptor struct {
-	lane   spawn.Turn
+	lane   concurrency.Turn
 	st     Store
 	mu     sync.Mutex
-	cells  map[word.Key]Cell
+	cells  map[ids.Key]Cell
 	roster Roster
 	voting bool
 	// unvoted says that this disk never voted, nor one before it.
 	unvoted bool
 }
 
-const laneWait = 3 * clk.Second
+const laneWait = 3 * clock.Second
 
 // NewAcceptor makes an acceptor out of the records of its disk.
 func NewAcceptor() *Acceptor {
-	return &Acceptor{lane: spawn.Turn{Max: 256}, cells: map[word.Key]Cell{}}
+	return &Acceptor{lane: concurrency.Turn{Max: 256}, cells: map[ids.Key]Cell{}}
 }
 
 // Replay takes one record of the disk in.
@@ -138,7 +138,7 @@
 // until it votes, nothing of it was ever counted, whatever restarts come first.
 func (a *Acceptor) First() error {
 	if !a.lane.Take(laneWait) {
-		return code.New(code.DiskRefused, "busy")
+		return codes.New(codes.DiskRefused, "busy")
 	}
 	defer a.lane.Give()
 	return a.write(&entry{Unvoted: true})
@@ -160,17 +160,17 @@
 }
 
 // Cell reads what the acceptor has of a key.
-func (a *Acceptor) Cell(k word.Key) Cell {
+func (a *Acceptor) Cell(k ids.Key) Cell {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.cells[k]
 }
 
 // Cells reads all that the acceptor has.
-func (a *Acceptor) Cells() map[word.Key]Cell {
+func (a *Acceptor) Cells() map[ids.Key]Cell {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	out := make(map[word.Key]Cell, len(a.cells))
+	out := make(map[ids.Key]Cell, len(a.cells))
 	for k, c := range a.cells {
 		out[k] = c
 	}
@@ -182,7 +182,7 @@
 	st := a.st
 	a.mu.Unlock()
 	if st == nil {
-		return code.New(code.DiskRefused, "not open")
+		return codes.New(codes.DiskRefused, "not open")
 	}
 	if err := st.Append(e.encode()); err != nil {
 		return err
@@ -193,9 +193,9 @@
 
 // Found starts the log of a keeper that takes part from the beginning, or of
 // one that has read enough others.
-func (a *Acceptor) Found(r Roster, cells map[word.Key]Cell) error {
+func (a *Acceptor) Found(r Roster, cells map[ids.Key]Cell) error {
 	if !a.lane.Take(laneWait) {
-		return code.New(code.DiskRefused, "busy")
+		return codes.New(codes.DiskRefused, "busy")
 	}
 	defer a.lane.Give()
 	for k, c := range sorted(cells) {
@@ -215,7 +215,7 @@
 		return nil
 	}
 	if !a.lane.Take(laneWait) {
-		return code.New(code.DiskRefused, "busy")
+		return codes.New(codes.DiskRefused, "busy")
 	}
 	defer a.lane.Give()
 	if r.Num <= a.Roster().Num {
@@ -224,7 +224,7 @@
 	return a.write(&entry{Roster: &r})
 }
 
-func (a *Acceptor) result(k word.Key, ok bool, c code.Code) Msg {
+func (a *Acceptor) result(k ids.Key, ok bool, c codes.Code) Msg {
 	cell := a.Cell(k)
 	if f := a.floor(); cell.Promised.Less(f) {
 		cell.Promised = f
@@ -236,19 +236,19 @@
 	return m
 }
 
-const floorKey word.Key = "floor"
+const floorKey ids.Key = "floor"
 
-func (a *Acceptor) floor() word.Epoch {
+func (a *Acceptor) floor() ids.Epoch {
 	if guards.Off(guards.Floor) {
-		return word.Epoch{}
+		return ids.Epoch{}
 	}
 	return a.Cell(floorKey).Promised
 }
 
 // Raise makes the acceptor take nothing of an epoch before e, of any key.
-func (a *Acceptor) Raise(e word.Epoch) error {
+func (a *Acceptor) Raise(e ids.Epoch) error {
 	if !a.lane.Take(laneWait) {
-		return code.New(code.DiskRefused, "busy")
+		return codes.New(codes.DiskRefused, "busy")
 	}
 	defer a.lane.Give()
 	if !a.floor().Less(e) {
@@ -261,63 +261,63 @@
 	return r.Num < a.Roster().Num && !guards.Off(guards.Roster)
 }
 
-func (a *Acceptor) earlier(e, promised word.Epoch) bool {
+func (a *Acceptor) earlier(e, promised ids.Epoch) bool {
 	return e.Less(promised) && !guards.Off(guards.Epoch) || e.Less(a.floor())
 }
 
 // Vote asks for a promise to take nothing of an epoch before e.
-func (a *Acceptor) Vote(k word.Key, e word.Epoch, r Roster) Msg {
+func (a *Acceptor) Vote(k ids.Key, e ids.Epoch, r Roster) Msg {
 	if !a.lane.Take(laneWait) {
-		return Msg{Code: code.DiskRefused}
+		return Msg{Code: codes.DiskRefused}
 	}
 	defer a.lane.Give()
 	if !a.Voting() {
-		return Msg{Code: code.NotVoting, Roster: a.Roster()}
+		return Msg{Code: codes.NotVoting, Roster: a.Roster()}
 	}
 	c := a.Cell(k)
 	if a.outdated(r) || a.earlier(e, c.Promised) {
-		return a.result(k, false, code.NoMajority)
+		return a.result(k, false, codes.NoMajority)
 	}
 	if c.Promised == e {
-		return a.result(k, true, code.OK)
+		return a.result(k, true, codes.OK)
 	}
 	c.Promised = e
 	if err := a.write(&entry{Key: k, Cell: c}); err != nil {
-		return Msg{Code: code.Of(err)}
+		return Msg{Code: codes.Of(err)}
 	}
-	return a.result(k, true, code.OK)
+	return a.result(k, true, codes.OK)
 }
 
 // Accept asks to have a value on the disk.
-func (a *Acceptor) Accept(k word.Key, at word.Place, val []byte, r Roster) Msg {
+func (a *Acceptor) Accept(k ids.Key, at ids.Place, val []byte, r Roster) Msg {
 	if !a.lane.Take(laneWait) {
-		return Msg{Code: code.DiskRefused}
+		return Msg{Code: codes.DiskRefused}
 	}
 	defer a.lane.Give()
 	if !a.Voting() {
-		return Msg{Code: code.NotVoting, Roster: a.Roster()}
+		return Msg{Code: codes.NotVoting, Roster: a.Roster()}
 	}
 	c := a.Cell(k)
 	if a.outdated(r) || a.earlier(at.Epoch, c.Promised) || at.Less(c.At) {
-		return a.result(k, false, code.NoMajority)
+		return a.result(k, false, codes.NoMajority)
 	}
 	if c.At == at {
 		return Msg{OK: true, Key: k, At: at}
 	}
 	if err := a.write(&entry{Key: k, Cell: Cell{Promised: at.Epoch, At: at, Val: val}}); err != nil {
-		return Msg{Code: code.Of(err)}
+		return Msg{Code: codes.Of(err)}
 	}
 	a.shorten()
 	return Msg{OK: true, Key: k, At: at}
 }
 
 // Hold tells whether the epoch e still has this acceptor's promise.
-func (a *Acceptor) Hold(k word.Key, e word.Epoch, r Roster) Msg {
+func (a *Acceptor) Hold(k ids.Key, e ids.Epoch, r Roster) Msg {
 	if !a.Voting() {
-		return Msg{Code: code.NotVoting, Roster: a.Roster()}
+		return Msg{Code: codes.NotVoting, Roster: a.Roster()}
 	}
 	if a.outdated(r) || a.Cell(k).Promised != e || e.Less(a.floor()) {
-		return a.result(k, false, code.NoMajority)
+		return a.result(k, false, codes.NoMajority)
 	}
 	return Msg{OK: true, Key: k}
 }
@@ -333,7 +333,7 @@
 	}
 }
 
-func (a *Acceptor) records(cells map[word.Key]Cell) [][]byte {
+func (a *Acceptor) records(cells map[ids.Key]Cell) [][]byte {
 	r := a.Roster()
 	ps := [][]byte{(&entry{Roster: &r, Voting: a.Voting(), Unvoted: a.Unvoted()}).encode()}
 	for k, c := range sorted(cells) {
@@ -345,11 +345,11 @@
 // Rewrite rewrites the log with what counts.
 func (a *Acceptor) Rewrite() error {
 	if !a.lane.Take(laneWait) {
-		return code.New(code.DiskRefused, "busy")
+		return codes.New(codes.DiskRefused, "busy")
 	}
 	defer a.lane.Give()
 	if !a.Ready() {
-		return code.New(code.DiskRefused, "not open")
+		return codes.New(codes.DiskRefused, "not open")
 	}
 	return a.st.Rewrite(a.records(a.Cells()))
 }
@@ -374,6 +374,6 @@
 
 type shut struct{}
 
-func (shut) Append([]byte) error    { return code.New(code.DiskRefused, "closed") }
+func (shut) Append([]byte) error    { return codes.New(codes.DiskRefused, "closed") }
 func (shut) Long(int64) bool        { return false }
-func (shut) Rewrite([][]byte) error { return code.New(code.DiskRefused, "closed") }
+func (shut) Rewrite([][]byte) error { return codes.New(codes.DiskRefused, "closed") }
--- a/internal/keep/acceptor_test.go
+++ b/internal/consensus/acceptor_test.go
@@ -1,4 +1,4 @@
-package keep
+package consensus
 
 import (
 	"errors"
@@ -9,9 +9,9 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/check"
 	"spoolswitch/internal/disk"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/interleave"
 )
 
 // page is a disk in memory. At the write numbered fail the power goes: the
@@ -55,16 +55,16 @@
 	return a
 }
 
-var three = Roster{Num: 1, Seat: []word.Node{"a", "b", "c"}}
+var three = Roster{Num: 1, Seat: []ids.Node{"a", "b", "c"}}
 
 type site struct {
-	acc   map[word.Node]*Acceptor
-	pages map[word.Node]*page
-	tried map[word.Node]word.Epoch
+	acc   map[ids.Node]*Acceptor
+	pages map[ids.Node]*page
+	tried map[ids.Node]ids.Epoch
 }
 
 func newSite(r Roster) *site {
-	s := &site{map[word.Node]*Acceptor{}, map[word.Node]*page{}, map[word.Node]word.Epoch{}}
+	s := &site{map[ids.Node]*Acceptor{}, map[ids.Node]*page{}, map[ids.Node]ids.Epoch{}}
 	for _, n := range r.Seat {
 		s.pages[n] = &page{}
 		s.acc[n] = s.pages[n].start()
@@ -74,7 +74,7 @@
 }
 
 // ask asks one acceptor; one whose power went starts again from its disk.
-func (s *site) ask(n word.Node, m Msg) Msg {
+func (s *site) ask(n ids.Node, m Msg) Msg {
 	var a Msg
 	if m.Kind == Vote {
 		a = s.acc[n].Vote(m.Key, m.Epoch, m.Roster)
@@ -91,9 +91,9 @@
 // owner is a thread that wins a lease and has a value accepted: the one found,
 // or its own. done gets what it knows to stand with a majority.
 // It asks just those in ask.
-func owner(s *site, r Roster, ask []word.Node, self word.Node, round uint64, own string, done func(string)) check.Thread {
-	e := word.Epoch{Round: round, Node: self, Life: round}
-	votes, accepts := map[word.Node]Msg{}, map[word.Node]Msg{}
+func owner(s *site, r Roster, ask []ids.Node, self ids.Node, round uint64, own string, done func(string)) interleave.Thread {
+	e := ids.Epoch{Round: round, Node: self, Life: round}
+	votes, accepts := map[ids.Node]Msg{}, map[ids.Node]Msg{}
 	val, won := "", false
 	var fs []func()
 	for _, n := range ask {
@@ -113,23 +113,23 @@
 					val = own
 				}
 			}
-			accepts[n] = s.ask(n, Msg{Kind: Accept, Key: "k", At: word.Place{Epoch: e, Seq: 1}, Val: []byte(val), Roster: r})
+			accepts[n] = s.ask(n, Msg{Kind: Accept, Key: "k", At: ids.Place{Epoch: e, Seq: 1}, Val: []byte(val), Roster: r})
 			if r.Majority(oks(accepts)) {
 				done(val)
 			}
 		})
 	}
-	return check.Steps(fs...)
+	return interleave.Steps(fs...)
 }
 
 // Two owners in every order: what stands with a majority never changes.
 func TestTwoOwners(t *testing.T) {
 	is := is.New(t)
-	n := check.All(t, func() ([]check.Thread, func([]int)) {
+	n := interleave.All(t, func() ([]interleave.Thread, func([]int)) {
 		s := newSite(three)
 		stood := map[string]bool{}
 		done := func(v string) { stood[v] = true }
-		return []check.Thread{owner(s, three, three.Seat, "a", 1, "one", done), owner(s, three, three.Seat, "b", 2, "two", done)},
+		return []interleave.Thread{owner(s, three, three.Seat, "a", 1, "one", done), owner(s, three, three.Seat, "b", 2, "two", done)},
 			func(o []int) {
 				if len(stood) > 1 {
 					t.Errorf("two values stood in order %v", o)
@@ -143,12 +143,12 @@
 func TestTwoOwnersPowerLost(t *testing.T) {
 	for at := 2; at <= 5; at++ {
 		for _, torn := range []bool{true, false} {
-			check.All(t, func() ([]check.Thread, func([]int)) {
+			interleave.All(t, func() ([]interleave.Thread, func([]int)) {
 				s := newSite(three)
 				s.pages["b"].fail, s.pages["b"].torn = at, torn
 				stood := map[string]bool{}
 				done := func(v string) { stood[v] = true }
-				return []check.Thread{owner(s, three, three.Seat, "a", 1, "one", done), owner(s, three, three.Seat, "c", 2, "two", done)},
+				return []interleave.Thread{owner(s, three, three.Seat, "a", 1, "one", done), owner(s, three, three.Seat, "c", 2, "two", done)},
 					func(o []int) {
 						if len(stood) > 1 {
 							t.Errorf("two values stood in order %v (write %d, torn %v)", o, at, torn)
@@ -172,16 +172,16 @@
 // wiper loses the disk of n at its first step, then reads the others, raises
 // their floor one by one, reads them again, and votes when they cover every
 // majority.
-func wiper(s *site, r Roster, n word.Node, off guard) check.Thread {
-	read := func(o word.Node) Msg {
-		tried := map[word.Key]word.Epoch{}
+func wiper(s *site, r Roster, n ids.Node, off guard) interleave.Thread {
+	read := func(o ids.Node) Msg {
+		tried := map[ids.Key]ids.Epoch{}
 		if e, ok := s.tried[o]; ok && off != noLeases {
 			tried["k"] = e
 		}
 		return Msg{OK: true, Roster: r, Cells: Surveyed(s.acc[o].Cells(), tried)}
 	}
-	var floor word.Epoch
-	first, got := map[word.Node]Msg{}, map[word.Node]Msg{}
+	var floor ids.Epoch
+	first, got := map[ids.Node]Msg{}, map[ids.Node]Msg{}
 	fs := []func(){func() {
 		s.pages[n] = &page{}
 		s.acc[n] = s.pages[n].start()
@@ -213,21 +213,21 @@
 			}
 		})
 	}
-	return check.Steps(fs...)
+	return interleave.Steps(fs...)
 }
 
-func wipes(t *testing.T, first, second []word.Node, off guard) (broken bool, orders int) {
-	orders = check.All(t, func() ([]check.Thread, func([]int)) {
+func wipes(t *testing.T, first, second []ids.Node, off guard) (broken bool, orders int) {
+	orders = interleave.All(t, func() ([]interleave.Thread, func([]int)) {
 		s := newSite(three)
 		stood := map[string]bool{}
 		done := func(v string) { stood[v] = true }
-		return []check.Thread{owner(s, three, first, "a", 1, "one", done), owner(s, three, second, "c", 2, "two", done), wiper(s, three, "b", off)},
+		return []interleave.Thread{owner(s, three, first, "a", 1, "one", done), owner(s, three, second, "c", 2, "two", done), wiper(s, three, "b", off)},
 			func([]int) { broken = broken || len(stood) > 1 }
 	})
 	return broken, orders
 }
 
-var asks = [][2][]word.Node{{{"a", "b"}, {"c", "b"}}, {{"b", "c"}, {"b", "a"}}, {{"b", "a"}, {"a", "b"}}}
+var asks = [][2][]ids.Node{{{"a", "b"}, {"c", "b"}}, {{"b", "c"}, {"b", "a"}}, {{"b", "a"}, {"a", "b"}}}
 
 // A disk lost at any moment and read back from the others breaks nothing.
 func TestTwoOwnersDiskLost(t *testing.T) {
@@ -260,13 +260,13 @@
 func TestOldEpochIsRefused(t *testing.T) {
 	is := is.New(t)
 	s := newSite(three)
-	e := func(n uint64) word.Epoch { return word.Epoch{Round: n, Node: "a"} }
+	e := func(n uint64) ids.Epoch { return ids.Epoch{Round: n, Node: "a"} }
 	a := s.acc["a"]
 	is.True(a.Vote("k", e(2), three).OK)
 	is.True(!a.Vote("k", e(1), three).OK)
-	is.True(!a.Accept("k", word.Place{Epoch: e(1), Seq: 9}, nil, three).OK)
-	is.True(a.Accept("k", word.Place{Epoch: e(2), Seq: 2}, []byte("v"), three).OK)
-	is.True(!a.Accept("k", word.Place{Epoch: e(2), Seq: 1}, []byte("w"), three).OK) // never back within a lease
+	is.True(!a.Accept("k", ids.Place{Epoch: e(1), Seq: 9}, nil, three).OK)
+	is.True(a.Accept("k", ids.Place{Epoch: e(2), Seq: 2}, []byte("v"), three).OK)
+	is.True(!a.Accept("k", ids.Place{Epoch: e(2), Seq: 1}, []byte("w"), three).OK) // never back within a lease
 	is.True(a.Hold("k", e(2), three).OK)
 	is.True(!a.Hold("k", e(1), three).OK)
 }
@@ -275,10 +275,10 @@
 	is := is.New(t)
 	s := newSite(three)
 	a := s.acc["a"]
-	is.NoErr(a.Adopt(Roster{Num: 2, Seat: three.Seat, Next: []word.Node{"a", "b", "d"}}))
-	e := word.Epoch{Round: 1, Node: "a"}
+	is.NoErr(a.Adopt(Roster{Num: 2, Seat: three.Seat, Next: []ids.Node{"a", "b", "d"}}))
+	e := ids.Epoch{Round: 1, Node: "a"}
 	is.True(!a.Vote("k", e, three).OK)
-	is.True(!a.Accept("k", word.Place{Epoch: e, Seq: 1}, nil, three).OK)
+	is.True(!a.Accept("k", ids.Place{Epoch: e, Seq: 1}, nil, three).OK)
 	is.Equal(s.pages["a"].start().Roster().Num, uint64(2)) // it is on the disk
 }
 
@@ -288,9 +288,9 @@
 	s := newSite(three)
 	s.pages["a"].off = true
 	a := s.acc["a"]
-	e := word.Epoch{Round: 1, Node: "a"}
+	e := ids.Epoch{Round: 1, Node: "a"}
 	is.True(!a.Vote("k", e, three).OK)
-	is.True(!a.Accept("k", word.Place{Epoch: e, Seq: 1}, []byte("v"), three).OK)
+	is.True(!a.Accept("k", ids.Place{Epoch: e, Seq: 1}, []byte("v"), three).OK)
 	is.True(a.Cell("k").At.Zero())
 }
 
@@ -303,7 +303,7 @@
 	is.NoErr(err)
 	is.NoErr(a.Found(three, nil))
 	for n := range 3 {
-		is.True(a.Accept("k", word.Place{Epoch: word.Epoch{Round: uint64(n + 1)}, Seq: 1}, []byte("value"), three).OK)
+		is.True(a.Accept("k", ids.Place{Epoch: ids.Epoch{Round: uint64(n + 1)}, Seq: 1}, []byte("value"), three).OK)
 	}
 	f := filepath.Join(string(d), "keep.log")
 	b, err := os.ReadFile(f)
--- a/internal/keep/beat.go
+++ b/internal/consensus/beat.go
@@ -1,30 +1,30 @@
-package keep
+package consensus
 
 import (
 	"maps"
 	"slices"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/concurrency"
 	"spoolswitch/internal/deflate"
-	"spoolswitch/internal/note"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/telemetry"
 )
 
 // Beat is the pause between two rounds in which a keeper confirms itself.
-const Beat = 400 * clk.Millisecond
+const Beat = 400 * clock.Millisecond
 
 const (
-	relayKept  = 10 * clk.Minute
-	countAfter = 4 * clk.Second
+	relayKept  = 10 * clock.Minute
+	countAfter = 4 * clock.Second
 )
 
-const roundTimeout = 250 * clk.Millisecond
+const roundTimeout = 250 * clock.Millisecond
 
-func (k *Keeper) askAllLater(to []word.Node, m Msg) {
+func (k *Keeper) askAllLater(to []ids.Node, m Msg) {
 	for _, n := range to {
-		spawn.Go(func() { k.Net.Ask(n, m, askTimeout) })
+		concurrency.Go(func() { k.Net.Ask(n, m, askTimeout) })
 	}
 }
 
@@ -54,9 +54,9 @@
 			return false
 		}
 	}
-	if _, at := k.Sink.Value(word.List); m.Key == word.List && at.Less(m.At) {
+	if _, at := k.Sink.Value(ids.List); m.Key == ids.List && at.Less(m.At) {
 		k.mu.Lock()
-		k.listAt = clk.Now()
+		k.listAt = clock.Now()
 		k.mu.Unlock()
 	}
 	k.learn(m.Key, m.At, m.Val)
@@ -64,25 +64,25 @@
 }
 
 // ListSeen says that a reading of the list was begun at a time.
-func (k *Keeper) ListSeen(at clk.Tick) {
+func (k *Keeper) ListSeen(at clock.Tick) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.listAt = max(k.listAt, at)
 }
 
 // ListAge is how long ago the list was last read, as far as is known here.
-func (k *Keeper) ListAge() clk.Span {
+func (k *Keeper) ListAge() clock.Span {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.listAt == 0 {
-		return clk.Span(1<<62 - 1)
+		return clock.Span(1<<62 - 1)
 	}
-	return clk.Since(k.listAt)
+	return clock.Since(k.listAt)
 }
 
 // Share tells the other keepers of a value that is not kept on disks: the change
 // from the last one, and the whole to those that do not have that.
-func (k *Keeper) Share(key word.Key, at word.Place, val []byte) {
+func (k *Keeper) Share(key ids.Key, at ids.Place, val []byte) {
 	whole := Msg{Kind: Learn, From: k.Self, Key: key, At: at, Val: val}
 	change := whole
 	if old, base := k.Sink.Value(key); key.Shared() && !base.Zero() && k.Diff != nil {
@@ -97,7 +97,7 @@
 		change = whole
 	}
 	for _, n := range k.peers() {
-		spawn.Go(func() {
+		concurrency.Go(func() {
 			a, ok := k.Net.Ask(n, change, askTimeout)
 			if ok && !a.OK && !change.Base.Zero() {
 				k.Net.Ask(n, whole, askTimeout)
@@ -107,10 +107,10 @@
 }
 
 func (k *Keeper) digest() Msg {
-	m := Msg{OK: true, From: k.Self, Zone: k.Zone, Marks: map[word.Key]Mark{}, Roster: k.acc.Roster(), Relays: k.Sink.Followers(), Disk: k.Disk, ListAge: k.ListAge()}
-	m.Code = code.OK
+	m := Msg{OK: true, From: k.Self, Zone: k.Zone, Marks: map[ids.Key]Mark{}, Roster: k.acc.Roster(), Relays: k.Sink.Followers(), Disk: k.Disk, ListAge: k.ListAge()}
+	m.Code = codes.OK
 	if !k.acc.Voting() {
-		m.Code = code.NotVoting
+		m.Code = codes.NotVoting
 	}
 	for key, c := range k.acc.Cells() {
 		if key == floorKey {
@@ -129,15 +129,15 @@
 // Round confirms this keeper with a majority, and takes in what a majority has
 // and this keeper has not.
 func (k *Keeper) Round() {
-	begun := clk.Now()
+	begun := clock.Now()
 	r := k.acc.Roster()
 	to := k.peers()
 	mine := k.digest()
 	fresh := !k.Sure(3 * Beat)
-	got := k.askAll(to, Msg{Kind: Digest, Zone: k.Zone}, roundTimeout, func(g map[word.Node]Msg) bool {
-		return len(g) == len(to) || fresh && r.Majority(func(n word.Node) bool {
+	got := k.askAll(to, Msg{Kind: Digest, Zone: k.Zone}, roundTimeout, func(g map[ids.Node]Msg) bool {
+		return len(g) == len(to) || fresh && r.Majority(func(n ids.Node) bool {
 			a, ok := g[n]
-			return n == k.Self && mine.Code == code.OK || ok && a.Code == code.OK
+			return n == k.Self && mine.Code == codes.OK || ok && a.Code == codes.OK
 		})
 	})
 	got[k.Self] = mine
@@ -157,14 +157,14 @@
 	k.mu.Lock()
 	for n, a := range got {
 		for _, name := range a.Relays {
-			k.relays[name] = clk.Now()
+			k.relays[name] = clock.Now()
 		}
-		if n != k.Self && a.ListAge < clk.Since(k.listAt) {
-			k.listAt = clk.Now().Add(-a.ListAge)
+		if n != k.Self && a.ListAge < clock.Since(k.listAt) {
+			k.listAt = clock.Now().Add(-a.ListAge)
 		}
 	}
 	for n, at := range k.relays {
-		if clk.Since(at) > relayKept {
+		if clock.Since(at) > relayKept {
 			delete(k.relays, n)
 		}
 	}
@@ -172,7 +172,7 @@
 	if k.acc.Roster().Num != r.Num {
 		return
 	}
-	voting := func(n word.Node) bool { a, ok := got[n]; return ok && a.Code == code.OK }
+	voting := func(n ids.Node) bool { a, ok := got[n]; return ok && a.Code == codes.OK }
 	if !r.Majority(voting) {
 		return
 	}
@@ -190,20 +190,20 @@
 }
 
 type doubt struct {
-	at    word.Place
-	since clk.Tick
+	at    ids.Place
+	since clock.Tick
 }
 
-func (k *Keeper) settle(r Roster, got map[word.Node]Msg, voting func(word.Node) bool) {
-	keys := map[word.Key]bool{}
+func (k *Keeper) settle(r Roster, got map[ids.Node]Msg, voting func(ids.Node) bool) {
+	keys := map[ids.Key]bool{}
 	for _, a := range got {
 		for key := range a.Marks {
 			keys[key] = true
 		}
 	}
 	for key := range sorted(keys) {
-		var top, known word.Place
-		var has word.Node
+		var top, known ids.Place
+		var has ids.Node
 		for n, a := range sorted(got) {
 			mk := a.Marks[key]
 			if voting(n) && top.Less(mk.At) {
@@ -227,7 +227,7 @@
 			delete(k.odd, key)
 			continue
 		}
-		agreed := r.Majority(func(n word.Node) bool { return voting(n) && got[n].Marks[key].At == top })
+		agreed := r.Majority(func(n ids.Node) bool { return voting(n) && got[n].Marks[key].At == top })
 		if agreed || !known.Less(top) {
 			if k.fetch(key, top, has) {
 				delete(k.odd, key)
@@ -235,19 +235,19 @@
 			continue
 		}
 		if o := k.odd[key]; o.at != top {
-			k.odd[key] = doubt{top, clk.Now()}
+			k.odd[key] = doubt{top, clock.Now()}
 		}
-		if (clk.Since(k.odd[key].since) > Beat || mine.Zero()) && k.acc.Voting() {
+		if (clock.Since(k.odd[key].since) > Beat || mine.Zero()) && k.acc.Voting() {
 			delete(k.odd, key)
-			note.Trouble("unsettled value taken up", "key", key, "at", top)
-			spawn.Go(func() {
-				k.Own(key, clk.Now().Add(2*clk.Second), func([]byte) ([]byte, Msg) { return nil, Msg{OK: true} })
+			telemetry.Trouble("unsettled value taken up", "key", key, "at", top)
+			concurrency.Go(func() {
+				k.Own(key, clock.Now().Add(2*clock.Second), func([]byte) ([]byte, Msg) { return nil, Msg{OK: true} })
 			})
 		}
 	}
 }
 
-func (k *Keeper) fetch(key word.Key, at word.Place, from word.Node) bool {
+func (k *Keeper) fetch(key ids.Key, at ids.Place, from ids.Node) bool {
 	c := k.acc.Cell(key)
 	if c.At != at {
 		a, ok := k.Net.Ask(from, Msg{Kind: Fetch, From: k.Self, Key: key}, askTimeout)
@@ -278,7 +278,7 @@
 
 // Surveyed adds to the cells of a disk the epochs that its keeper has asked
 // votes for: one whose disk is lost may have promised them.
-func Surveyed(cells map[word.Key]Cell, tried map[word.Key]word.Epoch) map[word.Key]Cell {
+func Surveyed(cells map[ids.Key]Cell, tried map[ids.Key]ids.Epoch) map[ids.Key]Cell {
 	for key, e := range tried {
 		c := cells[key]
 		if c.Promised.Less(e) {
@@ -291,7 +291,7 @@
 
 // Regained puts together what the others have told of the keys. It is enough
 // only if every majority that self may have been part of is covered.
-func Regained(self word.Node, got map[word.Node]Msg) (Roster, map[word.Key]Cell, bool) {
+func Regained(self ids.Node, got map[ids.Node]Msg) (Roster, map[ids.Key]Cell, bool) {
 	var r Roster
 	for _, a := range got {
 		if a.Roster.Num > r.Num {
@@ -301,7 +301,7 @@
 	if r.Num == 0 || !r.Has(self) {
 		return r, nil, false
 	}
-	cells := map[word.Key]Cell{}
+	cells := map[ids.Key]Cell{}
 	for n, a := range sorted(got) {
 		if !a.OK || !r.Has(n) {
 			continue
@@ -317,16 +317,16 @@
 			cells[key] = have
 		}
 	}
-	return r, cells, r.Covers(self, func(n word.Node) bool { return got[n].OK })
+	return r, cells, r.Covers(self, func(n ids.Node) bool { return got[n].OK })
 }
 
 // Newcomer tells whether self can never have been counted: a majority of the
 // newest roster that anybody knows or has accepted has answered, and self is
 // in none of them.
-func Newcomer(self word.Node, got map[word.Node]Msg) bool {
+func Newcomer(self ids.Node, got map[ids.Node]Msg) bool {
 	var top Roster
 	for _, a := range got {
-		at, ok := DecodeRoster(a.Cells[word.Roster].Val)
+		at, ok := DecodeRoster(a.Cells[ids.Roster].Val)
 		if a.Roster.Has(self) || ok && at.Has(self) {
 			return false
 		}
@@ -339,7 +339,7 @@
 
 // seated tells whether a majority of the newest roster has answered, and self is
 // in it.
-func seated(self word.Node, got map[word.Node]Msg) bool {
+func seated(self ids.Node, got map[ids.Node]Msg) bool {
 	var top Roster
 	for _, a := range got {
 		if a.Roster.Num > top.Num {
@@ -352,8 +352,8 @@
 // Floor is an epoch above all that the others have told of. Raised on those
 // that are read before they are read again, it makes sure that no lease goes on
 // counting what the lost disk had accepted.
-func Floor(got map[word.Node]Msg, self word.Node, life uint64) word.Epoch {
-	e := word.Epoch{Round: 1, Node: self, Life: life}
+func Floor(got map[ids.Node]Msg, self ids.Node, life uint64) ids.Epoch {
+	e := ids.Epoch{Round: 1, Node: self, Life: life}
 	for _, a := range got {
 		for _, c := range a.Cells {
 			e.Round = max(e.Round, c.Promised.Round+1)
@@ -390,11 +390,11 @@
 			to = append(to, n)
 		}
 	}
-	all := func(g map[word.Node]Msg) bool { return len(g) == len(to) }
+	all := func(g map[ids.Node]Msg) bool { return len(g) == len(to) }
 	k.mu.Lock()
 	newcomer := k.newcomer
 	k.mu.Unlock()
-	got := k.askAll(to, Msg{Kind: Survey, Zone: k.Zone}, askTimeout*2, func(g map[word.Node]Msg) bool {
+	got := k.askAll(to, Msg{Kind: Survey, Zone: k.Zone}, askTimeout*2, func(g map[ids.Node]Msg) bool {
 		return all(g) || Newcomer(k.Self, g) || newcomer && seated(k.Self, g)
 	})
 	r, cells, ok := Regained(k.Self, got)
@@ -413,7 +413,7 @@
 		if k.acc.Found(r, cells) != nil {
 			return false
 		}
-		note.State("seat taken", "read", len(got))
+		telemetry.State("seat taken", "read", len(got))
 		return true
 	}
 	if !ok {
@@ -429,7 +429,7 @@
 	if err := k.acc.Found(r, cells); err != nil {
 		return false
 	}
-	note.State("disk regained from others", "read", len(got))
+	telemetry.State("disk regained from others", "read", len(got))
 	return true
 }
 
@@ -438,7 +438,7 @@
 func (k *Keeper) Relays() int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if clk.Since(k.local0) < countAfter {
+	if clock.Since(k.local0) < countAfter {
 		return 0
 	}
 	return len(k.relays)
@@ -446,21 +446,21 @@
 
 // FedElsewhere tells whether a zone is another than this keeper's and has a seat
 // that was heard of lately.
-func (k *Keeper) FedElsewhere(z word.Zone) bool {
+func (k *Keeper) FedElsewhere(z ids.Zone) bool {
 	if z == k.Zone {
 		return false
 	}
 	seats := k.acc.Roster().All()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return slices.ContainsFunc(seats, func(n word.Node) bool {
+	return slices.ContainsFunc(seats, func(n ids.Node) bool {
 		at, ok := k.heard[n]
-		return k.others[n] == z && ok && clk.Since(at) < hereFor
+		return k.others[n] == z && ok && clock.Since(at) < hereFor
 	})
 }
 
 // Far tells whether a daemon is known to be in another zone.
-func (k *Keeper) Far(n word.Node) bool {
+func (k *Keeper) Far(n ids.Node) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	z := k.others[n]
@@ -468,12 +468,12 @@
 }
 
 // KeeperZones tells the zones of keepers.
-func (k *Keeper) KeeperZones() map[word.Node]word.Zone {
+func (k *Keeper) KeeperZones() map[ids.Node]ids.Zone {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	out := map[word.Node]word.Zone{k.Self: k.Zone}
+	out := map[ids.Node]ids.Zone{k.Self: k.Zone}
 	for n, z := range k.others {
-		if at, ok := k.heard[n]; ok && clk.Since(at) < 10*clk.Second {
+		if at, ok := k.heard[n]; ok && clock.Since(at) < 10*clock.Second {
 			out[n] = z
 		}
 	}
--- a/internal/keep/confirm.go
+++ b/internal/consensus/confirm.go
@@ -1,10 +1,10 @@
-package keep
+package consensus
 
 import (
 	"slices"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
 )
 
 // confirmMost is how many may wait at once for a confirmation.
@@ -13,10 +13,10 @@
 // Confirmed waits until a majority, under the roster in force, has confirmed
 // this keeper in a round that began after the call. What is known here then is
 // at least as new as all that was acknowledged before the call.
-func (k *Keeper) Confirmed(timeout clk.Span) bool {
-	at := clk.Now()
+func (k *Keeper) Confirmed(timeout clock.Span) bool {
+	at := clock.Now()
 	deadline := at.Add(timeout)
-	m := spawn.NewMark()
+	m := concurrency.NewMark()
 	k.mu.Lock()
 	if len(k.waiters) >= confirmMost {
 		k.mu.Unlock()
@@ -27,10 +27,10 @@
 	defer func() {
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		k.waiters = slices.DeleteFunc(k.waiters, func(o *spawn.Mark) bool { return o == m })
+		k.waiters = slices.DeleteFunc(k.waiters, func(o *concurrency.Mark) bool { return o == m })
 	}()
 	for {
-		woken := m.Wait(clk.Until(deadline))
+		woken := m.Wait(clock.Until(deadline))
 		k.mu.Lock()
 		ok := k.sure >= at
 		k.mu.Unlock()
--- a/internal/keep/confirm_test.go
+++ b/internal/consensus/confirm_test.go
@@ -1,12 +1,12 @@
-package keep
+package consensus
 
 import (
 	"testing"
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
 )
 
 // A confirmation counts only if its round began after it was asked for.
@@ -15,12 +15,12 @@
 	c := newCore(t)
 	a := c.ks["a"]
 	a.Round()
-	is.True(a.Sure(clk.Second))
-	is.True(!a.Confirmed(30 * clk.Millisecond)) // that round was before
+	is.True(a.Sure(clock.Second))
+	is.True(!a.Confirmed(30 * clock.Millisecond)) // that round was before
 	answer := false
-	done := spawn.NewMark()
-	spawn.Go(func() {
-		answer = a.Confirmed(10 * clk.Second)
+	done := concurrency.NewMark()
+	concurrency.Go(func() {
+		answer = a.Confirmed(10 * clock.Second)
 		done.Set()
 	})
 	eventually(t, "the question", func() bool {
@@ -29,13 +29,13 @@
 		return len(a.waiters) == 1
 	})
 	a.confirmed() // by a round that began before
-	is.True(!done.Wait(30 * clk.Millisecond))
+	is.True(!done.Wait(30 * clock.Millisecond))
 	c.n.part("a", "b", "c")
 	a.Round() // and by none
-	is.True(!done.Wait(30 * clk.Millisecond))
+	is.True(!done.Wait(30 * clock.Millisecond))
 	c.n.join()
 	a.Round()
-	is.True(done.Wait(10 * clk.Second))
+	is.True(done.Wait(10 * clock.Second))
 	is.True(answer)
 	is.Equal(len(a.waiters), 0)
 }
--- a/internal/keep/digest.go
+++ b/internal/consensus/digest.go
@@ -1,11 +1,11 @@
-package keep
+package consensus
 
 import (
 	"hash/maphash"
 	"sync"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/ids"
 )
 
 // Most rounds find nothing new. A digest's marks, roster and relays are
@@ -15,14 +15,14 @@
 // digests are the last whole digests of other daemons, by daemon.
 type digests struct {
 	mu   sync.Mutex
-	last map[word.Node]Msg
+	last map[ids.Node]Msg
 }
 
 // sumSeed is this process's own: sums are only ever compared by their maker.
 var sumSeed = maphash.MakeSeed()
 
 type keyMark struct {
-	key  word.Key
+	key  ids.Key
 	mark Mark
 }
 
@@ -33,9 +33,9 @@
 		sum += maphash.Comparable(sumSeed, keyMark{key, mark})
 	}
 	for i, n := range m.Relays {
-		sum += maphash.Comparable(sumSeed, keyMark{word.Key(n), Mark{At: word.Place{Seq: uint64(i)}}})
+		sum += maphash.Comparable(sumSeed, keyMark{ids.Key(n), Mark{At: ids.Place{Seq: uint64(i)}}})
 	}
-	for _, seats := range [][]word.Node{m.Roster.Seat, m.Roster.Next} {
+	for _, seats := range [][]ids.Node{m.Roster.Seat, m.Roster.Next} {
 		sum = sum*31 + m.Roster.Num
 		for _, n := range seats {
 			sum = sum*31 + maphash.String(sumSeed, string(n))
@@ -56,7 +56,7 @@
 }
 
 // ask is Net.Ask, with digests made whole.
-func (k *Keeper) ask(n word.Node, m Msg, timeout clk.Span) (Msg, bool) {
+func (k *Keeper) ask(n ids.Node, m Msg, timeout clock.Span) (Msg, bool) {
 	if m.Kind != Digest {
 		return k.Net.Ask(n, m, timeout)
 	}
@@ -82,11 +82,11 @@
 // digestsKept bounds the digests that are remembered.
 const digestsKept = 64
 
-func (d *digests) put(n word.Node, m Msg) {
+func (d *digests) put(n ids.Node, m Msg) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.last == nil || len(d.last) >= digestsKept && d.last[n].Sum == 0 {
-		d.last = map[word.Node]Msg{}
+		d.last = map[ids.Node]Msg{}
 	}
 	d.last[n] = Msg{Sum: m.Sum, Marks: m.Marks, Relays: m.Relays, Roster: m.Roster}
 }
--- a/internal/keep/digest_test.go
+++ b/internal/consensus/digest_test.go
@@ -1,4 +1,4 @@
-package keep
+package consensus
 
 import (
 	"bytes"
@@ -7,9 +7,9 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/ids"
 )
 
 // A digest that has not changed is told by its sum; who asked has it whole all
@@ -22,7 +22,7 @@
 	eventually(t, "the value at b", func() bool { m := b.digest().Marks["k"]; return m.Known == m.At && m.At.Seq == 2 })
 	ask := func() (raw, whole Msg) {
 		raw = b.Handle(Msg{Kind: Digest, From: "a", Sum: a.digests.last["b"].Sum})
-		whole, ok := a.ask("b", Msg{Kind: Digest, From: "a"}, clk.Second)
+		whole, ok := a.ask("b", Msg{Kind: Digest, From: "a"}, clock.Second)
 		is.True(ok)
 		return raw, whole
 	}
@@ -34,12 +34,12 @@
 	is.Equal(second.Marks, first.Marks)
 	is.Equal(second.Roster, first.Roster)
 	for name, change := range map[string]func(){
-		"a vote":     func() { b.Acceptor().Vote("k", word.Epoch{Round: 99, Node: "c"}, b.Acceptor().Roster()) },
-		"a value":    func() { c.si["b"].Publish(Item{Key: "told", At: word.Place{Seq: 7}}) },
+		"a vote":     func() { b.Acceptor().Vote("k", ids.Epoch{Round: 99, Node: "c"}, b.Acceptor().Roster()) },
+		"a value":    func() { c.si["b"].Publish(Item{Key: "told", At: ids.Place{Seq: 7}}) },
 		"a follower": func() { c.si["b"].followers = append(c.si["b"].followers, "r") },
 		"a roster": func() {
 			r := b.Acceptor().Roster()
-			is.NoErr(b.Acceptor().Adopt(Roster{Num: r.Num + 1, Seat: r.Seat, Next: []word.Node{"d"}}))
+			is.NoErr(b.Acceptor().Adopt(Roster{Num: r.Num + 1, Seat: r.Seat, Next: []ids.Node{"d"}}))
 		},
 	} {
 		change()
@@ -53,14 +53,14 @@
 	}
 	// a sum that the asker does not have proves nothing
 	a.Net = answering(Msg{OK: true, Same: true, Sum: a.digests.last["b"].Sum + 1})
-	_, ok := a.ask("b", Msg{Kind: Digest, From: "a"}, clk.Second)
+	_, ok := a.ask("b", Msg{Kind: Digest, From: "a"}, clock.Second)
 	is.True(!ok)
 }
 
 // answering is a net whose daemons all give one answer.
 type answering Msg
 
-func (a answering) Ask(word.Node, Msg, clk.Span) (Msg, bool) { return Msg(a), true }
+func (a answering) Ask(ids.Node, Msg, clock.Span) (Msg, bool) { return Msg(a), true }
 
 // Seats that find a change of seats left open take turns, so that they do not
 // take each other's leases; those that are silent are passed over.
@@ -72,7 +72,7 @@
 		k.Round()
 	}
 	var turns []int
-	firstNode := word.Node("")
+	firstNode := ids.Node("")
 	for n, k := range sorted(c.ks) {
 		turns = append(turns, k.turnToSeat(r))
 		if k.turnToSeat(r) == 0 {
@@ -85,7 +85,7 @@
 	for n, k := range sorted(c.ks) {
 		if n != firstNode {
 			k.mu.Lock()
-			k.heard[firstNode] = clk.Now().Add(-2 * hereFor)
+			k.heard[firstNode] = clock.Now().Add(-2 * hereFor)
 			k.mu.Unlock()
 			turns = append(turns, k.turnToSeat(r))
 		}
@@ -108,14 +108,14 @@
 	c := newCore(t)
 	a := c.ks["a"]
 	for _, k := range c.ks {
-		k.Diff = func(_ word.Key, old, fresh []byte) []byte { return fresh[len(old):] }
-		k.Patch = func(_ word.Key, old, change []byte) ([]byte, bool) { return slices.Concat(old, change), true }
+		k.Diff = func(_ ids.Key, old, fresh []byte) []byte { return fresh[len(old):] }
+		k.Patch = func(_ ids.Key, old, change []byte) ([]byte, bool) { return slices.Concat(old, change), true }
 	}
-	at := func(seq uint64) word.Place { return word.Place{Epoch: word.Epoch{Round: 1, Node: "a"}, Seq: seq} }
-	told := spawn.NewMark()
+	at := func(seq uint64) ids.Place { return ids.Place{Epoch: ids.Epoch{Round: 1, Node: "a"}, Seq: seq} }
+	told := concurrency.NewMark()
 	var whole, changes int
-	c.n.through(func(_, _ word.Node, m Msg) bool {
-		if m.Kind == Learn && m.Key == word.List {
+	c.n.through(func(_, _ ids.Node, m Msg) bool {
+		if m.Kind == Learn && m.Key == ids.List {
 			if m.Base.Zero() {
 				whole++
 			} else {
@@ -126,17 +126,17 @@
 		}
 		return true
 	})
-	has := func(n word.Node, v string) func() bool {
-		return func() bool { got, _ := c.si[n].Value(word.List); return string(got) == v }
+	has := func(n ids.Node, v string) func() bool {
+		return func() bool { got, _ := c.si[n].Value(ids.List); return string(got) == v }
 	}
-	a.Share(word.List, at(1), []byte("a"))
+	a.Share(ids.List, at(1), []byte("a"))
 	eventually(t, "the list", has("b", "a"))
 	eventually(t, "the list", has("c", "a"))
 	c.n.part("c", "a")
-	a.Share(word.List, at(2), []byte("ab"))
+	a.Share(ids.List, at(2), []byte("ab"))
 	eventually(t, "the list", has("b", "ab"))
 	c.n.join()
-	a.Share(word.List, at(3), []byte("abc"))
+	a.Share(ids.List, at(3), []byte("abc"))
 	eventually(t, "the list", has("b", "abc"))
 	eventually(t, "the list", has("c", "abc")) // lacked the second
 	c.n.mu.Lock()
--- a/internal/keep/found.go
+++ b/internal/consensus/found.go
@@ -1,18 +1,18 @@
-package keep
+package consensus
 
 import (
 	"fmt"
 	"hash/fnv"
 	"slices"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
 	"spoolswitch/internal/guards"
-	"spoolswitch/internal/note"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/telemetry"
 )
 
-func anyDisk(got map[word.Node]Msg) bool {
+func anyDisk(got map[ids.Node]Msg) bool {
 	for _, a := range got {
 		if a.Disk {
 			return true
@@ -27,8 +27,8 @@
 // answer or not. It tells whether that is done.
 func (k *Keeper) Begin() bool {
 	founders, _ := k.seeds()
-	to := slices.DeleteFunc(slices.Clone(founders), func(n word.Node) bool { return n == k.Self })
-	got := k.askAll(to, Msg{Kind: Digest, Zone: k.Zone}, askTimeout, func(g map[word.Node]Msg) bool { return len(g) == len(to) })
+	to := slices.DeleteFunc(slices.Clone(founders), func(n ids.Node) bool { return n == k.Self })
+	got := k.askAll(to, Msg{Kind: Digest, Zone: k.Zone}, askTimeout, func(g map[ids.Node]Msg) bool { return len(g) == len(to) })
 	for _, a := range sorted(got) {
 		k.take(a)
 	}
@@ -43,7 +43,7 @@
 	got[k.Self] = Msg{Disk: k.Disk}
 	in := slices.Clone(founders)
 	if anyDisk(got) {
-		in = slices.DeleteFunc(in, func(n word.Node) bool { return !got[n].Disk })
+		in = slices.DeleteFunc(in, func(n ids.Node) bool { return !got[n].Disk })
 	}
 	if !slices.Contains(in, k.Self) {
 		return true
@@ -53,26 +53,26 @@
 
 func (k *Keeper) found(r Roster) bool {
 	if err := k.acc.Found(r, nil); err != nil {
-		note.Trouble("founding record refused", "err", err)
+		telemetry.Trouble("founding record refused", "err", err)
 		return false
 	}
-	note.State("founded", "seats", len(r.Seat))
+	telemetry.State("founded", "seats", len(r.Seat))
 	return true
 }
 
 // seatsNear are the seats of the roster that orders may be forwarded to, the one
 // that answered last first; those that were silent lately come last, the one that
 // was asked least lately before the others.
-func (k *Keeper) seatsNear() []word.Node {
-	out := slices.DeleteFunc(k.acc.Roster().All(), func(n word.Node) bool { return n == k.Self })
+func (k *Keeper) seatsNear() []ids.Node {
+	out := slices.DeleteFunc(k.acc.Roster().All(), func(n ids.Node) bool { return n == k.Self })
 	if len(out) == 0 && guards.Off(guards.Hops) {
 		out, _ = k.seeds()
-		out = slices.DeleteFunc(slices.Clone(out), func(n word.Node) bool { return n == k.Self })
+		out = slices.DeleteFunc(slices.Clone(out), func(n ids.Node) bool { return n == k.Self })
 	}
 	k.mu.Lock()
 	last := k.last
 	k.mu.Unlock()
-	ranks := map[word.Node]uint64{}
+	ranks := map[ids.Node]uint64{}
 	for _, n := range out {
 		h := fnv.New64a()
 		fmt.Fprint(h, k.Self, "|", n)
@@ -84,8 +84,8 @@
 			ranks[n] = 1<<63 | uint64(at)
 		}
 	}
-	rank := func(n word.Node) uint64 { return ranks[n] }
-	slices.SortFunc(out, func(a, b word.Node) int {
+	rank := func(n ids.Node) uint64 { return ranks[n] }
+	slices.SortFunc(out, func(a, b ids.Node) int {
 		if rank(a) < rank(b) {
 			return -1
 		}
@@ -94,7 +94,7 @@
 	return out
 }
 
-func (k *Keeper) answered(n word.Node) {
+func (k *Keeper) answered(n ids.Node) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.last = n
@@ -102,32 +102,32 @@
 
 // forward hands an order to a seat, which hands it to nobody without one. A
 // keeper that knows no seat refuses it.
-func (k *Keeper) forward(key word.Key, o *Order, deadline clk.Tick) Msg {
+func (k *Keeper) forward(key ids.Key, o *Order, deadline clock.Tick) Msg {
 	if k.acc.Roster().Num == 0 && !guards.Off(guards.Hops) && !k.pull() {
-		return Msg{Code: code.NotVoting, Text: "no seat is known here"}
+		return Msg{Code: codes.NotVoting, Text: "no seat is known here"}
 	}
-	tried := map[word.Node]bool{}
-	for clk.Until(deadline) > 0 {
-		to := slices.DeleteFunc(k.seatsNear(), func(n word.Node) bool { return tried[n] })
+	tried := map[ids.Node]bool{}
+	for clock.Until(deadline) > 0 {
+		to := slices.DeleteFunc(k.seatsNear(), func(n ids.Node) bool { return tried[n] })
 		if len(to) == 0 {
 			break
 		}
 		n := to[0]
 		tried[n] = true
-		timeout := min(askTimeout, clk.Until(deadline))
+		timeout := min(askTimeout, clock.Until(deadline))
 		a, ok := k.Net.Ask(n, Msg{Kind: Forward, Key: key, Order: o, Left: timeout}, timeout)
 		if !ok {
 			k.misses(n)
 			continue
 		}
 		k.answers(n)
-		if a.clear() || a.Code == code.Moved {
+		if a.clear() || a.Code == codes.Moved {
 			k.answered(n)
 			return a
 		}
 		k.take(Msg{Roster: a.Roster})
 	}
-	return Msg{Code: code.NoMajority}
+	return Msg{Code: codes.NoMajority}
 }
 
 // OrdersMost is how many orders of other daemons a keeper has in hand at once.
@@ -152,19 +152,19 @@
 // ordered carries out an order that another daemon has taken from a client.
 func (k *Keeper) ordered(m Msg) Msg {
 	if !k.acc.Voting() && !guards.Off(guards.Hops) {
-		return Msg{Code: code.NotVoting, Roster: k.acc.Roster()}
+		return Msg{Code: codes.NotVoting, Roster: k.acc.Roster()}
 	}
 	if !k.admit() {
-		return Msg{Code: code.QueueFull, Text: "too many orders in hand"}
+		return Msg{Code: codes.QueueFull, Text: "too many orders in hand"}
 	}
 	defer k.done()
 	switch {
 	case m.Order == nil:
-		return Msg{Code: code.NoCall}
+		return Msg{Code: codes.NoCall}
 	case k.late(m):
-		return Msg{Code: code.Unvouched}
+		return Msg{Code: codes.Unvouched}
 	case unbound(m.Key, m.Order):
-		return Msg{Code: code.Moved}
+		return Msg{Code: codes.Moved}
 	case m.Kind == Forward:
 		return k.Change(m.Key, m.Order, m.until(forwardTimeout*2))
 	}
--- a/internal/keep/gossip.go
+++ b/internal/consensus/gossip.go
@@ -1,21 +1,21 @@
-package keep
+package consensus
 
 import (
 	"maps"
 	"slices"
 
-	"spoolswitch/internal/clk"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
 	"spoolswitch/internal/guards"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
 )
 
 const (
-	gossipSoon  = 400 * clk.Millisecond
-	gossipUnmet = 1200 * clk.Millisecond
-	gossipMet   = 3 * clk.Second
-	gossipQuick = 4 * clk.Second
-	pullTimeout = 200 * clk.Millisecond
+	gossipSoon  = 400 * clock.Millisecond
+	gossipUnmet = 1200 * clock.Millisecond
+	gossipMet   = 3 * clock.Second
+	gossipQuick = 4 * clock.Second
+	pullTimeout = 200 * clock.Millisecond
 
 	callersKept = 8
 	zonesKept   = 256
@@ -24,7 +24,7 @@
 // contact is when a daemon is told next, and whether its last answer showed
 // that it knows the roster.
 type contact struct {
-	next clk.Tick
+	next clock.Tick
 	met  bool
 }
 
@@ -37,11 +37,11 @@
 		return
 	}
 	for _, n := range k.due() {
-		spawn.Go(func() { k.exchange(n, askTimeout) })
+		concurrency.Go(func() { k.exchange(n, askTimeout) })
 	}
 }
 
-func (k *Keeper) exchange(n word.Node, timeout clk.Span) bool {
+func (k *Keeper) exchange(n ids.Node, timeout clock.Span) bool {
 	a, ok := k.Net.Ask(n, k.gossip(), timeout)
 	if !ok {
 		k.misses(n)
@@ -92,30 +92,30 @@
 	}
 }
 
-func (k *Keeper) met(n word.Node, met bool) {
+func (k *Keeper) met(n ids.Node, met bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	c := k.contacts[n]
 	c.met = met
 	switch {
 	case met:
-		c.next = clk.Now().Add(gossipMet)
-	case clk.Since(k.seededAt) < gossipQuick:
-		c.next = clk.Now().Add(gossipSoon)
+		c.next = clock.Now().Add(gossipMet)
+	case clock.Since(k.seededAt) < gossipQuick:
+		c.next = clock.Now().Add(gossipSoon)
 	default:
-		c.next = clk.Now().Add(gossipUnmet)
+		c.next = clock.Now().Add(gossipUnmet)
 	}
 	k.contacts[n] = c
 }
 
 // due names those to be told now, and marks them as asked.
-func (k *Keeper) due() []word.Node {
+func (k *Keeper) due() []ids.Node {
 	r := k.acc.Roster()
 	rounds := k.Rounds()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var to []word.Node
-	add := func(n word.Node) {
+	var to []ids.Node
+	add := func(n ids.Node) {
 		if n != k.Self && n != "" && !slices.Contains(to, n) {
 			to = append(to, n)
 		}
@@ -134,9 +134,9 @@
 			add(n)
 		}
 	}
-	maps.DeleteFunc(k.contacts, func(n word.Node, _ contact) bool { return !slices.Contains(to, n) })
-	now := clk.Now()
-	var out []word.Node
+	maps.DeleteFunc(k.contacts, func(n ids.Node, _ contact) bool { return !slices.Contains(to, n) })
+	now := clock.Now()
+	var out []ids.Node
 	for _, n := range to {
 		if k.contacts[n].next <= now {
 			k.contacts[n] = contact{next: now.Add(gossipUnmet), met: k.contacts[n].met}
@@ -157,8 +157,8 @@
 	}
 	defer k.pulling.Unlock()
 	seeds, _ := k.seeds()
-	to := slices.DeleteFunc(slices.Clone(seeds), func(n word.Node) bool { return n == k.Self })
-	for _, a := range sorted(k.askAll(to, k.gossip(), pullTimeout, func(g map[word.Node]Msg) bool {
+	to := slices.DeleteFunc(slices.Clone(seeds), func(n ids.Node) bool { return n == k.Self })
+	for _, a := range sorted(k.askAll(to, k.gossip(), pullTimeout, func(g map[ids.Node]Msg) bool {
 		for _, a := range g {
 			if a.Roster.Num > 0 {
 				return true
@@ -177,15 +177,15 @@
 
 // SeatZones tells the zone of each seat of the roster, empty where it is not
 // known, and the number of that roster.
-func (k *Keeper) SeatZones() (uint64, map[word.Node]word.Zone) {
+func (k *Keeper) SeatZones() (uint64, map[ids.Node]ids.Zone) {
 	r := k.acc.Roster()
 	return r.Num, k.zonesOf(r)
 }
 
-func (k *Keeper) zonesOf(r Roster) map[word.Node]word.Zone {
+func (k *Keeper) zonesOf(r Roster) map[ids.Node]ids.Zone {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	out := map[word.Node]word.Zone{}
+	out := map[ids.Node]ids.Zone{}
 	for _, n := range r.All() {
 		out[n] = k.others[n]
 		if n == k.Self {
@@ -201,12 +201,12 @@
 	if len(k.others) <= zonesKept && len(k.heard) <= zonesKept {
 		return
 	}
-	gone := func(n word.Node) bool {
+	gone := func(n ids.Node) bool {
 		at, ok := k.heard[n]
-		return !r.Has(n) && (!ok || clk.Since(at) > 10*clk.Second)
+		return !r.Has(n) && (!ok || clock.Since(at) > 10*clock.Second)
 	}
-	maps.DeleteFunc(k.others, func(n word.Node, _ word.Zone) bool { return gone(n) })
-	maps.DeleteFunc(k.heard, func(n word.Node, _ clk.Tick) bool { return gone(n) })
-	maps.DeleteFunc(k.rounding, func(n word.Node, _ clk.Tick) bool { return gone(n) })
-	maps.DeleteFunc(k.health, func(n word.Node, _ health) bool { return gone(n) })
+	maps.DeleteFunc(k.others, func(n ids.Node, _ ids.Zone) bool { return gone(n) })
+	maps.DeleteFunc(k.heard, func(n ids.Node, _ clock.Tick) bool { return gone(n) })
+	maps.DeleteFunc(k.rounding, func(n ids.Node, _ clock.Tick) bool { return gone(n) })
+	maps.DeleteFunc(k.health, func(n ids.Node, _ health) bool { return gone(n) })
 }
--- a/internal/keep/gossip_test.go
+++ b/internal/consensus/gossip_test.go
@@ -1,23 +1,23 @@
-package keep
+package consensus
 
 import (
 	"testing"
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/ids"
 )
 
 // counted counts what a keeper asks of each daemon, by kind.
 type counted struct {
 	end
-	got map[word.Node]map[Kind]int
+	got map[ids.Node]map[Kind]int
 }
 
-func (c counted) Ask(to word.Node, m Msg, d clk.Span) (Msg, bool) {
+func (c counted) Ask(to ids.Node, m Msg, d clock.Span) (Msg, bool) {
 	c.n.mu.Lock()
 	if c.got[to] == nil {
 		c.got[to] = map[Kind]int{}
@@ -27,29 +27,29 @@
 	return c.end.Ask(to, m, d)
 }
 
-func (c counted) count(to word.Node, kind Kind) int {
+func (c counted) count(to ids.Node, kind Kind) int {
 	c.n.mu.Lock()
 	defer c.n.mu.Unlock()
 	return c.got[to][kind]
 }
 
-func (c *core) count(n word.Node) counted {
-	x := counted{end{c.n, n}, map[word.Node]map[Kind]int{}}
+func (c *core) count(n ids.Node) counted {
+	x := counted{end{c.n, n}, map[ids.Node]map[Kind]int{}}
 	c.ks[n].Net = x
 	return x
 }
 
 func eventually(t *testing.T, what string, fn func() bool) {
 	t.Helper()
-	for end := clk.Now().Add(20 * clk.Second); !fn(); clk.Sleep(clk.Millisecond) {
-		if clk.Now() > end {
+	for end := clock.Now().Add(20 * clock.Second); !fn(); clock.Sleep(clock.Millisecond) {
+		if clock.Now() > end {
 			t.Fatal("never came: " + what)
 		}
 	}
 }
 
 // diskless starts a keeper without a disk that knows nothing but its seeds.
-func (c *core) diskless(n word.Node, seeds ...word.Node) *Keeper {
+func (c *core) diskless(n ids.Node, seeds ...ids.Node) *Keeper {
 	k := c.add(n, seeds)
 	k.Disk = false
 	return k
@@ -65,16 +65,16 @@
 	a := c.ks["a"]
 	n := c.count("a")
 	a.hear(Msg{From: "b", Zone: "b"})
-	a.Seeded([]word.Node{"b", "d", "e", "gone"}, 3)
+	a.Seeded([]ids.Node{"b", "d", "e", "gone"}, 3)
 	for range 50 {
 		a.Gossip()
 	}
-	for _, k := range []word.Node{"d", "e"} {
+	for _, k := range []ids.Node{"d", "e"} {
 		eventually(t, "the roster", func() bool { return c.ks[k].Acceptor().Roster().Num == 1 })
 	}
 	num, zones := d.SeatZones()
 	is.Equal(num, uint64(1))
-	is.Equal(zones["b"], word.Zone("b"))
+	is.Equal(zones["b"], ids.Zone("b"))
 	is.Equal(n.count("b", Gossip), 0)
 	is.Equal(n.count("d", Gossip), 1)
 	eventually(t, "the seed that is down is asked", func() bool { return n.count("gone", Gossip) > 0 })
@@ -84,7 +84,7 @@
 		return n.count("gone", Gossip) > 1
 	})
 	is.Equal(n.count("d", Gossip), 1)
-	a.Seeded([]word.Node{"d"}, 3) // changed: told again at once
+	a.Seeded([]ids.Node{"d"}, 3) // changed: told again at once
 	a.Gossip()
 	eventually(t, "told again", func() bool { return n.count("d", Gossip) == 2 })
 }
@@ -102,7 +102,7 @@
 		defer lost.mu.Unlock()
 		return len(lost.callers) == 1
 	})
-	mid.Seeded([]word.Node{"c"}, 3) // its settings are mended, those of the other are not
+	mid.Seeded([]ids.Node{"c"}, 3) // its settings are mended, those of the other are not
 	eventually(t, "the roster", func() bool {
 		mid.Gossip()
 		return mid.Acceptor().Roster().Num == 1
@@ -111,7 +111,7 @@
 		lost.Gossip()
 		return lost.Acceptor().Roster().Num == 1
 	})
-	fresh := Roster{Num: 5, Seat: []word.Node{"a", "b", "x"}}
+	fresh := Roster{Num: 5, Seat: []ids.Node{"a", "b", "x"}}
 	is.NoErr(c.ks["c"].Acceptor().Adopt(fresh))
 	eventually(t, "the newer roster", func() bool {
 		mid.Gossip()
@@ -127,12 +127,12 @@
 	c := newCore(t)
 	d, e := c.diskless("d", "e"), c.diskless("e", "d")
 	nd, ne := c.count("d"), c.count("e")
-	begun := clk.Now()
-	is.Equal(c.put("d", 0, "1").Code, code.NotVoting)
-	is.True(clk.Since(begun) < 500*clk.Millisecond)
-	is.Equal(d.Handle(Msg{Kind: Forward, Key: kk, Order: &Order{Query: true}}).Code, code.NotVoting)
+	begun := clock.Now()
+	is.Equal(c.put("d", 0, "1").Code, codes.NotVoting)
+	is.True(clock.Since(begun) < 500*clock.Millisecond)
+	is.Equal(d.Handle(Msg{Kind: Forward, Key: kk, Order: &Order{Query: true}}).Code, codes.NotVoting)
 	is.Equal(nd.count("e", Forward)+ne.count("d", Forward), 0)
-	is.NoErr(d.Acceptor().Adopt(Roster{Num: 2, Seat: []word.Node{"e"}})) // wrong by now
+	is.NoErr(d.Acceptor().Adopt(Roster{Num: 2, Seat: []ids.Node{"e"}})) // wrong by now
 	is.NoErr(e.Acceptor().Adopt(Roster{Num: 3, Seat: three.Seat}))
 	for _, n := range three.Seat {
 		is.NoErr(c.ks[n].Acceptor().Adopt(Roster{Num: 3, Seat: three.Seat}))
@@ -149,13 +149,13 @@
 	c := newCore(t)
 	a := c.ks["a"]
 	c.n.part("a", "b", "c")
-	begun := clk.Now()
-	is.True(!a.Handle(Msg{Kind: Forward, Key: kk, Order: &Order{Query: true}, Left: 100 * clk.Millisecond}).OK)
-	is.True(clk.Since(begun) < 400*clk.Millisecond)
-	done := spawn.NewMark()
+	begun := clock.Now()
+	is.True(!a.Handle(Msg{Kind: Forward, Key: kk, Order: &Order{Query: true}, Left: 100 * clock.Millisecond}).OK)
+	is.True(clock.Since(begun) < 400*clock.Millisecond)
+	done := concurrency.NewMark()
 	left := OrdersMost
 	for range OrdersMost {
-		spawn.Go(func() {
+		concurrency.Go(func() {
 			a.Handle(Msg{Kind: Change, Key: kk, Order: &Order{Query: true}})
 			c.n.mu.Lock()
 			defer c.n.mu.Unlock()
@@ -169,8 +169,8 @@
 		defer a.mu.Unlock()
 		return a.orders == OrdersMost
 	})
-	is.Equal(a.Handle(Msg{Kind: Forward, Key: kk, Order: &Order{Query: true}}).Code, code.QueueFull)
-	is.True(done.Wait(10 * clk.Second))
+	is.Equal(a.Handle(Msg{Kind: Forward, Key: kk, Order: &Order{Query: true}}).Code, codes.QueueFull)
+	is.True(done.Wait(10 * clock.Second))
 	c.n.join()
 	is.True(a.Handle(Msg{Kind: Forward, Key: kk, Order: &Order{Query: true}}).OK)
 }
--- a/internal/keep/join.go
+++ b/internal/consensus/join.go
@@ -1,16 +1,16 @@
-package keep
+package consensus
 
 import (
 	"fmt"
 	"hash/fnv"
 	"slices"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/concurrency"
 	"spoolswitch/internal/guards"
-	"spoolswitch/internal/note"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/telemetry"
 )
 
 // A seat is given to another after 3 s of silence if the loss of a zone is borne
@@ -18,36 +18,36 @@
 // would be borne worse, cuts and freezes are waited for: they last up to 20 s,
 // and seats do not move back on their own.
 const (
-	goneAfter = 3 * clk.Second
-	goneLong  = 30 * clk.Second
-	askedFor  = 2 * clk.Second
-	askPause  = 500 * clk.Millisecond
-	hereFor   = 1200 * clk.Millisecond
-	copyWait  = 10 * clk.Second
-	copyPause = 50 * clk.Millisecond
+	goneAfter = 3 * clock.Second
+	goneLong  = 30 * clock.Second
+	askedFor  = 2 * clock.Second
+	askPause  = 500 * clock.Millisecond
+	hereFor   = 1200 * clock.Millisecond
+	copyWait  = 10 * clock.Second
+	copyPause = 50 * clock.Millisecond
 	// seatTimeout bounds one try to end a change of seats. A seat takes up a
 	// change that another has not ended after reseatAfter, and one reseatStep
 	// later for each seat that comes before it.
-	seatTimeout = 4 * clk.Second
+	seatTimeout = 4 * clock.Second
 	// votersWait is how long new seats may take to read the others' disks, before
 	// they vote.
-	votersWait  = 1200 * clk.Millisecond
-	reseatAfter = 2 * clk.Second
-	reseatStep  = 1500 * clk.Millisecond
+	votersWait  = 1200 * clock.Millisecond
+	reseatAfter = 2 * clock.Second
+	reseatStep  = 1500 * clock.Millisecond
 )
 
 func (k *Keeper) wantSeat(r Roster) {
 	k.mu.Lock()
-	soon := k.wanted != 0 && clk.Since(k.wanted) < askPause
+	soon := k.wanted != 0 && clock.Since(k.wanted) < askPause
 	if !soon {
-		k.wanted = clk.Now()
+		k.wanted = clock.Now()
 	}
 	k.mu.Unlock()
 	if soon {
 		return
 	}
 	to := r.All()
-	slices.SortStableFunc(to, func(a, b word.Node) int {
+	slices.SortStableFunc(to, func(a, b ids.Node) int {
 		switch x, y := k.recent(a, hereFor), k.recent(b, hereFor); {
 		case x == y:
 			return 0
@@ -64,12 +64,12 @@
 }
 
 type asked struct {
-	at   clk.Tick
-	from clk.Tick
-	zone word.Zone
+	at   clock.Tick
+	from clock.Tick
+	zone ids.Zone
 }
 
-func (k *Keeper) zoneOf(n word.Node) word.Zone {
+func (k *Keeper) zoneOf(n ids.Node) ids.Zone {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if n == k.Self {
@@ -78,21 +78,21 @@
 	if z, ok := k.others[n]; ok && z != "" {
 		return z
 	}
-	return word.Zone("of " + n)
+	return ids.Zone("of " + n)
 }
 
-func (k *Keeper) askers(j word.Node, z word.Zone) []word.Node {
+func (k *Keeper) askers(j ids.Node, z ids.Zone) []ids.Node {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	now := clk.Now()
+	now := clock.Now()
 	from := now
 	if a, ok := k.asked[j]; ok && now.Sub(a.at) <= askedFor {
 		from = a.from
 	}
 	k.asked[j] = asked{now, from, z}
-	var out []word.Node
+	var out []ids.Node
 	for n, a := range sorted(k.asked) {
-		if clk.Since(a.at) > askedFor {
+		if clock.Since(a.at) > askedFor {
 			delete(k.asked, n)
 			continue
 		}
@@ -104,23 +104,23 @@
 // beside names those of the askers who may get a seat beside all others: each
 // seat was heard of since they first asked. One that comes in place of a machine
 // that went just before would else leave a seat that nobody ever asks for.
-func (k *Keeper) beside(r Roster, in []word.Node) []word.Node {
+func (k *Keeper) beside(r Roster, in []ids.Node) []ids.Node {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(in), func(j word.Node) bool {
-		return slices.ContainsFunc(r.Seat, func(n word.Node) bool { return n != k.Self && k.heard[n] < k.asked[j].from })
+	return slices.DeleteFunc(slices.Clone(in), func(j ids.Node) bool {
+		return slices.ContainsFunc(r.Seat, func(n ids.Node) bool { return n != k.Self && k.heard[n] < k.asked[j].from })
 	})
 }
 
 // soon tells whether one of the askers began to ask just now, so that others who
 // were started with it may be about to.
-func (k *Keeper) soon(in []word.Node) bool {
+func (k *Keeper) soon(in []ids.Node) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return slices.ContainsFunc(in, func(j word.Node) bool { return clk.Since(k.asked[j].from) < hereFor })
+	return slices.ContainsFunc(in, func(j ids.Node) bool { return clock.Since(k.asked[j].from) < hereFor })
 }
 
-func (k *Keeper) join(j word.Node, z word.Zone) Msg {
+func (k *Keeper) join(j ids.Node, z ids.Zone) Msg {
 	r := k.acc.Roster()
 	if !k.acc.Voting() || !r.Has(k.Self) || !k.Sure(hereFor) {
 		return Msg{}
@@ -148,16 +148,16 @@
 	if !k.seating.TryLock() {
 		return Msg{OK: true}
 	}
-	spawn.Go(func() {
+	concurrency.Go(func() {
 		defer k.seating.Unlock()
-		a := k.Own(word.Roster, clk.Now().Add(3*clk.Second), func(cur []byte) ([]byte, Msg) {
+		a := k.Own(ids.Roster, clock.Now().Add(3*clock.Second), func(cur []byte) ([]byte, Msg) {
 			if len(cur) == 0 {
 				cur = k.acc.Roster().Encode()
 			}
-			return DecideRoster(cur, &Order{Base: word.Version(r.Num), Joiners: in, Gone: gone})
+			return DecideRoster(cur, &Order{Base: ids.Version(r.Num), Joiners: in, Gone: gone})
 		})
 		if a.OK {
-			note.State("seats given", "to", in, "instead of", gone)
+			telemetry.State("seats given", "to", in, "instead of", gone)
 			k.seat()
 		}
 	})
@@ -167,31 +167,31 @@
 // silent names the seats that were not heard of for long, the longest first.
 // While one may be on its way out or back nothing is clear, nor is it to a
 // keeper that was itself cut off or stood still just now.
-func (k *Keeper) silent(r Roster) (gone []word.Node, unclear bool) {
+func (k *Keeper) silent(r Roster) (gone []ids.Node, unclear bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	since := map[word.Node]clk.Tick{}
+	since := map[ids.Node]clock.Tick{}
 	for _, n := range r.Seat {
 		at, ok := k.heard[n]
 		if !ok {
 			at = k.local0
 		}
 		switch {
-		case n == k.Self || clk.Since(at) < hereFor:
-		case clk.Since(at) < goneAfter:
+		case n == k.Self || clock.Since(at) < hereFor:
+		case clock.Since(at) < goneAfter:
 			return nil, true
 		default:
 			since[n] = at
 			gone = append(gone, n)
 		}
 	}
-	slices.SortStableFunc(gone, func(a, b word.Node) int { return int(since[a].Sub(since[b])) })
+	slices.SortStableFunc(gone, func(a, b ids.Node) int { return int(since[a].Sub(since[b])) })
 	return gone, len(gone) > 0 && k.sure.Sub(k.steady) < goneAfter
 }
 
 // instead pairs seats that are gone with askers who may take them in one change:
 // soon if a lost zone is borne no worse, and after a long while in any case.
-func (k *Keeper) instead(r Roster, gone, ask []word.Node) (out, in []word.Node) {
+func (k *Keeper) instead(r Roster, gone, ask []ids.Node) (out, in []ids.Node) {
 	ask = slices.DeleteFunc(slices.Clone(ask), r.Has)
 	slices.Sort(ask)
 	seat := slices.Clone(r.Seat)
@@ -229,17 +229,17 @@
 	if len(r.Next) == 0 {
 		return
 	}
-	deadline := clk.Now().Add(seatTimeout)
-	begun := clk.Now()
+	deadline := clock.Now().Add(seatTimeout)
+	begun := clock.Now()
 	keys, ok := k.keysOf(r)
-	for !ok && k.acc.Roster().Num == r.Num && clk.Since(begun) < votersWait {
-		clk.Sleep(copyPause)
+	for !ok && k.acc.Roster().Num == r.Num && clock.Since(begun) < votersWait {
+		clock.Sleep(copyPause)
 		keys, ok = k.keysOf(r)
 	}
 	if !ok {
 		return
 	}
-	places := map[word.Key]word.Place{}
+	places := map[ids.Key]ids.Place{}
 	for _, key := range keys {
 		a := k.rewin(key, deadline)
 		if !a.OK {
@@ -250,27 +250,27 @@
 	if !k.copied(r, places, deadline) {
 		return
 	}
-	a := k.Own(word.Roster, deadline, func(cur []byte) ([]byte, Msg) {
-		return DecideRoster(cur, &Order{Base: word.Version(r.Num), On: true})
+	a := k.Own(ids.Roster, deadline, func(cur []byte) ([]byte, Msg) {
+		return DecideRoster(cur, &Order{Base: ids.Version(r.Num), On: true})
 	})
 	if a.OK {
-		note.State("roster changed", "num", k.acc.Roster().Num)
+		telemetry.State("roster changed", "num", k.acc.Roster().Num)
 	}
 }
 
 // keysOf asks the seats for their keys under the roster r. Only those count that
 // go by it when they answer: no key is accepted under an earlier one any more.
-func (k *Keeper) keysOf(r Roster) ([]word.Key, bool) {
-	under := func(g map[word.Node]Msg) func(word.Node) bool {
-		return func(n word.Node) bool { return g[n].OK && g[n].Code == code.OK && g[n].Roster.Num == r.Num }
+func (k *Keeper) keysOf(r Roster) ([]ids.Key, bool) {
+	under := func(g map[ids.Node]Msg) func(ids.Node) bool {
+		return func(n ids.Node) bool { return g[n].OK && g[n].Code == codes.OK && g[n].Roster.Num == r.Num }
 	}
 	got := k.askAll(r.All(), Msg{Kind: Digest, Zone: k.Zone, Roster: r}, askTimeout,
-		func(g map[word.Node]Msg) bool { return r.Majority(under(g)) })
+		func(g map[ids.Node]Msg) bool { return r.Majority(under(g)) })
 	if !r.Majority(under(got)) {
 		k.heed(got)
 		return nil, false
 	}
-	in := map[word.Key]bool{word.Roster: true}
+	in := map[ids.Key]bool{ids.Roster: true}
 	for n := range sorted(got) {
 		for key := range got[n].Marks {
 			if key.Kept() {
@@ -279,14 +279,14 @@
 		}
 	}
 	if guards.Off(guards.Keys) {
-		in = map[word.Key]bool{word.Roster: true}
+		in = map[ids.Key]bool{ids.Roster: true}
 		for key := range k.acc.Cells() {
 			if key.Kept() && key != floorKey {
 				in[key] = true
 			}
 		}
 	}
-	var keys []word.Key
+	var keys []ids.Key
 	for key := range sorted(in) {
 		keys = append(keys, key)
 	}
@@ -296,14 +296,14 @@
 // copied waits until each of the new seats that answer, a majority at least, has
 // all values at these places or later ones on its disk. One that answers and
 // cannot write holds the change up for a while only.
-func (k *Keeper) copied(r Roster, places map[word.Key]word.Place, deadline clk.Tick) bool {
+func (k *Keeper) copied(r Roster, places map[ids.Key]ids.Place, deadline clock.Tick) bool {
 	next := Roster{Num: r.Num, Seat: r.Next}
-	for clk.Until(deadline) > 0 {
-		got := k.askAll(r.Next, Msg{Kind: Digest, Zone: k.Zone, Roster: r}, min(askTimeout, clk.Until(deadline)),
-			func(g map[word.Node]Msg) bool { return len(g) == len(r.Next) })
-		has := func(n word.Node) bool {
+	for clock.Until(deadline) > 0 {
+		got := k.askAll(r.Next, Msg{Kind: Digest, Zone: k.Zone, Roster: r}, min(askTimeout, clock.Until(deadline)),
+			func(g map[ids.Node]Msg) bool { return len(g) == len(r.Next) })
+		has := func(n ids.Node) bool {
 			a := got[n]
-			if !a.OK || a.Code != code.OK || a.Roster.Num != r.Num {
+			if !a.OK || a.Code != codes.OK || a.Roster.Num != r.Num {
 				return false
 			}
 			for key, at := range places {
@@ -314,7 +314,7 @@
 			return true
 		}
 		k.mu.Lock()
-		patient := k.joint.num != r.Num || clk.Since(k.joint.since) < copyWait
+		patient := k.joint.num != r.Num || clock.Since(k.joint.since) < copyWait
 		k.mu.Unlock()
 		all := true
 		for n := range got {
@@ -323,16 +323,16 @@
 		if next.Majority(has) && (all || !patient) {
 			return true
 		}
-		clk.Sleep(copyPause)
+		clock.Sleep(copyPause)
 	}
 	return false
 }
 
 // rewin wins a key anew under the roster that is gone by now.
-func (k *Keeper) rewin(key word.Key, deadline clk.Tick) Msg {
+func (k *Keeper) rewin(key ids.Key, deadline clock.Tick) Msg {
 	t := k.lease(key)
-	if !t.turn.Take(clk.Until(deadline)) {
-		return Msg{Code: code.NoMajority}
+	if !t.turn.Take(clock.Until(deadline)) {
+		return Msg{Code: codes.NoMajority}
 	}
 	t.held = false
 	t.turn.Give()
@@ -343,7 +343,7 @@
 // is to be taken up: seats that do so at once take each other's leases. The
 // order is drawn anew for each roster, and silent seats are passed over.
 func (k *Keeper) turnToSeat(r Roster) int {
-	rank := func(n word.Node) uint64 {
+	rank := func(n ids.Node) uint64 {
 		h := fnv.New64a()
 		fmt.Fprint(h, r.Num, "|", n)
 		return h.Sum64()
@@ -362,15 +362,15 @@
 	r := k.acc.Roster()
 	k.mu.Lock()
 	if len(r.Next) == 0 || k.joint.num != r.Num {
-		k.joint.num, k.joint.since = r.Num, clk.Now()
+		k.joint.num, k.joint.since = r.Num, clock.Now()
 	}
 	since := k.joint.since
 	k.mu.Unlock()
-	old := clk.Since(since) > reseatAfter+clk.Span(k.turnToSeat(r))*reseatStep
+	old := clock.Since(since) > reseatAfter+clock.Span(k.turnToSeat(r))*reseatStep
 	if len(r.Next) == 0 || !old || !r.Has(k.Self) || !k.acc.Voting() || !k.seating.TryLock() {
 		return
 	}
-	spawn.Go(func() {
+	concurrency.Go(func() {
 		defer k.seating.Unlock()
 		k.seat()
 	})
--- a/internal/keep/keeper.go
+++ b/internal/consensus/keeper.go
@@ -1,89 +1,89 @@
-package keep
+package consensus
 
 import (
 	"bytes"
 	"slices"
 	"sync"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/concurrency"
 	"spoolswitch/internal/deflate"
 	"spoolswitch/internal/guards"
-	"spoolswitch/internal/note"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/telemetry"
 )
 
 // Sink takes committed values in; it ignores those older than what it has.
 type Sink interface {
 	Publish(it Item) bool
-	Known() map[word.Key]word.Place
-	Followers() []word.Node
-	Value(k word.Key) ([]byte, word.Place)
+	Known() map[ids.Key]ids.Place
+	Followers() []ids.Node
+	Value(k ids.Key) ([]byte, ids.Place)
 }
 
 // Keeper is one daemon of the control plane.
 type Keeper struct {
-	Self     word.Node
-	Zone     word.Zone
-	Founders []word.Node
+	Self     ids.Node
+	Zone     ids.Zone
+	Founders []ids.Node
 	Seats    int
 	// Disk tells whether this keeper has a disk. One without never votes where
 	// others have one: it forwards.
 	Disk    bool
 	Net     Net
 	Sink    Sink
-	Decider func(key word.Key, o *Order) Decide
+	Decider func(key ids.Key, o *Order) Decide
 	// Diff tells what changed from one value of a key to the next, nil if that
 	// cannot be told or is not worth it, and Patch makes the next value of it.
 	// Without them shared values go to other keepers whole.
-	Diff  func(key word.Key, old, fresh []byte) []byte
-	Patch func(key word.Key, old, change []byte) ([]byte, bool)
+	Diff  func(key ids.Key, old, fresh []byte) []byte
+	Patch func(key ids.Key, old, change []byte) ([]byte, bool)
 	// Label names what a value is, for the trace.
-	Label func(key word.Key, val []byte) string
+	Label func(key ids.Key, val []byte) string
 	// Pauses, if set, tell which orders of other daemons may be too old.
 	Pauses *Pauses
 
 	seating sync.Mutex
 	joint   struct {
 		num   uint64
-		since clk.Tick
+		since clock.Tick
 	}
 	acc    *Acceptor
 	mu     sync.Mutex
-	leases map[word.Key]*lease
-	tried  map[word.Key]word.Epoch
+	leases map[ids.Key]*lease
+	tried  map[ids.Key]ids.Epoch
 	round  uint64
 	life   uint64
-	heard  map[word.Node]clk.Tick
+	heard  map[ids.Node]clock.Tick
 	// rounding is when other daemons last held a round here.
-	rounding map[word.Node]clk.Tick
-	local0   clk.Tick
-	sure     clk.Tick
+	rounding map[ids.Node]clock.Tick
+	local0   clock.Tick
+	sure     clock.Tick
 	// steady is when the rounds began that have followed each other since
-	steady  clk.Tick
-	odd     map[word.Key]doubt
-	mending map[word.Key]bool
-	barred  map[word.Key]doubt
-	sights  map[word.Node]sight
+	steady  clock.Tick
+	odd     map[ids.Key]doubt
+	mending map[ids.Key]bool
+	barred  map[ids.Key]doubt
+	sights  map[ids.Node]sight
 	trail   []Step
-	trailAt []clk.Tick
-	others  map[word.Node]word.Zone
-	relays  map[word.Node]clk.Tick
-	listAt  clk.Tick
-	asked   map[word.Node]asked
-	last    word.Node
-	wanted  clk.Tick
+	trailAt []clock.Tick
+	others  map[ids.Node]ids.Zone
+	relays  map[ids.Node]clock.Tick
+	listAt  clock.Tick
+	asked   map[ids.Node]asked
+	last    ids.Node
+	wanted  clock.Tick
 	// contacts and callers are those that rosters are exchanged with; seat0
 	// counts the seats through, and seededAt is when the seeds last changed.
-	contacts map[word.Node]contact
-	callers  []word.Node
+	contacts map[ids.Node]contact
+	callers  []ids.Node
 	seat0    int
-	seededAt clk.Tick
+	seededAt clock.Tick
 	pulling  sync.Mutex
-	health   map[word.Node]health
+	health   map[ids.Node]health
 	digests  digests
-	waiters  []*spawn.Mark
+	waiters  []*concurrency.Mark
 	orders   int
 	// newcomer says that this life of the keeper began before it had a seat, so
 	// that no promise of it can have been lost.
@@ -91,26 +91,26 @@
 }
 
 // New makes a keeper over an acceptor.
-func New(self word.Node, acc *Acceptor, net Net, sink Sink) *Keeper {
-	return &Keeper{Self: self, Disk: true, asked: map[word.Node]asked{}, acc: acc, Net: net, Sink: sink, life: spawn.Uint64() | 1,
-		leases: map[word.Key]*lease{}, tried: map[word.Key]word.Epoch{}, heard: map[word.Node]clk.Tick{}, rounding: map[word.Node]clk.Tick{},
-		odd: map[word.Key]doubt{}, mending: map[word.Key]bool{}, barred: map[word.Key]doubt{}, sights: map[word.Node]sight{},
-		others: map[word.Node]word.Zone{}, relays: map[word.Node]clk.Tick{},
-		contacts: map[word.Node]contact{}, health: map[word.Node]health{}, local0: clk.Now(), seededAt: clk.Now()}
+func New(self ids.Node, acc *Acceptor, net Net, sink Sink) *Keeper {
+	return &Keeper{Self: self, Disk: true, asked: map[ids.Node]asked{}, acc: acc, Net: net, Sink: sink, life: concurrency.Uint64() | 1,
+		leases: map[ids.Key]*lease{}, tried: map[ids.Key]ids.Epoch{}, heard: map[ids.Node]clock.Tick{}, rounding: map[ids.Node]clock.Tick{},
+		odd: map[ids.Key]doubt{}, mending: map[ids.Key]bool{}, barred: map[ids.Key]doubt{}, sights: map[ids.Node]sight{},
+		others: map[ids.Node]ids.Zone{}, relays: map[ids.Node]clock.Tick{},
+		contacts: map[ids.Node]contact{}, health: map[ids.Node]health{}, local0: clock.Now(), seededAt: clock.Now()}
 }
 
 // Seeded takes in where keepers may be found, and how many seats there may be.
-func (k *Keeper) Seeded(ns []word.Node, seats int) {
+func (k *Keeper) Seeded(ns []ids.Node, seats int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if !slices.Equal(ns, k.Founders) {
-		k.seededAt = clk.Now()
+		k.seededAt = clock.Now()
 		clear(k.contacts)
 	}
 	k.Founders, k.Seats = ns, seats
 }
 
-func (k *Keeper) seeds() ([]word.Node, int) {
+func (k *Keeper) seeds() ([]ids.Node, int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.Founders, k.Seats
@@ -122,11 +122,11 @@
 // Acceptor is the keeper's own disk.
 func (k *Keeper) Acceptor() *Acceptor { return k.acc }
 
-func (k *Keeper) learn(key word.Key, at word.Place, val []byte) {
-	if key == word.Roster {
+func (k *Keeper) learn(key ids.Key, at ids.Place, val []byte) {
+	if key == ids.Roster {
 		if r, ok := DecodeRoster(val); ok && r.Num > k.acc.Roster().Num {
 			_ = k.acc.Adopt(r)
-			note.State("roster", "num", r.Num, "seats", len(r.Seat), "next", len(r.Next))
+			telemetry.State("roster", "num", r.Num, "seats", len(r.Seat), "next", len(r.Next))
 		}
 	}
 	if k.Sink.Publish(Item{Key: key, At: at, Val: val}) {
@@ -142,9 +142,9 @@
 // peers are the daemons that keep values with this one: the seats, and others
 // that hold rounds, which those do that have a disk. Who only forwards orders
 // needs to be told nothing.
-func (k *Keeper) peers() []word.Node {
-	var out []word.Node
-	add := func(n word.Node) {
+func (k *Keeper) peers() []ids.Node {
+	var out []ids.Node
+	add := func(n ids.Node) {
 		if n != k.Self && !slices.Contains(out, n) {
 			out = append(out, n)
 		}
@@ -160,37 +160,37 @@
 		}
 	}
 	for n, at := range sorted(k.rounding) {
-		if clk.Since(at) < 10*clk.Second {
+		if clock.Since(at) < 10*clock.Second {
 			add(n)
 		}
 	}
 	return out
 }
 
-func (k *Keeper) recent(n word.Node, d clk.Span) bool {
+func (k *Keeper) recent(n ids.Node, d clock.Span) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	at, ok := k.heard[n]
 	if !ok {
 		at = k.local0
 	}
-	return clk.Since(at) < d
+	return clock.Since(at) < d
 }
 
 // Heard tells whether another keeper was heard of within d.
-func (k *Keeper) Heard(n word.Node, d clk.Span) bool { return k.recent(n, d) }
+func (k *Keeper) Heard(n ids.Node, d clock.Span) bool { return k.recent(n, d) }
 
 // Sure tells whether a majority confirmed this keeper within d.
-func (k *Keeper) Sure(d clk.Span) bool {
+func (k *Keeper) Sure(d clock.Span) bool {
 	if guards.Off(guards.Fresh) {
 		return true
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.sure != 0 && clk.Since(k.sure) < d
+	return k.sure != 0 && clock.Since(k.sure) < d
 }
 
-func (k *Keeper) owner(key word.Key) word.Node {
+func (k *Keeper) owner(key ids.Key) ids.Node {
 	n := k.acc.Cell(key).Promised.Node
 	if at := k.Sink.Known()[key]; at.Epoch.Node != "" && !at.Epoch.Less(k.acc.Cell(key).Promised) {
 		n = at.Epoch.Node
@@ -203,7 +203,7 @@
 // be read there at any later time, and is bound so that it changes nothing
 // then: a configuration by its base, an evacuation by the place that a majority
 // confirmed to this taker.
-func (k *Keeper) Change(key word.Key, o *Order, deadline clk.Tick) Msg {
+func (k *Keeper) Change(key ids.Key, o *Order, deadline clock.Tick) Msg {
 	if !k.acc.Voting() {
 		return k.bound(key, o, deadline, func(o *Order) (Msg, bool) {
 			a := k.forward(key, o, deadline)
@@ -212,11 +212,11 @@
 	}
 	if n := k.owner(key); n != "" && n != k.Self && k.reachable(n) {
 		a := k.bound(key, o, deadline, func(o *Order) (Msg, bool) {
-			left := min(forwardTimeout, clk.Until(deadline))
+			left := min(forwardTimeout, clock.Until(deadline))
 			a, ok := k.Net.Ask(n, Msg{Kind: Change, From: k.Self, Key: key, Order: o, Left: left}, left)
 			if !ok {
 				k.misses(n)
-				a.Code = code.NoMajority
+				a.Code = codes.NoMajority
 			}
 			return a, a.clear()
 		})
@@ -229,34 +229,34 @@
 
 // clear tells whether a is an answer that another daemon need not be asked for.
 func (m *Msg) clear() bool {
-	return m.Code != code.NoMajority && m.Code != code.NotVoting && m.Code != code.Unvouched && m.Code != code.Moved &&
-		m.Code != code.QueueFull
+	return m.Code != codes.NoMajority && m.Code != codes.NotVoting && m.Code != codes.Unvouched && m.Code != codes.Moved &&
+		m.Code != codes.QueueFull
 }
 
 // bound sends an order, once the place that it is bound to has been asked for,
 // and once more for each time that the place has moved meanwhile.
-func (k *Keeper) bound(key word.Key, o *Order, deadline clk.Tick, send func(*Order) (Msg, bool)) Msg {
-	for clk.Until(deadline) > 0 {
+func (k *Keeper) bound(key ids.Key, o *Order, deadline clock.Tick, send func(*Order) (Msg, bool)) Msg {
+	for clock.Until(deadline) > 0 {
 		b := *o
 		if unbound(key, o) {
 			q, ok := send(&Order{Query: true})
 			if !ok || !q.OK {
-				if q.Code == code.OK {
-					q.Code = code.NoMajority
+				if q.Code == codes.OK {
+					q.Code = codes.NoMajority
 				}
 				return Msg{Code: q.Code, Text: q.Text}
 			}
 			b.If = q.At
 		}
 		a, ok := send(&b)
-		if ok || a.Code != code.Moved || !o.If.Zero() {
+		if ok || a.Code != codes.Moved || !o.If.Zero() {
 			return a
 		}
 	}
-	return Msg{Code: code.NoMajority}
+	return Msg{Code: codes.NoMajority}
 }
 
-func unbound(key word.Key, o *Order) bool {
+func unbound(key ids.Key, o *Order) bool {
 	if guards.Off(guards.Late) {
 		return false
 	}
@@ -267,13 +267,13 @@
 // carry carries an order out as the owner of its key. An acknowledged
 // evacuation gets a place of its own also where it changes nothing, so that no
 // order bound to an earlier place comes after it.
-func (k *Keeper) carry(key word.Key, o *Order, deadline clk.Tick) Msg {
+func (k *Keeper) carry(key ids.Key, o *Order, deadline clock.Tick) Msg {
 	d := k.Decider(key, o)
 	_, evac := key.Evacuated()
-	return k.own(key, deadline, func(at word.Place, cur []byte) ([]byte, Msg, bool) {
+	return k.own(key, deadline, func(at ids.Place, cur []byte) ([]byte, Msg, bool) {
 		next, a := d(cur)
 		if next != nil && !o.If.Zero() && o.If != at && !bytes.Equal(next, cur) {
-			return nil, Msg{Code: code.Moved}, false
+			return nil, Msg{Code: codes.Moved}, false
 		}
 		return next, a, evac && next != nil
 	})
@@ -282,15 +282,15 @@
 // late tells whether an order that another daemon sent may be older than this
 // process knows.
 func (k *Keeper) late(m Msg) bool {
-	return m.Order != nil && !m.Order.Query && !guards.Off(guards.Late) && !k.Pauses.Vouched(clk.Now())
+	return m.Order != nil && !m.Order.Query && !guards.Off(guards.Late) && !k.Pauses.Vouched(clock.Now())
 }
 
 // until is the deadline of a message's work: its sender's, d at most.
-func (m *Msg) until(d clk.Span) clk.Tick {
+func (m *Msg) until(d clock.Span) clock.Tick {
 	if m.Left > 0 {
 		d = min(d, m.Left)
 	}
-	return clk.Now().Add(d)
+	return clock.Now().Add(d)
 }
 
 func (k *Keeper) local(m Msg) Msg {
@@ -307,7 +307,7 @@
 	case Digest:
 		return k.summed(k.digest(), m.Sum)
 	}
-	return Msg{Code: code.NoCall}
+	return Msg{Code: codes.NoCall}
 }
 
 // Handle answers a message of another daemon.
@@ -338,9 +338,9 @@
 		return k.survey(m)
 	case Drift:
 		if _, ok := m.Key.Drifted(); !ok {
-			return Msg{Code: code.NoCall}
+			return Msg{Code: codes.NoCall}
 		}
-		at := word.Place{Epoch: word.Epoch{Round: k.Sink.Known()[m.Key].Epoch.Round + 1, Node: k.Self, Life: k.life}, Seq: 1}
+		at := ids.Place{Epoch: ids.Epoch{Round: k.Sink.Known()[m.Key].Epoch.Round + 1, Node: k.Self, Life: k.life}, Seq: 1}
 		k.Share(m.Key, at, m.Val)
 		return Msg{OK: true}
 	case Join:
@@ -348,7 +348,7 @@
 	case Forward, Change:
 		return k.ordered(m)
 	}
-	return Msg{Code: code.NoCall}
+	return Msg{Code: codes.NoCall}
 }
 
 func (k *Keeper) hear(m Msg) {
@@ -358,9 +358,9 @@
 	r := k.acc.Roster()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.heard[m.From] = clk.Now()
+	k.heard[m.From] = clock.Now()
 	if m.Kind == Digest {
-		k.rounding[m.From] = clk.Now()
+		k.rounding[m.From] = clock.Now()
 	}
 	k.trim(r)
 	if m.Zone != "" {
--- a/internal/keep/keeper_test.go
+++ b/internal/consensus/keeper_test.go
@@ -1,4 +1,4 @@
-package keep
+package consensus
 
 import (
 	"slices"
@@ -7,24 +7,24 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/ids"
 )
 
 // net joins keepers in one process; pairs of them can be cut apart, or have
 // what goes one way lost in silence.
 type net struct {
 	mu   sync.Mutex
-	ks   map[word.Node]*Keeper
-	cut  map[[2]word.Node]bool
-	mute map[[2]word.Node]bool
-	tap  func(from, to word.Node, m Msg) bool
+	ks   map[ids.Node]*Keeper
+	cut  map[[2]ids.Node]bool
+	mute map[[2]ids.Node]bool
+	tap  func(from, to ids.Node, m Msg) bool
 }
 
 // through has fn look at each message first, and tell whether it gets through.
-func (n *net) through(fn func(from, to word.Node, m Msg) bool) {
+func (n *net) through(fn func(from, to ids.Node, m Msg) bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.tap = fn
@@ -32,29 +32,29 @@
 
 type end struct {
 	n    *net
-	self word.Node
+	self ids.Node
 }
 
-func (e end) Ask(to word.Node, m Msg, timeout clk.Span) (Msg, bool) {
+func (e end) Ask(to ids.Node, m Msg, timeout clock.Span) (Msg, bool) {
 	e.n.mu.Lock()
 	k := e.n.ks[to]
-	off := e.n.cut[[2]word.Node{e.self, to}] || e.n.cut[[2]word.Node{to, e.self}]
+	off := e.n.cut[[2]ids.Node{e.self, to}] || e.n.cut[[2]ids.Node{to, e.self}]
 	tap := e.n.tap
-	there, back := e.n.mute[[2]word.Node{e.self, to}], e.n.mute[[2]word.Node{to, e.self}]
+	there, back := e.n.mute[[2]ids.Node{e.self, to}], e.n.mute[[2]ids.Node{to, e.self}]
 	e.n.mu.Unlock()
 	if k == nil || off || tap != nil && !tap(e.self, to, m) {
 		return Msg{}, false
 	}
 	if there || back {
 		if !there {
-			spawn.Go(func() { k.Handle(m) })
+			concurrency.Go(func() { k.Handle(m) })
 		}
-		clk.Sleep(timeout)
+		clock.Sleep(timeout)
 		return Msg{}, false
 	}
 	var a Msg
-	done := spawn.NewMark()
-	spawn.Go(func() {
+	done := concurrency.NewMark()
+	concurrency.Go(func() {
 		a = k.Handle(m)
 		done.Set()
 	})
@@ -64,29 +64,29 @@
 	return a, true
 }
 
-func (n *net) part(a word.Node, from ...word.Node) {
+func (n *net) part(a ids.Node, from ...ids.Node) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, b := range from {
-		n.cut[[2]word.Node{a, b}] = true
+		n.cut[[2]ids.Node{a, b}] = true
 	}
 }
 
-func (n *net) lose(from word.Node, to ...word.Node) {
+func (n *net) lose(from ids.Node, to ...ids.Node) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, b := range to {
 		if n.mute == nil {
-			n.mute = map[[2]word.Node]bool{}
+			n.mute = map[[2]ids.Node]bool{}
 		}
-		n.mute[[2]word.Node{from, b}] = true
+		n.mute[[2]ids.Node{from, b}] = true
 	}
 }
 
 func (n *net) join() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.cut = map[[2]word.Node]bool{}
+	n.cut = map[[2]ids.Node]bool{}
 	n.mute = nil
 }
 
@@ -94,7 +94,7 @@
 type shelf struct {
 	page
 	mu     sync.Mutex
-	stall  *spawn.Mark
+	stall  *concurrency.Mark
 	refuse bool
 }
 
@@ -103,13 +103,13 @@
 	m, no := s.stall, s.refuse
 	s.mu.Unlock()
 	if m != nil {
-		m.Wait(5 * clk.Second)
+		m.Wait(5 * clock.Second)
 		m.Set()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if no || s.refuse {
-		return code.New(code.DiskRefused, "full")
+		return codes.New(codes.DiskRefused, "full")
 	}
 	return s.page.Append(b)
 }
@@ -123,7 +123,7 @@
 	return &shelf{page: page{recs: slices.Clone(s.recs)}}
 }
 
-func (s *shelf) set(stall *spawn.Mark, refuse bool) {
+func (s *shelf) set(stall *concurrency.Mark, refuse bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stall, s.refuse = stall, refuse
@@ -132,10 +132,10 @@
 // sink is a feed without relays.
 type sink struct {
 	mu    sync.Mutex
-	items map[word.Key]Item
+	items map[ids.Key]Item
 	back  bool
 	// followers are named in digests.
-	followers []word.Node
+	followers []ids.Node
 }
 
 func (s *sink) Publish(it Item) bool {
@@ -148,19 +148,19 @@
 	return true
 }
 
-func (s *sink) Known() map[word.Key]word.Place {
+func (s *sink) Known() map[ids.Key]ids.Place {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := map[word.Key]word.Place{}
+	out := map[ids.Key]ids.Place{}
 	for k, it := range s.items {
 		out[k] = it.At
 	}
 	return out
 }
 
-func (s *sink) Followers() []word.Node { return s.followers }
+func (s *sink) Followers() []ids.Node { return s.followers }
 
-func (s *sink) Value(k word.Key) ([]byte, word.Place) {
+func (s *sink) Value(k ids.Key) ([]byte, ids.Place) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.items[k].Val, s.items[k].At
@@ -168,15 +168,15 @@
 
 type core struct {
 	n  *net
-	ks map[word.Node]*Keeper
-	st map[word.Node]*shelf
-	si map[word.Node]*sink
+	ks map[ids.Node]*Keeper
+	st map[ids.Node]*shelf
+	si map[ids.Node]*sink
 }
 
 func newCore(t *testing.T) *core { return newCoreOf(t, three) }
 
 func newCoreOf(t *testing.T, r Roster) *core {
-	c := &core{n: &net{ks: map[word.Node]*Keeper{}, cut: map[[2]word.Node]bool{}}, ks: map[word.Node]*Keeper{}, st: map[word.Node]*shelf{}, si: map[word.Node]*sink{}}
+	c := &core{n: &net{ks: map[ids.Node]*Keeper{}, cut: map[[2]ids.Node]bool{}}, ks: map[ids.Node]*Keeper{}, st: map[ids.Node]*shelf{}, si: map[ids.Node]*sink{}}
 	for _, n := range r.Seat {
 		if err := c.add(n, r.Seat).acc.Found(r, nil); err != nil {
 			t.Fatal(err)
@@ -186,22 +186,22 @@
 }
 
 // add starts a keeper with an empty disk. Its zone is the first letter of its name.
-func (c *core) add(n word.Node, founders []word.Node) *Keeper {
+func (c *core) add(n ids.Node, founders []ids.Node) *Keeper {
 	c.st[n] = &shelf{}
 	return c.start(n, founders)
 }
 
 // start starts a keeper from what its disk has.
-func (c *core) start(n word.Node, founders []word.Node) *Keeper {
+func (c *core) start(n ids.Node, founders []ids.Node) *Keeper {
 	acc := NewAcceptor()
-	c.si[n] = &sink{items: map[word.Key]Item{}}
+	c.si[n] = &sink{items: map[ids.Key]Item{}}
 	for _, p := range c.st[n].recs {
 		acc.Replay(p)
 	}
 	acc.Use(c.st[n])
 	k := New(n, acc, end{c.n, n}, c.si[n])
-	k.Founders, k.Zone = founders, word.Zone(n[:1])
-	k.Decider = func(_ word.Key, o *Order) Decide {
+	k.Founders, k.Zone = founders, ids.Zone(n[:1])
+	k.Decider = func(_ ids.Key, o *Order) Decide {
 		return func(cur []byte) ([]byte, Msg) {
 			if o.Query {
 				return nil, Msg{OK: true, Val: cur}
@@ -210,7 +210,7 @@
 				return nil, Msg{OK: true}
 			}
 			if len(cur) != int(o.Base) {
-				return nil, Msg{Code: code.OtherVersion}
+				return nil, Msg{Code: codes.OtherVersion}
 			}
 			return o.Body, Msg{OK: true}
 		}
@@ -221,14 +221,14 @@
 	return k
 }
 
-const kk word.Key = "k"
+const kk ids.Key = "k"
 
-func (c *core) put(n word.Node, base int, v string) Msg {
-	return c.ks[n].Change(kk, &Order{Base: word.Version(base), Body: []byte(v)}, clk.Now().Add(900*clk.Millisecond))
+func (c *core) put(n ids.Node, base int, v string) Msg {
+	return c.ks[n].Change(kk, &Order{Base: ids.Version(base), Body: []byte(v)}, clock.Now().Add(900*clock.Millisecond))
 }
 
-func (c *core) get(n word.Node) (string, bool) {
-	a := c.ks[n].Change(kk, &Order{Query: true}, clk.Now().Add(900*clk.Millisecond))
+func (c *core) get(n ids.Node) (string, bool) {
+	a := c.ks[n].Change(kk, &Order{Query: true}, clock.Now().Add(900*clock.Millisecond))
 	return string(a.Val), a.OK
 }
 
@@ -244,7 +244,7 @@
 	is.True(!ok)
 	is.True(c.put("b", 1, "22").OK)
 	c.n.join()
-	is.Equal(c.put("a", 1, "yy").Code, code.OtherVersion)
+	is.Equal(c.put("a", 1, "yy").Code, codes.OtherVersion)
 	v, ok := c.get("a")
 	is.True(ok)
 	is.Equal(v, "22")
@@ -278,7 +278,7 @@
 		is := is.New(t)
 		c := newCore(t)
 		is.True(c.put("a", 0, "1").OK)
-		m := spawn.NewMark()
+		m := concurrency.NewMark()
 		c.st[slow].set(m, false)
 		got := c.put("a", 1, "22")
 		if !got.OK { // a client tries another
@@ -317,13 +317,13 @@
 	c.n.part("c", "a", "b")
 	is.True(c.put("a", 1, "22").OK)
 	for v, _ := c.si["b"].Value(kk); string(v) != "22"; v, _ = c.si["b"].Value(kk) {
-		clk.Sleep(clk.Millisecond) // the acknowledgement does not wait for the telling
+		clock.Sleep(clock.Millisecond) // the acknowledgement does not wait for the telling
 	}
 	c.ks["c"].Round()
-	is.True(!c.ks["c"].Sure(clk.Second)) // alone it is not sure
+	is.True(!c.ks["c"].Sure(clock.Second)) // alone it is not sure
 	c.n.join()
 	c.ks["c"].Round()
-	is.True(c.ks["c"].Sure(clk.Second))
+	is.True(c.ks["c"].Sure(clock.Second))
 	v, _ := c.si["c"].Value(kk)
 	is.Equal(string(v), "22")
 }
--- a/internal/keep/late_test.go
+++ b/internal/consensus/late_test.go
@@ -1,22 +1,22 @@
-package keep
+package consensus
 
 import (
 	"testing"
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/ids"
 )
 
-var zz = word.Evacuation("z")
+var zz = ids.Evacuation("z")
 
 // freeze keeps the first order of one kind that one keeper is sent, as its socket
 // does while it is frozen; then is done at that moment.
-func (c *core) freeze(who word.Node, kind Kind, then func()) *[]Msg {
+func (c *core) freeze(who ids.Node, kind Kind, then func()) *[]Msg {
 	held := &[]Msg{}
-	c.n.through(func(_, to word.Node, m Msg) bool {
+	c.n.through(func(_, to ids.Node, m Msg) bool {
 		if to != who || m.Kind != kind || m.Order.Query || len(*held) > 0 {
 			return true
 		}
@@ -36,7 +36,7 @@
 }
 
 func (c *core) zoned(k *Keeper) {
-	k.Decider = func(_ word.Key, o *Order) Decide {
+	k.Decider = func(_ ids.Key, o *Order) Decide {
 		return func(cur []byte) ([]byte, Msg) {
 			switch {
 			case o.Query:
@@ -49,12 +49,12 @@
 	}
 }
 
-func (c *core) zone(n word.Node, on bool) Msg {
-	return c.ks[n].Change(zz, &Order{On: on}, clk.Now().Add(900*clk.Millisecond))
+func (c *core) zone(n ids.Node, on bool) Msg {
+	return c.ks[n].Change(zz, &Order{On: on}, clock.Now().Add(900*clock.Millisecond))
 }
 
-func (c *core) zoneIs(n word.Node) string {
-	return string(c.ks[n].Change(zz, &Order{Query: true}, clk.Now().Add(2*clk.Second)).Val)
+func (c *core) zoneIs(n ids.Node) string {
+	return string(c.ks[n].Change(zz, &Order{Query: true}, clock.Now().Add(2*clock.Second)).Val)
 }
 
 // An evacuation order that lay in the socket of a frozen owner is carried out
@@ -70,7 +70,7 @@
 		want := c.zoneIs("c")
 		is.Equal(len(*held), 1)
 		for range 3 {
-			is.Equal(c.ks["a"].Handle((*held)[0]).Code, code.Moved)
+			is.Equal(c.ks["a"].Handle((*held)[0]).Code, codes.Moved)
 		}
 		is.Equal(c.zoneIs("c"), want)
 	}
@@ -85,7 +85,7 @@
 	is.True(!c.zone("b", true).OK)
 	is.True(c.zone("c", false).OK)
 	is.Equal(len(*held), 1)
-	is.Equal(c.ks["a"].Handle((*held)[0]).Code, code.Moved)
+	is.Equal(c.ks["a"].Handle((*held)[0]).Code, codes.Moved)
 	is.Equal(c.zoneIs("c"), "off")
 	is.True(c.zone("c", true).OK) // one whose client waits is carried out
 	is.Equal(c.zoneIs("a"), "on")
@@ -107,7 +107,7 @@
 	is.True(c.zone("c", false).OK)
 	is.Equal(len(*held), 1)
 	for _, n := range three.Seat {
-		is.Equal(c.ks[n].Handle((*held)[0]).Code, code.Moved)
+		is.Equal(c.ks[n].Handle((*held)[0]).Code, codes.Moved)
 	}
 	is.Equal(c.zoneIs("c"), "off")
 	c.n.join()
@@ -122,7 +122,7 @@
 	c := zoneCore(t)
 	is.True(c.zone("a", false).OK)
 	moves := 0
-	c.n.through(func(_, _ word.Node, m Msg) bool {
+	c.n.through(func(_, _ ids.Node, m Msg) bool {
 		if m.Kind == Change && !m.Order.Query {
 			if moves++; moves <= 3 {
 				is.True(c.zone("a", false).OK)
@@ -141,7 +141,7 @@
 	c := zoneCore(t)
 	is.True(c.zone("a", false).OK)
 	for _, kind := range []Kind{Change, Forward} {
-		is.Equal(c.ks["a"].Handle(Msg{Kind: kind, Key: zz, Order: &Order{On: true}}).Code, code.Moved)
+		is.Equal(c.ks["a"].Handle(Msg{Kind: kind, Key: zz, Order: &Order{On: true}}).Code, codes.Moved)
 	}
 	is.Equal(c.zoneIs("b"), "off")
 }
@@ -149,21 +149,21 @@
 // After a pause nothing that is read first is vouched for.
 func TestPauses(t *testing.T) {
 	is := is.New(t)
-	s := &clk.Sim{}
+	s := &clock.Sim{}
 	defer s.Use()()
 	p := &Pauses{}
-	old := clk.Now()
+	old := clock.Now()
 	for range 20 {
 		p.Beat()
 		s.Move(PauseBeat)
 	}
 	is.True(p.Vouched(old)) // it ran all the time
 	s.Move(paused + 1)
-	is.True(!p.Vouched(clk.Now())) // the first thing that runs knows
+	is.True(!p.Vouched(clock.Now())) // the first thing that runs knows
 	s.Move(backlog)
-	is.True(!p.Vouched(clk.Now()))
+	is.True(!p.Vouched(clock.Now()))
 	s.Move(1)
-	is.True(p.Vouched(clk.Now()))
+	is.True(p.Vouched(clock.Now()))
 	is.True(!p.Vouched(old))
 	is.True((*Pauses)(nil).Vouched(old))
 }
@@ -173,13 +173,13 @@
 	is := is.New(t)
 	c := newCore(t)
 	is.True(c.put("a", 0, "1").OK)
-	p := &Pauses{beat: clk.Now() - clk.Tick(2*paused)}
+	p := &Pauses{beat: clock.Now() - clock.Tick(2*paused)}
 	c.ks["a"].Pauses = p
 	o := &Order{Base: 1, Body: []byte("22")}
 	for _, kind := range []Kind{Change, Forward} {
-		is.Equal(c.ks["a"].Handle(Msg{Kind: kind, Key: kk, Order: o, Left: clk.Second}).Code, code.Unvouched)
+		is.Equal(c.ks["a"].Handle(Msg{Kind: kind, Key: kk, Order: o, Left: clock.Second}).Code, codes.Unvouched)
 	}
 	is.True(c.put("b", 1, "22").OK) // by a ballot of its own
-	p.ended -= clk.Tick(backlog)
-	is.True(c.ks["a"].Handle(Msg{Kind: Change, Key: kk, Order: o, Left: clk.Second}).OK)
+	p.ended -= clock.Tick(backlog)
+	is.True(c.ks["a"].Handle(Msg{Kind: Change, Key: kk, Order: o, Left: clock.Second}).OK)
 }
--- a/internal/keep/lease.go
+++ b/internal/consensus/lease.go
@@ -1,34 +1,34 @@
-package keep
+package consensus
 
 import (
 	"bytes"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/concurrency"
 	"spoolswitch/internal/guards"
-	"spoolswitch/internal/note"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/telemetry"
 )
 
 const (
-	askTimeout     = 450 * clk.Millisecond
-	forwardTimeout = 350 * clk.Millisecond
+	askTimeout     = 450 * clock.Millisecond
+	forwardTimeout = 350 * clock.Millisecond
 )
 
 type lease struct {
-	turn spawn.Turn
+	turn concurrency.Turn
 	held bool
-	at   word.Place
+	at   ids.Place
 	val  []byte
 }
 
-func (k *Keeper) lease(key word.Key) *lease {
+func (k *Keeper) lease(key ids.Key) *lease {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	t := k.leases[key]
 	if t == nil {
-		t = &lease{turn: spawn.Turn{Max: 64}}
+		t = &lease{turn: concurrency.Turn{Max: 64}}
 		k.leases[key] = t
 	}
 	return t
@@ -40,8 +40,8 @@
 
 // Own runs d as the owner of the key: it wins a lease if it has none, and
 // answers once the change, or that there is none, stands with a majority.
-func (k *Keeper) Own(key word.Key, deadline clk.Tick, d Decide) Msg {
-	return k.own(key, deadline, func(_ word.Place, cur []byte) ([]byte, Msg, bool) {
+func (k *Keeper) Own(key ids.Key, deadline clock.Tick, d Decide) Msg {
+	return k.own(key, deadline, func(_ ids.Place, cur []byte) ([]byte, Msg, bool) {
 		next, a := d(cur)
 		return next, a, false
 	})
@@ -49,15 +49,15 @@
 
 // own is Own for a decision that also goes by the value's place. With anew a
 // next value like the current one gets a place of its own.
-func (k *Keeper) own(key word.Key, deadline clk.Tick, d func(at word.Place, cur []byte) (next []byte, a Msg, anew bool)) Msg {
+func (k *Keeper) own(key ids.Key, deadline clock.Tick, d func(at ids.Place, cur []byte) (next []byte, a Msg, anew bool)) Msg {
 	t := k.lease(key)
-	if !t.turn.Take(clk.Until(deadline)) {
-		return Msg{Code: code.NoMajority}
+	if !t.turn.Take(clock.Until(deadline)) {
+		return Msg{Code: codes.NoMajority}
 	}
 	defer t.turn.Give()
-	for clk.Until(deadline) > 0 {
+	for clock.Until(deadline) > 0 {
 		if !t.held && !k.win(key, t, deadline) {
-			clk.Sleep(clk.Span(20+spawn.IntN(60)) * clk.Millisecond)
+			clock.Sleep(clock.Span(20+concurrency.IntN(60)) * clock.Millisecond)
 			continue
 		}
 		next, a, anew := d(t.at, t.val)
@@ -69,7 +69,7 @@
 			t.held = false
 			continue
 		}
-		at := word.Place{Epoch: t.at.Epoch, Seq: t.at.Seq + 1}
+		at := ids.Place{Epoch: t.at.Epoch, Seq: t.at.Seq + 1}
 		if !k.commit(key, at, next, deadline) {
 			t.held = false
 			continue
@@ -78,14 +78,14 @@
 		a.At = at
 		return a
 	}
-	return Msg{Code: code.NoMajority}
+	return Msg{Code: codes.NoMajority}
 }
 
-func (k *Keeper) commit(key word.Key, at word.Place, val []byte, deadline clk.Tick) bool {
+func (k *Keeper) commit(key ids.Key, at ids.Place, val []byte, deadline clock.Tick) bool {
 	r := k.acc.Roster()
 	k.stepVal(key, at, val, "sent to the disks")
-	got := k.askAll(r.All(), Msg{Kind: Accept, Key: key, At: at, Val: val, Roster: r}, min(askTimeout, clk.Until(deadline)),
-		func(g map[word.Node]Msg) bool { return r.Majority(oks(g)) })
+	got := k.askAll(r.All(), Msg{Kind: Accept, Key: key, At: at, Val: val, Roster: r}, min(askTimeout, clock.Until(deadline)),
+		func(g map[ids.Node]Msg) bool { return r.Majority(oks(g)) })
 	if !r.Majority(oks(got)) {
 		k.heed(got)
 		return false
@@ -96,7 +96,7 @@
 		}
 	}
 	k.learn(key, at, val)
-	var synced, rest []word.Node
+	var synced, rest []ids.Node
 	for _, n := range k.peers() {
 		if got[n].OK {
 			synced = append(synced, n)
@@ -109,13 +109,13 @@
 	return true
 }
 
-func (k *Keeper) holds(key word.Key, t *lease, deadline clk.Tick) bool {
+func (k *Keeper) holds(key ids.Key, t *lease, deadline clock.Tick) bool {
 	if guards.Off(guards.Confirm) {
 		return true
 	}
 	r := k.acc.Roster()
-	got := k.askAll(r.All(), Msg{Kind: Hold, Key: key, Epoch: t.at.Epoch, Roster: r}, min(askTimeout, clk.Until(deadline)),
-		func(g map[word.Node]Msg) bool { return r.Majority(oks(g)) })
+	got := k.askAll(r.All(), Msg{Kind: Hold, Key: key, Epoch: t.at.Epoch, Roster: r}, min(askTimeout, clock.Until(deadline)),
+		func(g map[ids.Node]Msg) bool { return r.Majority(oks(g)) })
 	if r.Majority(oks(got)) {
 		return true
 	}
@@ -123,7 +123,7 @@
 	return false
 }
 
-func (k *Keeper) heed(got map[word.Node]Msg) {
+func (k *Keeper) heed(got map[ids.Node]Msg) {
 	for _, a := range sorted(got) {
 		if a.Roster.Num > k.acc.Roster().Num {
 			_ = k.acc.Adopt(a.Roster)
@@ -132,7 +132,7 @@
 	}
 }
 
-func (k *Keeper) raise(e word.Epoch) {
+func (k *Keeper) raise(e ids.Epoch) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.round = max(k.round, e.Round)
@@ -140,7 +140,7 @@
 
 // Best finds what a round of ballots has to rewrite: the highest accepted
 // value among a majority's answers.
-func Best(r Roster, got map[word.Node]Msg) (Msg, bool) {
+func Best(r Roster, got map[ids.Node]Msg) (Msg, bool) {
 	var best Msg
 	if !r.Majority(oks(got)) {
 		return best, false
@@ -153,7 +153,7 @@
 	return best, true
 }
 
-func (k *Keeper) win(key word.Key, t *lease, deadline clk.Tick) bool {
+func (k *Keeper) win(key ids.Key, t *lease, deadline clock.Tick) bool {
 	if !k.acc.Voting() {
 		return false
 	}
@@ -161,12 +161,12 @@
 	k.raise(c.Promised)
 	k.mu.Lock()
 	k.round++
-	e := word.Epoch{Round: k.round, Node: k.Self, Life: k.life}
+	e := ids.Epoch{Round: k.round, Node: k.Self, Life: k.life}
 	k.tried[key] = e
 	k.mu.Unlock()
 	r := k.acc.Roster()
-	got := k.askAll(r.All(), Msg{Kind: Vote, Key: key, Epoch: e, Roster: r}, min(askTimeout, clk.Until(deadline)),
-		func(g map[word.Node]Msg) bool { return r.Majority(oks(g)) })
+	got := k.askAll(r.All(), Msg{Kind: Vote, Key: key, Epoch: e, Roster: r}, min(askTimeout, clock.Until(deadline)),
+		func(g map[ids.Node]Msg) bool { return r.Majority(oks(g)) })
 	k.heed(got)
 	best, won := Best(r, got)
 	if !won {
@@ -174,16 +174,16 @@
 	}
 	for n, a := range sorted(got) {
 		if a.OK {
-			k.stepOf(n, key, word.Place{Epoch: e}, "voted")
+			k.stepOf(n, key, ids.Place{Epoch: e}, "voted")
 		}
 	}
-	at := word.Place{Epoch: e, Seq: 1}
+	at := ids.Place{Epoch: e, Seq: 1}
 	if !k.commit(key, at, best.Val, deadline) {
 		return false
 	}
 	t.held, t.at, t.val = true, at, best.Val
 	if !key.Duty() {
-		note.State("lease won", "key", key, "epoch", e)
+		telemetry.State("lease won", "key", key, "epoch", e)
 	}
 	return true
 }
--- a/internal/keep/loss_test.go
+++ b/internal/consensus/loss_test.go
@@ -1,4 +1,4 @@
-package keep
+package consensus
 
 import (
 	"fmt"
@@ -6,14 +6,14 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/ids"
 )
 
-var four = Roster{Num: 1, Seat: []word.Node{"a", "b", "c", "d"}}
+var four = Roster{Num: 1, Seat: []ids.Node{"a", "b", "c", "d"}}
 
 // restart takes the power of keepers and starts them from what their disks have.
-func (c *core) restart(founders []word.Node, ns ...word.Node) {
+func (c *core) restart(founders []ids.Node, ns ...ids.Node) {
 	for _, n := range ns {
 		c.n.mu.Lock()
 		delete(c.n.ks, n)
@@ -26,7 +26,7 @@
 }
 
 // settle lets keepers do what they do on their own until a key reads as it should.
-func (c *core) settle(t *testing.T, key word.Key, want string, ns ...word.Node) {
+func (c *core) settle(t *testing.T, key ids.Key, want string, ns ...ids.Node) {
 	t.Helper()
 	for try := 0; ; try++ {
 		for _, n := range ns {
@@ -35,7 +35,7 @@
 		}
 		done := true
 		for _, n := range ns {
-			a := c.ks[n].Change(key, &Order{Query: true}, clk.Now().Add(200*clk.Millisecond))
+			a := c.ks[n].Change(key, &Order{Query: true}, clock.Now().Add(200*clock.Millisecond))
 			done = done && a.OK && string(a.Val) == want && len(c.ks[n].Acceptor().Roster().Next) == 0
 		}
 		if done {
@@ -46,10 +46,10 @@
 		}
 		for _, n := range ns { // a while later
 			c.ks[n].mu.Lock()
-			c.ks[n].joint.since -= clk.Tick(3 * clk.Second)
+			c.ks[n].joint.since -= clock.Tick(3 * clock.Second)
 			c.ks[n].mu.Unlock()
 		}
-		clk.Sleep(20 * clk.Millisecond)
+		clock.Sleep(20 * clock.Millisecond)
 	}
 }
 
@@ -58,7 +58,7 @@
 // these are back from their disks the change ends, all is there, and any one seat
 // more may go. The lost one has no say when it is back, with its disk or without.
 func TestReplacementAndLoss(t *testing.T) {
-	for _, also := range []word.Node{"a", "b", "e", "all"} {
+	for _, also := range []ids.Node{"a", "b", "e", "all"} {
 		for left := 1; left < 60; left += 6 {
 			t.Run(fmt.Sprint(also, left), func(t *testing.T) {
 				t.Parallel()
@@ -68,7 +68,7 @@
 	}
 }
 
-func replaced(t *testing.T, also word.Node, left int) {
+func replaced(t *testing.T, also ids.Node, left int) {
 	is := is.New(t)
 	c := newCoreOf(t, four)
 	is.True(c.put("a", 0, "1").OK)
@@ -76,16 +76,16 @@
 	c.n.part("d", four.Seat...)
 	delete(c.ks, "d")
 	c.add("e", four.Seat)
-	all := []word.Node{"a", "b", "c", "e"}
+	all := []ids.Node{"a", "b", "c", "e"}
 	is.True(!c.ks["e"].Regain()) // learns the roster, and that it has no seat
 	c.limit("a", left)
 	a := c.ks["a"]
 	a.seating.Lock()
-	m := a.Own(word.Roster, clk.Now().Add(300*clk.Millisecond), func(cur []byte) ([]byte, Msg) {
+	m := a.Own(ids.Roster, clock.Now().Add(300*clock.Millisecond), func(cur []byte) ([]byte, Msg) {
 		if len(cur) == 0 {
 			cur = a.acc.Roster().Encode()
 		}
-		return DecideRoster(cur, &Order{Joiners: []word.Node{"e"}, Gone: []word.Node{"d"}})
+		return DecideRoster(cur, &Order{Joiners: []ids.Node{"e"}, Gone: []ids.Node{"d"}})
 	})
 	if m.OK {
 		c.ks["e"].Regain()
@@ -111,7 +111,7 @@
 			for _, o := range all {
 				c.ks[o].Round()
 			}
-			clk.Sleep(clk.Millisecond)
+			clock.Sleep(clock.Millisecond)
 		}
 		c.n.part(n, all...)
 		on := all[0]
@@ -148,23 +148,23 @@
 	c.n.part("d", four.Seat...)
 	c.add("e", four.Seat)
 	a := c.ks["a"]
-	move := func(from Roster, j, gone word.Node) {
-		is.True(a.Own(word.Roster, clk.Now().Add(clk.Second), func(cur []byte) ([]byte, Msg) {
+	move := func(from Roster, j, gone ids.Node) {
+		is.True(a.Own(ids.Roster, clock.Now().Add(clock.Second), func(cur []byte) ([]byte, Msg) {
 			if len(cur) == 0 {
 				cur = a.acc.Roster().Encode()
 			}
-			return DecideRoster(cur, &Order{Base: word.Version(from.Num), Joiners: []word.Node{j}, Gone: []word.Node{gone}})
+			return DecideRoster(cur, &Order{Base: ids.Version(from.Num), Joiners: []ids.Node{j}, Gone: []ids.Node{gone}})
 		}).OK)
 	}
 	move(a.acc.Roster(), "e", "d")
 	c.n.part("e", "a", "b", "c")
 	a.seat()
-	is.Equal(a.acc.Roster().Seat, []word.Node{"a", "b", "c", "e"})
+	is.Equal(a.acc.Roster().Seat, []ids.Node{"a", "b", "c", "e"})
 	c.add("f", four.Seat)
 	move(a.acc.Roster(), "f", "e")
 	is.True(c.ks["f"].Regain())
 	a.seat()
-	is.Equal(a.acc.Roster().Seat, []word.Node{"a", "b", "c", "f"})
+	is.Equal(a.acc.Roster().Seat, []ids.Node{"a", "b", "c", "f"})
 	c.n.part("b", "a", "c", "f")
 	v, ok := c.get("f")
 	is.True(ok)
@@ -191,7 +191,7 @@
 					for _, k := range c.ks {
 						c.zoned(k)
 					}
-					is.True(c.ks[taker].Change(zz, &Order{On: on != (round == 1)}, clk.Now().Add(2*clk.Second)).OK)
+					is.True(c.ks[taker].Change(zz, &Order{On: on != (round == 1)}, clock.Now().Add(2*clock.Second)).OK)
 					c.restart(four.Seat, four.Seat...)
 					c.st[lost] = &shelf{}
 					c.start(lost, four.Seat)
@@ -242,7 +242,7 @@
 					for _, n := range three.Seat {
 						c.ks[n].Round()
 					}
-					clk.Sleep(10 * clk.Millisecond)
+					clock.Sleep(10 * clock.Millisecond)
 				}
 				t.Log("rounds", rounds)
 				for _, n := range three.Seat {
--- a/internal/keep/msg.go
+++ b/internal/consensus/msg.go
@@ -1,14 +1,14 @@
-package keep
+package consensus
 
 import (
 	"strings"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
 	"spoolswitch/internal/deflate"
+	"spoolswitch/internal/ids"
 	"spoolswitch/internal/kvindex"
-	"spoolswitch/internal/note"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/telemetry"
 )
 
 // Kind tells what a message asks for.
@@ -62,7 +62,7 @@
 	}
 	val, err := deflate.Unpack(m.Val)
 	if err != nil {
-		note.Trouble("value not legible", "key", m.Key, "from", m.From, "err", err)
+		telemetry.Trouble("value not legible", "key", m.Key, "from", m.From, "err", err)
 		return false
 	}
 	m.Val, m.Packed = val, false
@@ -71,20 +71,20 @@
 
 // Mark is what one keeper has of one key.
 type Mark struct {
-	Promised word.Epoch
-	At       word.Place
-	Known    word.Place
+	Promised ids.Epoch
+	At       ids.Place
+	Known    ids.Place
 }
 
 // Item is one key's committed value in the feed, with its number there.
 type Item struct {
-	Key word.Key
-	At  word.Place
+	Key ids.Key
+	At  ids.Place
 	Val []byte
-	Age clk.Span
+	Age clock.Span
 	Num uint64
 	// Base, if set, is the place of the value that Val is the change from.
-	Base word.Place
+	Base ids.Place
 	// Same says that the value is the one at Base, with another place.
 	Same bool
 	// Packed says that Val is compressed.
@@ -100,44 +100,44 @@
 // Order is a change or a question that a client of control brings.
 type Order struct {
 	Body    []byte
-	Base    word.Version
+	Base    ids.Version
 	Modify  bool
 	On      bool
 	Query   bool
-	Joiners []word.Node
-	Gone    []word.Node
+	Joiners []ids.Node
+	Gone    []ids.Node
 	// If, if set, is the place that the value must have for the order to change it.
-	If word.Place
+	If ids.Place
 }
 
 // Msg is a message between daemons; which fields count depends on Kind.
 type Msg struct {
 	Kind   Kind
-	From   word.Node
-	Key    word.Key
-	Epoch  word.Epoch
-	At     word.Place
+	From   ids.Node
+	Key    ids.Key
+	Epoch  ids.Epoch
+	At     ids.Place
 	Val    []byte
 	Roster Roster
 	OK     bool
-	Code   code.Code
+	Code   codes.Code
 	Text   string
 	Order  *Order
 	// Held says that the receiver has the value on its disk, and gets no other.
 	Held bool
 	// Base, if set, is the place of the value that Val is the change from.
-	Base word.Place
+	Base ids.Place
 	// Packed says that Val is compressed.
 	Packed bool
 	// Stray says that a relay has not yet looked for a keeper of its own zone, and
 	// Greeting that the answer names the keepers and feeds nothing.
 	Stray, Greeting bool
 	// Places are those of the values that a relay has been fed already.
-	Places map[word.Key]word.Place
+	Places map[ids.Key]ids.Place
 	// Left is how long the sender waits, from the sending on.
-	Left  clk.Span
-	Marks map[word.Key]Mark
-	Cells map[word.Key]Cell
+	Left  clock.Span
+	Marks map[ids.Key]Mark
+	Cells map[ids.Key]Cell
 	// Sum stands for a digest's marks, roster and relays: in a question for those
 	// that the asker has, in an answer for those that count. Same says that they
 	// are the ones that the asker has, and left out.
@@ -149,65 +149,65 @@
 	Items       []Item
 	Snapshot    bool
 	Fresh       bool
-	ListAge     clk.Span
-	Relays      []word.Node
+	ListAge     clock.Span
+	Relays      []ids.Node
 	Count       int
 	Disk        bool
-	Zone        word.Zone
-	KeeperZones map[word.Node]word.Zone
-	SeatZones   map[word.Node]word.Zone
-	Addr        word.Addr
+	Zone        ids.Zone
+	KeeperZones map[ids.Node]ids.Zone
+	SeatZones   map[ids.Node]ids.Zone
+	Addr        ids.Addr
 	Report      *Report
 }
 
 // Report is what a daemon tells of itself when it is asked for a trace.
 type Report struct {
-	Node   word.Node
+	Node   ids.Node
 	Role   string
-	Zone   word.Zone
+	Zone   ids.Zone
 	Voting bool
 	Sure   bool
 	// Confirmed is how long ago the round began with which a majority last
 	// confirmed this keeper; negative if none has.
-	Confirmed clk.Span
+	Confirmed clock.Span
 	// Answers tells whether orders are answered here: by the keeper itself, or by
 	// a seat that it hands them to.
 	Answers bool
 	// Seeds are the keepers that the settings name now, and Others those without
 	// a seat that this one exchanges rosters with.
-	Seeds  []word.Node
-	Others []word.Node
+	Seeds  []ids.Node
+	Others []ids.Node
 	Roster Roster
-	Owners map[word.Key]word.Place
+	Owners map[ids.Key]ids.Place
 	// Copies are the seats that have the newest value of each key on their disks.
-	Copies  map[word.Key][]word.Node
+	Copies  map[ids.Key][]ids.Node
 	Feed    uint64
-	Keeper  word.Addr
-	Relays  map[word.Node]word.Addr
+	Keeper  ids.Addr
+	Relays  map[ids.Node]ids.Addr
 	Steps   []Step
-	Applied map[string]clk.Span
-	Version word.Version
+	Applied map[string]clock.Span
+	Version ids.Version
 	Counts  map[string]int64
 	Gauges  map[string]float64
 	Streams []Stream
 	Pools   []Pool
 	Moves   []string
-	Holder  word.Node
+	Holder  ids.Node
 }
 
 // Pool is how the replicas of one service are divided, and what was counted last.
 type Pool struct {
-	Service                           word.Service
+	Service                           ids.Service
 	Plan                              uint64
 	Heavy                             int64
-	Prefill                           []word.Replica
+	Prefill                           []ids.Replica
 	Share                             float64
 	Why                               string
 	Requests, PromptTokens, OutTokens int64
 }
 
 // Fail answers with an error's code.
-func Fail(err error) Msg { return Msg{Code: code.Of(err), Text: err.Error()} }
+func Fail(err error) Msg { return Msg{Code: codes.Of(err), Text: err.Error()} }
 
 // Stream is how a relay's view of one replica stands, and the oldest batch that
 // could be replayed.
@@ -219,9 +219,9 @@
 // Step is one step of a change as a daemon saw it.
 type Step struct {
 	Label string
-	Key   word.Key
-	At    word.Place
+	Key   ids.Key
+	At    ids.Place
 	What  string
-	Node  word.Node
-	Ago   clk.Span
+	Node  ids.Node
+	Ago   clock.Span
 }
--- a/internal/keep/net.go
+++ b/internal/consensus/net.go
@@ -1,41 +1,41 @@
-package keep
+package consensus
 
 import (
 	"sync"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/wire"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/rpc"
 )
 
 // Net asks other keepers.
 type Net interface {
-	Ask(to word.Node, m Msg, timeout clk.Span) (Msg, bool)
+	Ask(to ids.Node, m Msg, timeout clock.Span) (Msg, bool)
 }
 
 // Wires is a Net over the wire.
 type Wires struct {
 	// Far, if set, tells whether a daemon is in another zone.
-	Far   func(n word.Node) bool
+	Far   func(n ids.Node) bool
 	mu    sync.Mutex
-	peers map[word.Node]*wire.Peer[Msg]
+	peers map[ids.Node]*rpc.Peer[Msg]
 	shut  bool
 }
 
 // Ask sends m and waits for the answer.
-func (w *Wires) Ask(to word.Node, m Msg, timeout clk.Span) (Msg, bool) {
+func (w *Wires) Ask(to ids.Node, m Msg, timeout clock.Span) (Msg, bool) {
 	w.mu.Lock()
 	if w.shut {
 		w.mu.Unlock()
 		return Msg{}, false
 	}
 	if w.peers == nil {
-		w.peers = map[word.Node]*wire.Peer[Msg]{}
+		w.peers = map[ids.Node]*rpc.Peer[Msg]{}
 	}
 	p := w.peers[to]
 	if p == nil {
-		p = wire.NewPeer[Msg](word.Addr(to))
+		p = rpc.NewPeer[Msg](ids.Addr(to))
 		if w.Far != nil {
 			p.Far = func() bool { return w.Far(to) }
 		}
@@ -58,21 +58,21 @@
 
 type poll struct {
 	mu   sync.Mutex
-	got  map[word.Node]Msg
+	got  map[ids.Node]Msg
 	left int
 	over bool
-	mark *spawn.Mark
+	mark *concurrency.Mark
 }
 
-func (k *Keeper) askAll(to []word.Node, m Msg, timeout clk.Span, done func(map[word.Node]Msg) bool) map[word.Node]Msg {
-	p := &poll{got: map[word.Node]Msg{}, left: len(to), mark: spawn.NewMark()}
+func (k *Keeper) askAll(to []ids.Node, m Msg, timeout clock.Span, done func(map[ids.Node]Msg) bool) map[ids.Node]Msg {
+	p := &poll{got: map[ids.Node]Msg{}, left: len(to), mark: concurrency.NewMark()}
 	if len(to) == 0 {
 		return p.got
 	}
 	m.From = k.Self
-	at := clk.Now().Add(timeout)
+	at := clock.Now().Add(timeout)
 	for _, n := range to {
-		spawn.Go(func() {
+		concurrency.Go(func() {
 			var a Msg
 			ok := true
 			if n == k.Self {
@@ -95,13 +95,13 @@
 			}
 		})
 	}
-	p.mark.Wait(clk.Until(at))
+	p.mark.Wait(clock.Until(at))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.over = true
 	return p.got
 }
 
-func oks(got map[word.Node]Msg) func(word.Node) bool {
-	return func(n word.Node) bool { return got[n].OK }
+func oks(got map[ids.Node]Msg) func(ids.Node) bool {
+	return func(n ids.Node) bool { return got[n].OK }
 }
--- a/internal/keep/repair.go
+++ b/internal/consensus/repair.go
@@ -1,12 +1,12 @@
-package keep
+package consensus
 
 import (
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/concurrency"
 	"spoolswitch/internal/guards"
-	"spoolswitch/internal/note"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/telemetry"
 )
 
 // Repair: a value that is known to stand is accepted at its place by each seat
@@ -14,15 +14,15 @@
 // A promise to a later epoch, or a raised floor, forbids that; if it lasts, the
 // seat takes the value up in a ballot of its own, which brings it to all disks.
 
-const mendAfter = 2 * clk.Second
+const mendAfter = 2 * clock.Second
 
 // sight is what one seat had on its disk when it was last asked.
 type sight struct {
-	at    clk.Tick
-	marks map[word.Key]Mark
+	at    clock.Tick
+	marks map[ids.Key]Mark
 }
 
-var mended = note.Counter("keep.mended")
+var mended = telemetry.Counter("keep.mended")
 
 // repair starts the repair of what this keeper knows to stand and has not on its
 // disk. It does not wait for the disk.
@@ -38,7 +38,7 @@
 		}
 		k.mu.Unlock()
 		if missing {
-			spawn.Go(func() {
+			concurrency.Go(func() {
 				k.mend(key)
 				k.mu.Lock()
 				delete(k.mending, key)
@@ -48,11 +48,11 @@
 	}
 }
 
-func (k *Keeper) mend(key word.Key) {
+func (k *Keeper) mend(key ids.Key) {
 	val, at := k.Sink.Value(key)
 	a := k.acc.Accept(key, at, val, k.acc.Roster())
 	k.mu.Lock()
-	if a.OK || a.Code != code.NoMajority {
+	if a.OK || a.Code != codes.NoMajority {
 		delete(k.barred, key)
 		k.mu.Unlock()
 		if a.OK {
@@ -62,39 +62,39 @@
 	}
 	d := k.barred[key]
 	if d.at.Epoch != a.Epoch {
-		d = doubt{word.Place{Epoch: a.Epoch}, clk.Now()}
+		d = doubt{ids.Place{Epoch: a.Epoch}, clock.Now()}
 		k.barred[key] = d
 	}
 	k.mu.Unlock()
-	if clk.Since(d.since) > mendAfter && spawn.IntN(2) == 0 {
-		note.Trouble("value taken up for a disk that lacks it", "key", key, "at", at)
-		k.Own(key, clk.Now().Add(clk.Second), func([]byte) ([]byte, Msg) { return nil, Msg{OK: true} })
+	if clock.Since(d.since) > mendAfter && concurrency.IntN(2) == 0 {
+		telemetry.Trouble("value taken up for a disk that lacks it", "key", key, "at", at)
+		k.Own(key, clock.Now().Add(clock.Second), func([]byte) ([]byte, Msg) { return nil, Msg{OK: true} })
 	}
 }
 
 // see remembers what the disks of others have.
-func (k *Keeper) see(got map[word.Node]Msg) {
+func (k *Keeper) see(got map[ids.Node]Msg) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for n, a := range got {
-		if a.Code == code.OK {
-			k.sights[n] = sight{clk.Now(), a.Marks}
+		if a.Code == codes.OK {
+			k.sights[n] = sight{clock.Now(), a.Marks}
 		}
 	}
 }
 
 // Copies names the seats whose disks have the newest place of each key, as far
 // as they were heard of lately.
-func (k *Keeper) Copies() map[word.Key][]word.Node {
+func (k *Keeper) Copies() map[ids.Key][]ids.Node {
 	seats := k.acc.Roster().All()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	top := map[word.Key]word.Place{}
-	out := map[word.Key][]word.Node{}
+	top := map[ids.Key]ids.Place{}
+	out := map[ids.Key][]ids.Node{}
 	for _, n := range seats {
-		if s := k.sights[n]; s.at != 0 && clk.Since(s.at) < goneAfter {
+		if s := k.sights[n]; s.at != 0 && clock.Since(s.at) < goneAfter {
 			for key, m := range s.marks {
-				for _, at := range []word.Place{m.At, m.Known} {
+				for _, at := range []ids.Place{m.At, m.Known} {
 					if key.Kept() && top[key].Less(at) {
 						top[key], out[key] = at, nil
 					}
--- a/internal/keep/repair_test.go
+++ b/internal/consensus/repair_test.go
@@ -1,21 +1,21 @@
-package keep
+package consensus
 
 import (
 	"testing"
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/ids"
 )
 
 // copied waits for a key to be on so many disks; nothing is done meanwhile.
-func (c *core) copied(key word.Key, want int) bool {
+func (c *core) copied(key ids.Key, want int) bool {
 	for range 2000 {
 		if c.on(key, three.Seat...) == want {
 			return true
 		}
-		clk.Sleep(clk.Millisecond)
+		clock.Sleep(clock.Millisecond)
 	}
 	return false
 }
@@ -40,14 +40,14 @@
 	is.True(c.copied(kk, 2))
 	c.ks["a"].Round()
 	c.ks["a"].Round()
-	is.Equal(c.ks["a"].Copies()[kk], []word.Node{"a", "b"})
+	is.Equal(c.ks["a"].Copies()[kk], []ids.Node{"a", "b"})
 	c.ks["c"].Round() // still refused
 	c.st["c"].set(nil, false)
 	for try := 0; c.on(kk, "c") == 0; try++ {
 		is.True(try < 200)
 		c.ks["c"].Round()
 	}
-	clk.Sleep(10 * clk.Millisecond)
+	clock.Sleep(10 * clock.Millisecond)
 	c.ks["a"].Round()
 	is.Equal(c.ks["a"].Copies()[kk], three.Seat)
 	back := NewAcceptor() // it is on the disk
@@ -55,7 +55,7 @@
 		back.Replay(p)
 	}
 	is.Equal(string(back.Cell(kk).Val), "333")
-	for _, key := range []word.Key{kk, word.Roster} {
+	for _, key := range []ids.Key{kk, ids.Roster} {
 		_, ok := c.ks["a"].Copies()[key]
 		is.Equal(ok, key == kk) // of keys that have values
 	}
@@ -71,18 +71,18 @@
 	c.n.part("c", "a", "b")
 	is.True(c.put("a", 1, "22").OK)
 	k := c.ks["c"]
-	is.True(k.Acceptor().Vote(kk, word.Epoch{Round: 99, Node: "x", Life: 1}, three).OK)
+	is.True(k.Acceptor().Vote(kk, ids.Epoch{Round: 99, Node: "x", Life: 1}, three).OK)
 	c.n.join()
 	for try := 0; c.on(kk, three.Seat...) < 3; try++ {
 		is.True(try < 500)
 		k.Round()
 		k.mu.Lock()
 		if d, ok := k.barred[kk]; ok { // a while later
-			d.since -= clk.Tick(mendAfter)
+			d.since -= clock.Tick(mendAfter)
 			k.barred[kk] = d
 		}
 		k.mu.Unlock()
-		clk.Sleep(clk.Millisecond)
+		clock.Sleep(clock.Millisecond)
 	}
 	v, ok := c.get("a")
 	is.True(ok)
--- a/internal/keep/roster.go
+++ b/internal/consensus/roster.go
@@ -1,6 +1,6 @@
-// Package keep is the control plane: registers with one owner per lease, each
+// Package consensus is the control plane: registers with one owner per lease, each
 // change on a majority of disks before it is answered.
-package keep
+package consensus
 
 import (
 	"bytes"
@@ -8,19 +8,19 @@
 	"slices"
 
 	"spoolswitch/internal/guards"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
 )
 
 // Roster is the set of keepers whose disks count. While Next is not empty a
 // change of the roster is under way and majorities of both are needed.
 type Roster struct {
 	Num  uint64
-	Seat []word.Node
-	Next []word.Node
+	Seat []ids.Node
+	Next []ids.Node
 }
 
 // All are the keepers of both sets, each once.
-func (r Roster) All() []word.Node {
+func (r Roster) All() []ids.Node {
 	out := slices.Clone(r.Seat)
 	for _, n := range r.Next {
 		if !slices.Contains(out, n) {
@@ -31,9 +31,9 @@
 }
 
 // Has tells whether n has a seat.
-func (r Roster) Has(n word.Node) bool { return slices.Contains(r.All(), n) }
+func (r Roster) Has(n ids.Node) bool { return slices.Contains(r.All(), n) }
 
-func majority(seat []word.Node, in func(word.Node) bool) bool {
+func majority(seat []ids.Node, in func(ids.Node) bool) bool {
 	k := 0
 	for _, n := range seat {
 		if in(n) {
@@ -44,7 +44,7 @@
 }
 
 // Majority tells whether those that in names are a majority of each set.
-func (r Roster) Majority(in func(word.Node) bool) bool {
+func (r Roster) Majority(in func(ids.Node) bool) bool {
 	if guards.Off(guards.Majority) {
 		return slices.ContainsFunc(r.All(), in)
 	}
@@ -53,8 +53,8 @@
 
 // Covers tells whether every majority that self may have been part of holds
 // another that in names.
-func (r Roster) Covers(self word.Node, in func(word.Node) bool) bool {
-	ok := func(seat []word.Node) bool {
+func (r Roster) Covers(self ids.Node, in func(ids.Node) bool) bool {
+	ok := func(seat []ids.Node) bool {
 		k, n := 0, 0
 		for _, s := range seat {
 			if s == self {
--- a/internal/keep/roster_test.go
+++ b/internal/consensus/roster_test.go
@@ -1,15 +1,15 @@
-package keep
+package consensus
 
 import (
 	"testing"
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
 )
 
-func among(ns ...word.Node) func(word.Node) bool {
-	return func(n word.Node) bool {
+func among(ns ...ids.Node) func(ids.Node) bool {
+	return func(n ids.Node) bool {
 		for _, m := range ns {
 			if m == n {
 				return true
@@ -23,10 +23,10 @@
 	is := is.New(t)
 	is.True(three.Majority(among("a", "b")))
 	is.True(!three.Majority(among("a")))
-	four := Roster{Seat: []word.Node{"a", "b", "c", "d"}}
+	four := Roster{Seat: []ids.Node{"a", "b", "c", "d"}}
 	is.True(!four.Majority(among("a", "b")))
 	is.True(four.Majority(among("a", "b", "d")))
-	joint := Roster{Seat: three.Seat, Next: []word.Node{"a", "b", "d"}}
+	joint := Roster{Seat: three.Seat, Next: []ids.Node{"a", "b", "d"}}
 	is.True(!joint.Majority(among("c", "b"))) // of the old only
 	is.True(!joint.Majority(among("a", "d"))) // of the new only
 	is.True(joint.Majority(among("a", "b")))
@@ -35,9 +35,9 @@
 
 // Covers is checked against what it means, for all sets of up to five seats.
 func TestCovers(t *testing.T) {
-	all := []word.Node{"a", "b", "c", "d", "e"}
-	subset := func(ns []word.Node, bits int) []word.Node {
-		var out []word.Node
+	all := []ids.Node{"a", "b", "c", "d", "e"}
+	subset := func(ns []ids.Node, bits int) []ids.Node {
+		var out []ids.Node
 		for i, n := range ns {
 			if bits>>i&1 == 1 {
 				out = append(out, n)
@@ -70,19 +70,19 @@
 
 func TestDecideRoster(t *testing.T) {
 	is := is.New(t)
-	b, a := DecideRoster(three.Encode(), &Order{Joiners: []word.Node{"d"}, Gone: []word.Node{"c"}})
+	b, a := DecideRoster(three.Encode(), &Order{Joiners: []ids.Node{"d"}, Gone: []ids.Node{"c"}})
 	is.True(a.OK)
 	r, ok := DecodeRoster(b)
 	is.True(ok)
 	is.Equal(r.Num, uint64(2))
 	is.Equal(r.Seat, three.Seat)
-	is.Equal(r.Next, []word.Node{"a", "b", "d"})
-	_, a = DecideRoster(b, &Order{Joiners: []word.Node{"e"}})
+	is.Equal(r.Next, []ids.Node{"a", "b", "d"})
+	_, a = DecideRoster(b, &Order{Joiners: []ids.Node{"e"}})
 	is.True(!a.OK) // one change at a time
 	b, a = DecideRoster(b, &Order{On: true})
 	is.True(a.OK)
 	r, _ = DecodeRoster(b)
-	is.Equal(r, Roster{Num: 3, Seat: []word.Node{"a", "b", "d"}})
-	_, a = DecideRoster(nil, &Order{Joiners: []word.Node{"d"}})
+	is.Equal(r, Roster{Num: 3, Seat: []ids.Node{"a", "b", "d"}})
+	_, a = DecideRoster(nil, &Order{Joiners: []ids.Node{"d"}})
 	is.True(!a.OK)
 }
--- a/internal/keep/seats.go
+++ b/internal/consensus/seats.go
@@ -1,10 +1,10 @@
-package keep
+package consensus
 
 import (
 	"slices"
 
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/ids"
 )
 
 // DecideRoster takes one step of a change of the roster: into it, with both
@@ -13,14 +13,14 @@
 func DecideRoster(cur []byte, o *Order) ([]byte, Msg) {
 	r, ok := DecodeRoster(cur)
 	if !ok || len(r.Seat) == 0 {
-		return nil, Msg{Code: code.Nothing}
+		return nil, Msg{Code: codes.Nothing}
 	}
 	if o.Base != 0 && uint64(o.Base) != r.Num {
-		return nil, Msg{Code: code.OtherVersion, Text: "the roster has changed"}
+		return nil, Msg{Code: codes.OtherVersion, Text: "the roster has changed"}
 	}
 	if len(r.Next) > 0 {
 		if !o.On {
-			return nil, Msg{Code: code.QueueFull, Text: "a change is under way"}
+			return nil, Msg{Code: codes.QueueFull, Text: "a change is under way"}
 		}
 		n := Roster{Num: r.Num + 1, Seat: r.Next}
 		return n.Encode(), Msg{OK: true}
@@ -43,8 +43,8 @@
 // while a lost disk is read back, and of a zone.
 func Seats(machines, zones int) int { return max(2*(machines+1), zones) }
 
-func (r Roster) bears(zone func(word.Node) word.Zone) (machines int, anyZone bool) {
-	in := map[word.Zone]int{}
+func (r Roster) bears(zone func(ids.Node) ids.Zone) (machines int, anyZone bool) {
+	in := map[ids.Zone]int{}
 	for _, n := range r.Seat {
 		in[zone(n)]++
 	}
@@ -59,14 +59,14 @@
 // Admit names those of the askers who get a seat in one change: as many as are
 // wanted, from the zones with the fewest seats first, as long as the loss of a
 // zone or of machines is borne no worse than before.
-func (r Roster) Admit(ask []word.Node, zone func(word.Node) word.Zone, want int) []word.Node {
+func (r Roster) Admit(ask []ids.Node, zone func(ids.Node) ids.Zone, want int) []ids.Node {
 	ask = slices.DeleteFunc(slices.Clone(ask), r.Has)
 	slices.Sort(ask)
-	in := map[word.Zone]int{}
+	in := map[ids.Zone]int{}
 	for _, n := range r.Seat {
 		in[zone(n)]++
 	}
-	var line []word.Node
+	var line []ids.Node
 	for len(ask) > 0 && len(r.Seat)+len(line) < want {
 		best := 0
 		for i, n := range ask {
@@ -89,7 +89,7 @@
 }
 
 // Founding is the roster of the first start.
-func Founding(ns []word.Node) Roster {
+func Founding(ns []ids.Node) Roster {
 	s := slices.Clone(ns)
 	slices.Sort(s)
 	return Roster{Num: 1, Seat: s}
--- a/internal/keep/seats_test.go
+++ b/internal/consensus/seats_test.go
@@ -1,4 +1,4 @@
-package keep
+package consensus
 
 import (
 	"fmt"
@@ -8,14 +8,14 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/ids"
 )
 
-var six = Roster{Num: 1, Seat: []word.Node{"a1", "a2", "b1", "b2", "c1", "c2"}}
+var six = Roster{Num: 1, Seat: []ids.Node{"a1", "a2", "b1", "b2", "c1", "c2"}}
 
-func first(n word.Node) word.Zone { return word.Zone(n[:1]) }
+func first(n ids.Node) ids.Zone { return ids.Zone(n[:1]) }
 
 func TestSeats(t *testing.T) {
 	is := is.New(t)
@@ -29,18 +29,18 @@
 // Newcomers are seated so that the loss of a zone is borne on the way as well.
 func TestAdmit(t *testing.T) {
 	for _, c := range []struct {
-		seat, ask, in []word.Node
+		seat, ask, in []ids.Node
 		want          int
 	}{
-		{[]word.Node{"a1", "b1", "c1"}, []word.Node{"a2"}, nil, 6}, // two of four in one zone
-		{[]word.Node{"a1", "b1", "c1"}, []word.Node{"a2", "b2"}, []word.Node{"a2", "b2"}, 6},
-		{[]word.Node{"a1", "b1", "c1"}, []word.Node{"c2", "b2", "a2"}, []word.Node{"a2", "b2", "c2"}, 6},
-		{[]word.Node{"a1", "b1", "c1"}, []word.Node{"c2", "b2", "a2"}, []word.Node{"a2", "b2"}, 5},
-		{[]word.Node{"a1", "b1", "c1"}, []word.Node{"d1"}, []word.Node{"d1"}, 4},
-		{[]word.Node{"a1", "b1", "c1"}, []word.Node{"d1", "e1", "a2"}, []word.Node{"d1", "e1"}, 5},
-		{[]word.Node{"a1", "b1", "c1"}, []word.Node{"d1", "a1"}, nil, 3},         // enough
-		{[]word.Node{"a1", "a2", "a3"}, []word.Node{"a4"}, []word.Node{"a4"}, 4}, // one zone is all there is
-		{[]word.Node{"a1"}, []word.Node{"b1", "c1"}, []word.Node{"b1", "c1"}, 4},
+		{[]ids.Node{"a1", "b1", "c1"}, []ids.Node{"a2"}, nil, 6}, // two of four in one zone
+		{[]ids.Node{"a1", "b1", "c1"}, []ids.Node{"a2", "b2"}, []ids.Node{"a2", "b2"}, 6},
+		{[]ids.Node{"a1", "b1", "c1"}, []ids.Node{"c2", "b2", "a2"}, []ids.Node{"a2", "b2", "c2"}, 6},
+		{[]ids.Node{"a1", "b1", "c1"}, []ids.Node{"c2", "b2", "a2"}, []ids.Node{"a2", "b2"}, 5},
+		{[]ids.Node{"a1", "b1", "c1"}, []ids.Node{"d1"}, []ids.Node{"d1"}, 4},
+		{[]ids.Node{"a1", "b1", "c1"}, []ids.Node{"d1", "e1", "a2"}, []ids.Node{"d1", "e1"}, 5},
+		{[]ids.Node{"a1", "b1", "c1"}, []ids.Node{"d1", "a1"}, nil, 3},        // enough
+		{[]ids.Node{"a1", "a2", "a3"}, []ids.Node{"a4"}, []ids.Node{"a4"}, 4}, // one zone is all there is
+		{[]ids.Node{"a1"}, []ids.Node{"b1", "c1"}, []ids.Node{"b1", "c1"}, 4},
 	} {
 		is.New(t).Equal(Roster{Seat: c.seat}.Admit(c.ask, first, c.want), c.in)
 	}
@@ -48,14 +48,14 @@
 
 // The seeds found the roster when each has told whether it has a disk.
 func TestFoundersWithDisks(t *testing.T) {
-	for _, c := range []struct{ disks, seats []word.Node }{
-		{[]word.Node{"a", "b", "c"}, []word.Node{"a", "b", "c"}},
-		{[]word.Node{"a", "c"}, []word.Node{"a", "c"}},
-		{[]word.Node{"b"}, []word.Node{"b"}},
-		{nil, []word.Node{"a", "b", "c"}}, // a deployment without any
+	for _, c := range []struct{ disks, seats []ids.Node }{
+		{[]ids.Node{"a", "b", "c"}, []ids.Node{"a", "b", "c"}},
+		{[]ids.Node{"a", "c"}, []ids.Node{"a", "c"}},
+		{[]ids.Node{"b"}, []ids.Node{"b"}},
+		{nil, []ids.Node{"a", "b", "c"}}, // a deployment without any
 	} {
 		is := is.New(t)
-		k := &core{n: &net{ks: map[word.Node]*Keeper{}, cut: map[[2]word.Node]bool{}}, ks: map[word.Node]*Keeper{}, st: map[word.Node]*shelf{}, si: map[word.Node]*sink{}}
+		k := &core{n: &net{ks: map[ids.Node]*Keeper{}, cut: map[[2]ids.Node]bool{}}, ks: map[ids.Node]*Keeper{}, st: map[ids.Node]*shelf{}, si: map[ids.Node]*sink{}}
 		for _, n := range three.Seat {
 			k.add(n, three.Seat).Disk = among(c.disks...)(n)
 		}
@@ -76,7 +76,7 @@
 // another founder is gone: what two of three acknowledged stays within reach.
 func TestLateFounder(t *testing.T) {
 	is := is.New(t)
-	c := &core{n: &net{ks: map[word.Node]*Keeper{}, cut: map[[2]word.Node]bool{}}, ks: map[word.Node]*Keeper{}, st: map[word.Node]*shelf{}, si: map[word.Node]*sink{}}
+	c := &core{n: &net{ks: map[ids.Node]*Keeper{}, cut: map[[2]ids.Node]bool{}}, ks: map[ids.Node]*Keeper{}, st: map[ids.Node]*shelf{}, si: map[ids.Node]*sink{}}
 	for _, n := range three.Seat {
 		c.add(n, three.Seat)
 	}
@@ -88,7 +88,7 @@
 	v, ok := c.get("c")
 	is.True(ok)
 	is.Equal(v, "1")
-	d := c.add("d", []word.Node{"a", "d"}) // named a seed, in no roster
+	d := c.add("d", []ids.Node{"a", "d"}) // named a seed, in no roster
 	is.True(d.Begin())
 	is.True(!d.Acceptor().Voting())
 }
@@ -98,7 +98,7 @@
 func TestFounderRestarted(t *testing.T) {
 	for _, lost := range []bool{false, true} {
 		is := is.New(t)
-		c := &core{n: &net{ks: map[word.Node]*Keeper{}, cut: map[[2]word.Node]bool{}}, ks: map[word.Node]*Keeper{}, st: map[word.Node]*shelf{}, si: map[word.Node]*sink{}}
+		c := &core{n: &net{ks: map[ids.Node]*Keeper{}, cut: map[[2]ids.Node]bool{}}, ks: map[ids.Node]*Keeper{}, st: map[ids.Node]*shelf{}, si: map[ids.Node]*sink{}}
 		for _, n := range three.Seat {
 			is.NoErr(c.add(n, three.Seat).Acceptor().First())
 		}
@@ -135,9 +135,9 @@
 	is.True(ok)
 	is.Equal(v, "1")
 	is.Equal(d.Acceptor().Roster().Seat, three.Seat)
-	e := word.Epoch{Round: 99, Node: "x", Life: 1}
-	is.Equal(d.Handle(Msg{Kind: Vote, Key: kk, Epoch: e, Roster: three}).Code, code.NotVoting)
-	is.Equal(d.Handle(Msg{Kind: Accept, Key: kk, At: word.Place{Epoch: e, Seq: 1}, Roster: three}).Code, code.NotVoting)
+	e := ids.Epoch{Round: 99, Node: "x", Life: 1}
+	is.Equal(d.Handle(Msg{Kind: Vote, Key: kk, Epoch: e, Roster: three}).Code, codes.NotVoting)
+	is.Equal(d.Handle(Msg{Kind: Accept, Key: kk, At: ids.Place{Epoch: e, Seq: 1}, Roster: three}).Code, codes.NotVoting)
 	is.True(!d.Handle(Msg{Kind: Survey}).OK)
 	d.Regain()
 	is.True(!c.ks["a"].Acceptor().Roster().Has("d"))
@@ -148,19 +148,19 @@
 	c.n.part("c", "b")
 	is.True(!c.put("d", 2, "333").OK) // no majority anywhere, and none made up
 	is.Equal(len(d.Acceptor().Cells()), 0)
-	is.True(!d.Sure(clk.Minute))
+	is.True(!d.Sure(clock.Minute))
 }
 
 // Two seats are lost at once in the middle of a change, then a whole zone: what
 // was acknowledged stands and changes go on.
 func TestTwoSeatsLost(t *testing.T) {
-	for _, lost := range [][]word.Node{{"a1", "b1"}, {"a1", "a2"}, {"b2", "c1"}, {"c1", "c2"}} {
+	for _, lost := range [][]ids.Node{{"a1", "b1"}, {"a1", "a2"}, {"b2", "c1"}, {"c1", "c2"}} {
 		is := is.New(t)
 		c := newCoreOf(t, six)
 		is.True(c.put("a1", 0, "1").OK)
 		c.st[lost[0]].set(nil, true) // their disks take the change no more
 		c.st[lost[1]].set(nil, true)
-		on := word.Node("b1")
+		on := ids.Node("b1")
 		if among(lost...)(on) {
 			on = "c2"
 		}
@@ -180,7 +180,7 @@
 // Two disks are wiped right after an acknowledgement that they were part of,
 // and all others lose power as well: the value is there when all are back.
 func TestTwoDisksWiped(t *testing.T) {
-	for _, r := range []Roster{six, {Num: 1, Seat: []word.Node{"a", "b", "c", "d", "e"}}} {
+	for _, r := range []Roster{six, {Num: 1, Seat: []ids.Node{"a", "b", "c", "d", "e"}}} {
 		for i := range r.Seat {
 			j := (i + 1) % len(r.Seat)
 			is := is.New(t)
@@ -198,7 +198,7 @@
 			for _, n := range r.Seat {
 				c.start(n, r.Seat)
 			}
-			for _, n := range []word.Node{own, r.Seat[j]} {
+			for _, n := range []ids.Node{own, r.Seat[j]} {
 				is.True(!c.ks[n].Acceptor().Voting())
 				is.True(c.ks[n].Regain())
 			}
@@ -212,9 +212,9 @@
 }
 
 // limit lets so many messages of one keeper through, then none.
-func (c *core) limit(from word.Node, left int) {
+func (c *core) limit(from ids.Node, left int) {
 	var mu sync.Mutex
-	c.n.through(func(n, _ word.Node, _ Msg) bool {
+	c.n.through(func(n, _ ids.Node, _ Msg) bool {
 		mu.Lock()
 		defer mu.Unlock()
 		if n == from {
@@ -242,12 +242,12 @@
 
 func interrupted(t *testing.T, left int) Roster {
 	is := is.New(t)
-	c := newCoreOf(t, Roster{Num: 1, Seat: []word.Node{"a1", "b1", "c1"}})
+	c := newCoreOf(t, Roster{Num: 1, Seat: []ids.Node{"a1", "b1", "c1"}})
 	is.True(c.put("b1", 0, "1").OK)
 	for _, n := range six.Seat {
 		k := c.ks[n]
 		if k == nil {
-			k = c.add(n, []word.Node{"a1", "b1", "c1"})
+			k = c.add(n, []ids.Node{"a1", "b1", "c1"})
 		}
 		k.Seats = 6
 		for _, o := range six.Seat {
@@ -259,20 +259,20 @@
 	a := c.ks["a1"]
 	a.Round()
 	is.True(a.Sure(hereFor))
-	for _, j := range []word.Node{"a2", "b2", "c2"} {
+	for _, j := range []ids.Node{"a2", "b2", "c2"} {
 		c.ks[j].Regain() // seats are given once all were heard of since
 	}
 	a.Round()
 	c.limit("a1", left)
 	for range 2 {
-		for _, j := range []word.Node{"a2", "b2", "c2"} {
+		for _, j := range []ids.Node{"a2", "b2", "c2"} {
 			c.ks[j].mu.Lock()
 			c.ks[j].wanted = 0 // a while later
 			c.ks[j].mu.Unlock()
 			c.ks[j].Regain() // asks for a seat
 		}
 		for !a.seating.TryLock() { // until the change has ended, or was given up
-			for _, j := range []word.Node{"a2", "b2", "c2"} {
+			for _, j := range []ids.Node{"a2", "b2", "c2"} {
 				c.ks[j].Regain()
 			}
 			runtime.Gosched()
@@ -290,7 +290,7 @@
 			t.Fatalf("never settled: %v", b.Acceptor().Roster())
 		}
 		b.Round()
-		for _, n := range []word.Node{"a2", "b2", "c2"} {
+		for _, n := range []ids.Node{"a2", "b2", "c2"} {
 			c.ks[n].Regain()
 		}
 		b.seating.Lock()
@@ -314,18 +314,18 @@
 // One that may have voted in an earlier life is no newcomer, whoever knows of it.
 func TestNewcomer(t *testing.T) {
 	is := is.New(t)
-	with := Roster{Num: 2, Seat: three.Seat, Next: []word.Node{"a", "b", "c", "d"}}
+	with := Roster{Num: 2, Seat: three.Seat, Next: []ids.Node{"a", "b", "c", "d"}}
 	ok := func(r Roster, cell *Roster) Msg {
-		m := Msg{OK: true, Roster: r, Cells: map[word.Key]Cell{}}
+		m := Msg{OK: true, Roster: r, Cells: map[ids.Key]Cell{}}
 		if cell != nil {
-			m.Cells[word.Roster] = Cell{Val: cell.Encode()}
+			m.Cells[ids.Roster] = Cell{Val: cell.Encode()}
 		}
 		return m
 	}
-	is.True(Newcomer("d", map[word.Node]Msg{"a": ok(three, nil), "b": ok(three, nil)}))
-	is.True(!Newcomer("d", map[word.Node]Msg{"a": ok(three, nil)}))                       // no majority
-	is.True(!Newcomer("d", map[word.Node]Msg{"a": ok(three, nil), "b": {Roster: three}})) // b does not vote
-	is.True(!Newcomer("d", map[word.Node]Msg{"a": ok(three, nil), "b": ok(with, nil)}))
-	is.True(!Newcomer("d", map[word.Node]Msg{"a": ok(three, nil), "b": ok(three, &with)})) // accepted, not yet gone by
-	is.True(!Newcomer("d", map[word.Node]Msg{}))
+	is.True(Newcomer("d", map[ids.Node]Msg{"a": ok(three, nil), "b": ok(three, nil)}))
+	is.True(!Newcomer("d", map[ids.Node]Msg{"a": ok(three, nil)}))                       // no majority
+	is.True(!Newcomer("d", map[ids.Node]Msg{"a": ok(three, nil), "b": {Roster: three}})) // b does not vote
+	is.True(!Newcomer("d", map[ids.Node]Msg{"a": ok(three, nil), "b": ok(with, nil)}))
+	is.True(!Newcomer("d", map[ids.Node]Msg{"a": ok(three, nil), "b": ok(three, &with)})) // accepted, not yet gone by
+	is.True(!Newcomer("d", map[ids.Node]Msg{}))
 }
--- a/internal/keep/sorted.go
+++ b/internal/consensus/sorted.go
@@ -1,4 +1,4 @@
-package keep
+package consensus
 
 import (
 	"cmp"
--- a/internal/keep/trail.go
+++ b/internal/consensus/trail.go
@@ -1,15 +1,15 @@
-package keep
+package consensus
 
 import (
 	"slices"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/ids"
 )
 
 const trailKept = 512
 
-func (k *Keeper) stepVal(key word.Key, at word.Place, val []byte, what string) {
+func (k *Keeper) stepVal(key ids.Key, at ids.Place, val []byte, what string) {
 	if !key.Kept() {
 		return
 	}
@@ -24,14 +24,14 @@
 
 func (k *Keeper) note(s Step) {
 	k.trail = append(k.trail, s)
-	k.trailAt = append(k.trailAt, clk.Now())
+	k.trailAt = append(k.trailAt, clock.Now())
 	if len(k.trail) > 2*trailKept {
 		k.trail = append([]Step(nil), k.trail[trailKept:]...)
-		k.trailAt = append([]clk.Tick(nil), k.trailAt[trailKept:]...)
+		k.trailAt = append([]clock.Tick(nil), k.trailAt[trailKept:]...)
 	}
 }
 
-func (k *Keeper) stepOf(n word.Node, key word.Key, at word.Place, what string) {
+func (k *Keeper) stepOf(n ids.Node, key ids.Key, at ids.Place, what string) {
 	if !key.Kept() {
 		return
 	}
@@ -41,13 +41,13 @@
 }
 
 // Trail reads the steps kept of a key, oldest first.
-func (k *Keeper) Trail(key word.Key) []Step {
+func (k *Keeper) Trail(key ids.Key) []Step {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var out []Step
 	for i, s := range k.trail {
 		if s.Key == key {
-			s.Ago = clk.Since(k.trailAt[i])
+			s.Ago = clock.Since(k.trailAt[i])
 			out = append(out, s)
 		}
 	}
@@ -55,9 +55,9 @@
 }
 
 // Report tells of this keeper and of the steps that it knows of a key.
-func (k *Keeper) Report(key word.Key) *Report {
+func (k *Keeper) Report(key ids.Key) *Report {
 	r := &Report{Node: k.Self, Role: "keeper", Zone: k.Zone, Voting: k.acc.Voting(), Sure: k.Sure(3 * Beat),
-		Roster: k.acc.Roster(), Owners: map[word.Key]word.Place{}, Steps: k.Trail(key), Copies: k.Copies()}
+		Roster: k.acc.Roster(), Owners: map[ids.Key]ids.Place{}, Steps: k.Trail(key), Copies: k.Copies()}
 	for n, at := range k.Sink.Known() {
 		r.Owners[n] = at
 	}
@@ -66,7 +66,7 @@
 	defer k.mu.Unlock()
 	r.Confirmed = -1
 	if k.sure != 0 {
-		r.Confirmed = clk.Since(k.sure)
+		r.Confirmed = clock.Since(k.sure)
 	}
 	r.Seeds = slices.Clone(k.Founders)
 	for _, n := range slices.Concat(k.Founders, k.callers) {
