--- /dev/null
+++ b/internal/control/daemon.go
@@ -0,0 +1,271 @@
+package control
+
+import (
+	"net"
+	"runtime/debug"
+	"strconv"
+	"sync/atomic"
+
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/configuration"
+	"spoolswitch/internal/consensus"
+	"spoolswitch/internal/discovery"
+	"spoolswitch/internal/disk"
+	"spoolswitch/internal/feed"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/rpc"
+	"spoolswitch/internal/schedule"
+	"spoolswitch/internal/settings"
+	"spoolswitch/internal/telemetry"
+)
+
+// Daemon is a running keeper.
+type Daemon struct {
+	Keeper  *consensus.Keeper
+	Hub     *feed.Hub
+	lc      net.Listener
+	srv     *Server
+	in      *rpc.Server[consensus.Msg]
+	net     *consensus.Wires
+	over    atomic.Bool
+	founder atomic.Bool
+}
+
+// Machine is what a keeper has of the machine that it runs on.
+type Machine struct {
+	// Disk is where it keeps what it accepts; nil without a disk.
+	Disk disk.FS
+	// List reads the platform's list.
+	List func() ([]discovery.Replica, error)
+	// Serve answers the calls of operators at the listener until that is closed.
+	Serve func(s *Server, l net.Listener)
+}
+
+// Start starts a keeper from its settings.
+func Start(s *settings.Settings) (*Daemon, error) {
+	debug.SetMemoryLimit(s.Limits.MemoryMB << 20 * 7 / 10)
+	rd := &discovery.Reader{Addr: ids.Addr(s.Platform.Address), Rate: discovery.Share(s.Platform.PerS, 0.5)}
+	m := Machine{List: rd.Read, Serve: (*Server).Serve}
+	if s.DataDir != "" {
+		m.Disk = disk.Dir(s.DataDir)
+	}
+	return StartOn(s, m)
+}
+
+// StartOn starts a keeper from its settings on a machine.
+func StartOn(s *settings.Settings, m Machine) (*Daemon, error) {
+	if s.Bindings.Control == "" {
+		return nil, codes.New(codes.BadSettings, "bindings.control-addr is missing")
+	}
+	acc := consensus.NewAcceptor()
+	hub := feed.NewHub()
+	self := ids.Node(s.Inner(s.IP, 0))
+	wires := &consensus.Wires{}
+	k := consensus.New(self, acc, wires, hub)
+	k.Zone = s.Zone
+	wires.Far = k.Far
+	k.Decider = Decide
+	k.Seats = consensus.Seats(s.Tolerance.Machines, len(s.Zones))
+	k.Disk = m.Disk != nil
+	k.Label = label
+	k.Pauses = &consensus.Pauses{}
+	for _, a := range s.Seeds {
+		k.Founders = append(k.Founders, ids.Node(s.Keeper(a)))
+	}
+	hub.Status = k
+	hub.Diff, k.Diff, k.Patch = diff, diff, patch
+	hub.Trim = func(key ids.Key, val []byte) []byte {
+		if key != ids.Configuration {
+			return val
+		}
+		return configuration.Brief(val)
+	}
+	hub.Apply = clock.Ms(s.Bounds.ConfigApplyMs)
+	d := &Daemon{Keeper: k, Hub: hub, net: wires}
+	li, err := rpc.Listen(ids.Addr(self))
+	if err != nil {
+		return nil, codes.New(codes.BadSettings, "%v", err)
+	}
+	lc, err := rpc.Listen(ids.Addr(s.Bindings.Control))
+	if err != nil {
+		return nil, codes.New(codes.BadSettings, "%v", err)
+	}
+	d.lc = lc
+	opened := concurrency.NewMark()
+	concurrency.Go(func() {
+		d.open(s, m.Disk, acc)
+		opened.Set()
+	})
+	opened.Wait(2 * clock.Second)
+	pools := newPools(s, k, hub)
+	far := func(m consensus.Msg) bool { return m.Zone != "" && m.Zone != s.Zone || k.Far(m.From) }
+	d.in = rpc.ServeZoned(li, far, func(m consensus.Msg, push func(consensus.Msg) error) (consensus.Msg, bool) {
+		if m.Kind == consensus.Trace {
+			r := k.Report(m.Key)
+			r.Feed, r.Relays, r.Counts = hub.Num(), hub.Relays(), telemetry.Map()
+			pools.report(r)
+			return consensus.Msg{OK: true, Report: r}, true
+		}
+		if m.Kind == consensus.Follow {
+			hub.Follow(m, push)
+			return consensus.Msg{}, false
+		}
+		if m.Kind == consensus.Confirm {
+			return hub.Confirm(m), true
+		}
+		if m.Kind == consensus.Counts || m.Kind == consensus.Fold {
+			return pools.duty.Counted(m), true
+		}
+		return k.Handle(m), true
+	})
+	d.srv = &Server{Keeper: k, Zones: s.Zones, room: room{most: s.Limits.MemoryMB << 20 / 8}}
+	m.Serve(d.srv, lc)
+	concurrency.Go(func() {
+		for !d.over.Load() {
+			if d.founder.Load() && !acc.Voting() {
+				if k.Begin() {
+					d.founder.Store(false)
+				}
+			} else if acc.Ready() && (k.Disk || acc.Roster().Has(k.Self)) {
+				k.Regain()
+			}
+			k.Gossip()
+			if !k.Rounds() && !d.founder.Load() {
+				clock.Sleep(consensus.Beat / 4)
+				continue
+			}
+			begun := clock.Now()
+			k.Round()
+			hub.Check()
+			if !k.Sure(3 * consensus.Beat) {
+				clock.Sleep(consensus.Beat / 4)
+				continue
+			}
+			clock.Sleep(max(consensus.Beat-clock.Since(begun), consensus.Beat/4))
+		}
+	})
+	duty := &discovery.Duty{Duty: consensus.Duty{Keeper: k, Key: ids.ListDuty, Value: hub.Value}, Read: m.List, Drain: clock.Ms(s.Bounds.DrainMs)}
+	concurrency.Every(discovery.Glance, func() bool {
+		duty.Step()
+		return !d.over.Load()
+	})
+	if s.Pool.Enabled {
+		concurrency.Every(clock.Ms(s.Pool.WindowS*1000)/4, func() bool {
+			pools.duty.Step()
+			return !d.over.Load()
+		})
+	}
+	concurrency.Every(consensus.PauseBeat, func() bool {
+		k.Pauses.Beat()
+		return !d.over.Load()
+	})
+	d.calendar(s.Calendar.Rewrite, acc)
+	telemetry.State("keeper up", "node", self, "voting", acc.Voting())
+	return d, nil
+}
+
+func (d *Daemon) open(s *settings.Settings, fs disk.FS, acc *consensus.Acceptor) {
+	for !d.over.Load() {
+		st, err := disk.Empty, error(nil)
+		if fs == nil {
+			telemetry.State("no data-dir, forwards only where others have one")
+			acc.Use(consensus.Volatile{})
+		} else {
+			st, err = acc.Open(fs)
+		}
+		if err != nil {
+			telemetry.Trouble("disk refused", "err", err)
+			clock.Sleep(200 * clock.Millisecond)
+			continue
+		}
+		seat := false
+		for _, n := range d.Keeper.Founders {
+			seat = seat || n == d.Keeper.Self
+		}
+		switch {
+		case st == disk.Empty && s.Initial && seat:
+			if err := acc.First(); err != nil {
+				telemetry.Trouble("first start not noted on disk", "err", err)
+			}
+			d.founder.Store(true)
+		case fs == nil:
+		case st != disk.Whole:
+			telemetry.Trouble("disk without its records, not voting", "state", int(st))
+		}
+		return
+	}
+}
+
+// Take takes changed settings in: the zones and the seeds.
+func (d *Daemon) Take(s *settings.Settings) {
+	d.srv.SetZones(s.Zones)
+	var ns []ids.Node
+	for _, a := range s.Seeds {
+		ns = append(ns, ids.Node(s.Keeper(a)))
+	}
+	d.Keeper.Seeded(ns, consensus.Seats(s.Tolerance.Machines, len(s.Zones)))
+}
+
+// Stop ends the daemon.
+func (d *Daemon) Stop() {
+	d.over.Store(true)
+	d.srv.Stop()
+	_ = d.lc.Close()
+	d.in.Close()
+	d.net.Close()
+	d.Keeper.Acceptor().Close()
+}
+
+func (d *Daemon) calendar(when string, acc *consensus.Acceptor) {
+	if when == "" {
+		return
+	}
+	c, err := schedule.Parse(when)
+	if err != nil {
+		return
+	}
+	concurrency.Every(20*clock.Second, func() bool {
+		if c.Due(clock.Day()) {
+			if err := acc.Rewrite(); err != nil {
+				telemetry.Trouble("log not rewritten", "err", err)
+			} else {
+				telemetry.State("log rewritten")
+			}
+		}
+		return !d.over.Load()
+	})
+}
+
+func label(key ids.Key, val []byte) string {
+	if key == ids.Configuration {
+		if s, err := configuration.Decode(val); err == nil {
+			return strconv.FormatInt(int64(s.Version), 10)
+		}
+		return ""
+	}
+	if _, ok := key.Evacuated(); ok {
+		return string(val)
+	}
+	return ""
+}
+
+// diff tells what changed from one value of a key to the next.
+func diff(key ids.Key, old, fresh []byte) []byte {
+	switch key {
+	case ids.List:
+		return discovery.Diff(old, fresh)
+	case ids.Configuration:
+		return configuration.Delta(old, fresh)
+	}
+	return nil
+}
+
+// patch makes the value of a key that a change from another leads to.
+func patch(key ids.Key, old, change []byte) ([]byte, bool) {
+	if key != ids.List {
+		return nil, false
+	}
+	return discovery.Patch(old, change)
+}
--- a/internal/ctl/history_test.go
+++ b/internal/control/history_test.go
@@ -1,4 +1,4 @@
-package ctl
+package control
 
 import (
 	"fmt"
@@ -8,19 +8,19 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/conf"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/configuration"
+	"spoolswitch/internal/consensus"
 	"spoolswitch/internal/feed"
-	"spoolswitch/internal/keep"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
 )
 
 // mesh joins keepers; a part of the questions and of the answers is lost.
 type mesh struct {
 	mu   sync.Mutex
-	ks   map[word.Node]*keep.Keeper
+	ks   map[ids.Node]*consensus.Keeper
 	rnd  *rand.Rand
 	lost float64
 }
@@ -39,17 +39,17 @@
 
 type reply struct {
 	mu sync.Mutex
-	a  keep.Msg
+	a  consensus.Msg
 }
 
 // Ask gives up soon where something is lost, as though more were sent anew.
-func (m *mesh) Ask(to word.Node, q keep.Msg, timeout clk.Span) (keep.Msg, bool) {
+func (m *mesh) Ask(to ids.Node, q consensus.Msg, timeout clock.Span) (consensus.Msg, bool) {
 	if m.draw(m.lost) {
-		clk.Sleep(min(timeout, 20*clk.Millisecond))
-		return keep.Msg{}, false
+		clock.Sleep(min(timeout, 20*clock.Millisecond))
+		return consensus.Msg{}, false
 	}
-	r, done := &reply{}, spawn.NewMark()
-	spawn.Go(func() {
+	r, done := &reply{}, concurrency.NewMark()
+	concurrency.Go(func() {
 		a := m.ks[to].Handle(q)
 		r.mu.Lock()
 		r.a = a
@@ -57,7 +57,7 @@
 		done.Set()
 	})
 	if !done.Wait(timeout) || m.draw(m.lost) {
-		return keep.Msg{}, false
+		return consensus.Msg{}, false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -71,43 +71,43 @@
 // read before they began.
 func TestHistory(t *testing.T) {
 	is := is.New(t)
-	seats := []word.Node{"a", "b", "c"}
-	m := &mesh{ks: map[word.Node]*keep.Keeper{}, rnd: rand.New(rand.NewSource(1)), lost: 0.1}
+	seats := []ids.Node{"a", "b", "c"}
+	m := &mesh{ks: map[ids.Node]*consensus.Keeper{}, rnd: rand.New(rand.NewSource(1)), lost: 0.1}
 	for _, n := range seats {
-		acc := keep.NewAcceptor()
-		acc.Use(keep.Volatile{})
-		is.NoErr(acc.Found(keep.Roster{Num: 1, Seat: seats}, nil))
-		k := keep.New(n, acc, m, feed.NewHub())
+		acc := consensus.NewAcceptor()
+		acc.Use(consensus.Volatile{})
+		is.NoErr(acc.Found(consensus.Roster{Num: 1, Seat: seats}, nil))
+		k := consensus.New(n, acc, m, feed.NewHub())
 		k.Decider = Decide
 		m.ks[n] = k
 	}
-	change := func(o *keep.Order) keep.Msg {
-		return m.ks[seats[m.pick(3)]].Change(word.Configuration, o, clk.Now().Add(opTimeout))
+	change := func(o *consensus.Order) consensus.Msg {
+		return m.ks[seats[m.pick(3)]].Change(ids.Configuration, o, clock.Now().Add(opTimeout))
 	}
-	read := func() *conf.State {
+	read := func() *configuration.State {
 		for {
-			if a := change(&keep.Order{Query: true}); a.OK {
-				s, err := conf.Decode(a.Val)
+			if a := change(&consensus.Order{Query: true}); a.OK {
+				s, err := configuration.Decode(a.Val)
 				is.NoErr(err)
 				return s
 			}
 		}
 	}
 	var mu sync.Mutex
-	var newest word.Version // acknowledged or read
-	taken := map[word.Version]int{}
-	var acked, refused []*conf.Order
-	seen := func(v word.Version) {
+	var newest ids.Version // acknowledged or read
+	taken := map[ids.Version]int{}
+	var acked, refused []*configuration.Order
+	seen := func(v ids.Version) {
 		mu.Lock()
 		defer mu.Unlock()
 		newest = max(newest, v)
 	}
-	least := func() word.Version {
+	least := func() ids.Version {
 		mu.Lock()
 		defer mu.Unlock()
 		return newest
 	}
-	look := func() word.Version {
+	look := func() ids.Version {
 		from := least()
 		v := read().Version
 		if v < from {
@@ -118,17 +118,17 @@
 	}
 	const operators, each = 8, 12
 	left := operators
-	done := spawn.NewMark()
+	done := concurrency.NewMark()
 	for op := range operators {
-		spawn.Go(func() {
+		concurrency.Go(func() {
 			for n := range each {
 				base := look()
-				version := base + word.Version(1+m.pick(3))
-				o := &conf.Order{Base: base, Body: fmt.Appendf(nil,
+				version := base + ids.Version(1+m.pick(3))
+				o := &configuration.Order{Base: base, Body: fmt.Appendf(nil,
 					`{"version":%d,"route-table":[{"name":"r","authority":"h","path-prefix":"/%d-%d/","route-class":"safe","timeout-ms":9,"service":"s"}],"service-table":[{"name":"s"}]}`, version, op, n)}
 				for {
-					a := change(&keep.Order{Base: o.Base, Body: o.Body})
-					if m.draw(0.9) || !a.OK && a.Code != code.OtherVersion {
+					a := change(&consensus.Order{Base: o.Base, Body: o.Body})
+					if m.draw(0.9) || !a.OK && a.Code != codes.OtherVersion {
 						continue
 					}
 					mu.Lock()
@@ -153,7 +153,7 @@
 			}
 		})
 	}
-	is.True(done.Wait(5 * clk.Minute))
+	is.True(done.Wait(5 * clock.Minute))
 	last := read()
 	for base, n := range taken {
 		if n > 1 {
@@ -167,7 +167,7 @@
 	}
 	for _, o := range refused {
 		_, err := last.Apply(o)
-		is.Equal(code.Of(err), code.OtherVersion)
+		is.Equal(codes.Of(err), codes.OtherVersion)
 	}
 	is.Equal(len(acked)+len(refused), operators*each)
 	is.Equal(len(last.Taken), len(acked))
--- a/internal/ctl/pools.go
+++ b/internal/control/pools.go
@@ -1,17 +1,17 @@
-package ctl
+package control
 
 import (
 	"sort"
 	"sync"
 
-	"spoolswitch/internal/boot"
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/conf"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/configuration"
+	"spoolswitch/internal/consensus"
+	"spoolswitch/internal/discovery"
 	"spoolswitch/internal/feed"
-	"spoolswitch/internal/keep"
-	"spoolswitch/internal/list"
+	"spoolswitch/internal/ids"
 	"spoolswitch/internal/pool"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/settings"
 )
 
 // pools joins the balancer's duty to what the feed has.
@@ -20,37 +20,37 @@
 	hub  *feed.Hub
 
 	mu       sync.Mutex
-	conf     word.Place
-	list     word.Place
-	table    *conf.Table
-	replicas []list.Replica
+	conf     ids.Place
+	list     ids.Place
+	table    *configuration.Table
+	replicas []discovery.Replica
 }
 
-func newPools(s *boot.Settings, k *keep.Keeper, hub *feed.Hub) *pools {
+func newPools(s *settings.Settings, k *consensus.Keeper, hub *feed.Hub) *pools {
 	p := &pools{hub: hub}
-	p.duty = &pool.Duty{Duty: keep.Duty{Keeper: k, Key: word.PoolDuty, Value: hub.Value},
+	p.duty = &pool.Duty{Duty: consensus.Duty{Keeper: k, Key: ids.PoolDuty, Value: hub.Value},
 		Rules:  pool.Rules{Hysteresis: s.Pool.Hysteresis, Floor: s.Pool.Floor, Moves: s.Pool.Moves, Least: s.Pool.Least},
-		Window: clk.Ms(s.Pool.WindowS * 1000), Services: p.services,
-		Plan: func() ([]byte, word.Place) { return hub.Value(word.Plan) }}
+		Window: clock.Ms(s.Pool.WindowS * 1000), Services: p.services,
+		Plan: func() ([]byte, ids.Place) { return hub.Value(ids.Plan) }}
 	return p
 }
 
-func (p *pools) services() map[word.Service]pool.Service {
+func (p *pools) services() map[ids.Service]pool.Service {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if b, at := p.hub.Value(word.Configuration); at != p.conf {
-		if st, err := conf.Decode(b); err == nil && st.Version > 0 {
-			if d, errs := conf.Read(st.JSON); len(errs) == 0 {
-				p.conf, p.table = at, conf.NewTable(d)
+	if b, at := p.hub.Value(ids.Configuration); at != p.conf {
+		if st, err := configuration.Decode(b); err == nil && st.Version > 0 {
+			if d, errs := configuration.Read(st.JSON); len(errs) == 0 {
+				p.conf, p.table = at, configuration.NewTable(d)
 			}
 		}
 	}
-	if b, at := p.hub.Value(word.List); at != p.list {
-		if rs, ok := list.Decode(b); ok {
+	if b, at := p.hub.Value(ids.List); at != p.list {
+		if rs, ok := discovery.Decode(b); ok {
 			p.list, p.replicas = at, rs
 		}
 	}
-	out := map[word.Service]pool.Service{}
+	out := map[ids.Service]pool.Service{}
 	if p.table == nil {
 		return out
 	}
@@ -67,14 +67,14 @@
 	return out
 }
 
-func (p *pools) report(r *keep.Report) {
+func (p *pools) report(r *consensus.Report) {
 	plan, counts, moves := p.duty.Report()
 	r.Moves, r.Holder = moves, p.duty.Holder()
 	if plan == nil {
 		return
 	}
 	for s, x := range plan.Splits {
-		o := keep.Pool{Service: s, Plan: plan.Num, Heavy: x.Heavy, Prefill: x.Prefill, Share: x.Share, Why: x.Why}
+		o := consensus.Pool{Service: s, Plan: plan.Num, Heavy: x.Heavy, Prefill: x.Prefill, Share: x.Share, Why: x.Why}
 		if w := counts.Services[s]; w != nil {
 			for _, b := range w.Buckets {
 				o.Requests += b.N
--- a/internal/ctl/room.go
+++ b/internal/control/room.go
@@ -1,4 +1,4 @@
-package ctl
+package control
 
 import (
 	"io"
@@ -6,7 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/codes"
 )
 
 const (
@@ -59,9 +59,9 @@
 	b, err := io.ReadAll(io.LimitReader(x.RequestBodyStream(), bodyMost+1))
 	switch {
 	case len(b) > bodyMost:
-		return nil, code.New(code.BodyTooLarge, "over %d bytes", bodyMost)
+		return nil, codes.New(codes.BodyTooLarge, "over %d bytes", bodyMost)
 	case err != nil:
-		return nil, code.New(code.Unreadable, "%v", err)
+		return nil, codes.New(codes.Unreadable, "%v", err)
 	}
 	return b, nil
 }
--- a/internal/ctl/room_test.go
+++ b/internal/control/room_test.go
@@ -1,4 +1,4 @@
-package ctl
+package control
 
 import (
 	"net"
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
-	"spoolswitch/internal/clk"
+	"spoolswitch/internal/clock"
 )
 
 // Orders that are not read to their end take room from those that come after,
@@ -28,7 +28,7 @@
 			if m == n {
 				return
 			}
-			clk.Sleep(clk.Millisecond)
+			clock.Sleep(clock.Millisecond)
 		}
 	}
 	inHand(1)
--- a/internal/ctl/server.go
+++ b/internal/control/server.go
@@ -1,4 +1,4 @@
-package ctl
+package control
 
 import (
 	"bytes"
@@ -8,31 +8,31 @@
 
 	"github.com/valyala/fasthttp"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/conf"
-	"spoolswitch/internal/keep"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/configuration"
+	"spoolswitch/internal/consensus"
+	"spoolswitch/internal/ids"
 	"spoolswitch/internal/match"
-	"spoolswitch/internal/note"
 	"spoolswitch/internal/response"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/wire"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/rpc"
+	"spoolswitch/internal/telemetry"
 )
 
 const (
-	opTimeout = 850 * clk.Millisecond
+	opTimeout = 850 * clock.Millisecond
 	// cutTimeout is how long an order is tried where no majority is seen: its
 	// client is to go on to another daemon soon.
-	cutTimeout = 450 * clk.Millisecond
-	comeAgain  = 100 * clk.Millisecond
+	cutTimeout = 450 * clock.Millisecond
+	comeAgain  = 100 * clock.Millisecond
 )
 
 type call func(s *Server, x *fasthttp.RequestCtx, parts []string) response.Response
 
 // Server answers operators.
 type Server struct {
-	Keeper *keep.Keeper
+	Keeper *consensus.Keeper
 	Zones  map[string]string
 	mu     sync.Mutex
 	srv    *fasthttp.Server
@@ -56,8 +56,8 @@
 		return s.evacuate(x, p[0], false)
 	}).
 	Add("GET", "/-/ready", func(s *Server, _ *fasthttp.RequestCtx, _ []string) response.Response {
-		if !s.Keeper.Sure(2 * clk.Second) {
-			return response.Of(code.NotReady, "")
+		if !s.Keeper.Sure(2 * clock.Second) {
+			return response.Of(codes.NotReady, "")
 		}
 		return response.OK(nil)
 	})
@@ -68,11 +68,11 @@
 // Serve answers calls that come in at l.
 func (s *Server) Serve(l net.Listener) {
 	s.srv = &fasthttp.Server{
-		Handler: s.handle, MaxRequestBodySize: bodyMost, ReadTimeout: 10 * clk.Second, IdleTimeout: 30 * clk.Second,
+		Handler: s.handle, MaxRequestBodySize: bodyMost, ReadTimeout: 10 * clock.Second, IdleTimeout: 30 * clock.Second,
 		NoDefaultServerHeader: true, NoDefaultDate: true, ReadBufferSize: 16 << 10, Concurrency: 256,
 		StreamRequestBody: true, DisablePreParseMultipartForm: true, CloseOnShutdown: true, Logger: quiet{},
 	}
-	spawn.Go(func() { _ = s.srv.Serve(l) })
+	concurrency.Go(func() { _ = s.srv.Serve(l) })
 }
 
 // SetZones changes which zones there are.
@@ -87,12 +87,12 @@
 	if s.srv == nil {
 		return
 	}
-	done := spawn.NewMark()
-	spawn.Go(func() {
+	done := concurrency.NewMark()
+	concurrency.Go(func() {
 		_ = s.srv.Shutdown()
 		done.Set()
 	})
-	done.Wait(clk.Second)
+	done.Wait(clock.Second)
 }
 
 type quiet struct{}
@@ -102,15 +102,15 @@
 func (s *Server) handle(x *fasthttp.RequestCtx) {
 	c, parts, err := calls.Find(string(x.Method()), string(x.Path()))
 	if err != nil {
-		response.Of(code.Of(err), "").Fill(x)
+		response.Of(codes.Of(err), "").Fill(x)
 		return
 	}
 	r := c(s, x, parts)
-	note.Counter("control." + strconv.Itoa(r.Status)).Add(1)
+	telemetry.Counter("control." + strconv.Itoa(r.Status)).Add(1)
 	r.Fill(x)
 }
 
-func of(a keep.Msg) response.Response {
+func of(a consensus.Msg) response.Response {
 	if a.OK {
 		return response.OK(nil)
 	}
@@ -121,64 +121,64 @@
 	return r
 }
 
-func (s *Server) deadline() clk.Tick {
+func (s *Server) deadline() clock.Tick {
 	if s.Keeper.Cut() {
-		return clk.Now().Add(cutTimeout)
+		return clock.Now().Add(cutTimeout)
 	}
-	return clk.Now().Add(opTimeout)
+	return clock.Now().Add(opTimeout)
 }
 
 func (s *Server) change(x *fasthttp.RequestCtx, modify bool) response.Response {
 	b, err := strconv.ParseInt(string(bytes.TrimSpace(x.Request.Header.Peek("Base-Version"))), 10, 64)
 	if err != nil || b < 0 {
-		return response.Of(code.BadFields, "Base-Version is missing or no number")
+		return response.Of(codes.BadFields, "Base-Version is missing or no number")
 	}
 	n := length(x)
 	if n > bodyMost {
-		return response.Of(code.BodyTooLarge, "").Last()
+		return response.Of(codes.BodyTooLarge, "").Last()
 	}
 	if !s.room.take(n) {
-		return response.Of(code.QueueFull, "too many orders in hand").Later(comeAgain).Last()
+		return response.Of(codes.QueueFull, "too many orders in hand").Later(comeAgain).Last()
 	}
 	defer s.room.give(n)
-	o := &keep.Order{Modify: modify, Base: word.Version(b)}
+	o := &consensus.Order{Modify: modify, Base: ids.Version(b)}
 	if o.Body, err = body(x); err != nil {
-		return response.Of(code.Of(err), err.Error()).Last()
+		return response.Of(codes.Of(err), err.Error()).Last()
 	}
-	if err := conf.Legible(o.Body); err != nil {
-		return response.Of(code.Of(err), err.Error())
+	if err := configuration.Legible(o.Body); err != nil {
+		return response.Of(codes.Of(err), err.Error())
 	}
-	return s.order(x, word.Configuration, o)
+	return s.order(x, ids.Configuration, o)
 }
 
-func accepted(x *fasthttp.RequestCtx) clk.Tick {
-	if o, ok := x.Conn().(wire.Other); ok {
+func accepted(x *fasthttp.RequestCtx) clock.Tick {
+	if o, ok := x.Conn().(rpc.Other); ok {
 		return o.Accepted()
 	}
-	return clk.Of(x.ConnTime())
+	return clock.Of(x.ConnTime())
 }
 
 // order has an order carried out for a client that surely waits for it: it was
 // sent after the last pause of this process, and the connection is open.
-func (s *Server) order(x *fasthttp.RequestCtx, key word.Key, o *keep.Order) response.Response {
+func (s *Server) order(x *fasthttp.RequestCtx, key ids.Key, o *consensus.Order) response.Response {
 	deadline := s.deadline()
-	if !s.Keeper.Pauses.Vouched(accepted(x)) || wire.Gone(x.Conn()) {
-		return response.Of(code.Unvouched, "").Later(comeAgain).Last()
+	if !s.Keeper.Pauses.Vouched(accepted(x)) || rpc.Gone(x.Conn()) {
+		return response.Of(codes.Unvouched, "").Later(comeAgain).Last()
 	}
 	return of(s.Keeper.Change(key, o, deadline))
 }
 
 func (s *Server) retrieve() response.Response {
-	a := s.Keeper.Change(word.Configuration, &keep.Order{Query: true}, s.deadline())
+	a := s.Keeper.Change(ids.Configuration, &consensus.Order{Query: true}, s.deadline())
 	if !a.OK {
 		return of(a)
 	}
-	st, err := conf.Decode(a.Val)
+	st, err := configuration.Decode(a.Val)
 	if err != nil {
-		return response.Of(code.Of(err), "")
+		return response.Of(codes.Of(err), "")
 	}
 	if st.Version == 0 {
-		return response.Of(code.Nothing, "")
+		return response.Of(codes.Nothing, "")
 	}
 	return response.OK(st.JSON)
 }
@@ -188,7 +188,7 @@
 	_, ok := s.Zones[zone]
 	s.mu.Unlock()
 	if !ok {
-		return response.Of(code.NoZone, zone)
+		return response.Of(codes.NoZone, zone)
 	}
-	return s.order(x, word.Evacuation(word.Zone(zone)), &keep.Order{On: on})
+	return s.order(x, ids.Evacuation(ids.Zone(zone)), &consensus.Order{On: on})
 }
--- a/internal/ctl/server_test.go
+++ b/internal/control/server_test.go
@@ -1,4 +1,4 @@
-package ctl
+package control
 
 import (
 	"net"
@@ -8,26 +8,26 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
-	"spoolswitch/internal/clk"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/consensus"
 	"spoolswitch/internal/feed"
-	"spoolswitch/internal/keep"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/wire"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/rpc"
 )
 
 // silence is a net on which nobody ever answers.
 type silence struct{}
 
-func (silence) Ask(_ word.Node, _ keep.Msg, d clk.Span) (keep.Msg, bool) {
-	clk.Sleep(d)
-	return keep.Msg{}, false
+func (silence) Ask(_ ids.Node, _ consensus.Msg, d clock.Span) (consensus.Msg, bool) {
+	clock.Sleep(d)
+	return consensus.Msg{}, false
 }
 
 func cutOff(t *testing.T, disk bool) *Server {
-	acc := keep.NewAcceptor()
-	acc.Use(keep.Volatile{})
-	r := keep.Roster{Num: 1, Seat: []word.Node{"a", "b", "c"}}
+	acc := consensus.NewAcceptor()
+	acc.Use(consensus.Volatile{})
+	r := consensus.Roster{Num: 1, Seat: []ids.Node{"a", "b", "c"}}
 	if disk {
 		if err := acc.Found(r, nil); err != nil {
 			t.Fatal(err)
@@ -35,7 +35,7 @@
 	} else if err := acc.Adopt(r); err != nil {
 		t.Fatal(err)
 	}
-	k := keep.New("a", acc, silence{}, feed.NewHub())
+	k := consensus.New("a", acc, silence{}, feed.NewHub())
 	if !disk {
 		k.Self = "d"
 	}
@@ -43,7 +43,7 @@
 	return &Server{Keeper: k, Zones: map[string]string{"z": ""}}
 }
 
-func ask(s *Server, method, path, base, body string) (int, string, clk.Span) {
+func ask(s *Server, method, path, base, body string) (int, string, clock.Span) {
 	var x fasthttp.RequestCtx
 	x.Request.Header.SetMethod(method)
 	x.Request.SetRequestURI(path)
@@ -51,16 +51,16 @@
 	if base != "" {
 		x.Request.Header.Set("Base-Version", base)
 	}
-	begun := clk.Now()
+	begun := clock.Now()
 	s.Handle(&x)
-	return x.Response.StatusCode(), string(x.Response.Header.Peek("Retry-After")), clk.Since(begun)
+	return x.Response.StatusCode(), string(x.Response.Header.Peek("Retry-After")), clock.Since(begun)
 }
 
 // Without a majority nothing is answered that hangs on the state, good or bad,
 // and soon; what hangs on the text alone is answered at once.
 func TestCutSide(t *testing.T) {
-	w := spawn.NewWorld(1)
-	w.Died = func(_ *spawn.Process, what any, stack string) { t.Error(what, stack) }
+	w := concurrency.NewWorld(1)
+	w.Died = func(_ *concurrency.Process, what any, stack string) { t.Error(what, stack) }
 	w.Run(func() { cutSide(t) })
 }
 
@@ -84,7 +84,7 @@
 			st, again, took := ask(s, c.method, c.path, c.base, c.body)
 			is.Equal(st, 503)
 			is.True(again != "")
-			is.True(took < 600*clk.Millisecond)
+			is.True(took < 600*clock.Millisecond)
 		}
 		for _, c := range []struct{ path, base, body string }{
 			{replace, "", `{"version":1}`},
@@ -96,26 +96,28 @@
 			is := is.New(t)
 			st, _, took := ask(s, "POST", c.path, c.base, c.body)
 			is.Equal(st, 400)
-			is.True(took < 100*clk.Millisecond)
+			is.True(took < 100*clock.Millisecond)
 		}
 	}
 }
 
 type nobody struct{}
 
-func (nobody) Ask(word.Node, keep.Msg, clk.Span) (keep.Msg, bool) { return keep.Msg{}, false }
+func (nobody) Ask(ids.Node, consensus.Msg, clock.Span) (consensus.Msg, bool) {
+	return consensus.Msg{}, false
+}
 
 // newServer is a server over a keeper that has the only seat.
 func newServer(t *testing.T) (*Server, net.Listener) {
-	acc := keep.NewAcceptor()
-	acc.Use(keep.Volatile{})
-	k := keep.New("a", acc, nobody{}, feed.NewHub())
+	acc := consensus.NewAcceptor()
+	acc.Use(consensus.Volatile{})
+	k := consensus.New("a", acc, nobody{}, feed.NewHub())
 	k.Decider = Decide
-	k.Pauses = &keep.Pauses{}
-	if err := acc.Found(keep.Roster{Num: 1, Seat: []word.Node{"a"}}, nil); err != nil {
+	k.Pauses = &consensus.Pauses{}
+	if err := acc.Found(consensus.Roster{Num: 1, Seat: []ids.Node{"a"}}, nil); err != nil {
 		t.Fatal(err)
 	}
-	l, err := wire.Listen("127.0.0.1:0")
+	l, err := rpc.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -126,7 +128,7 @@
 }
 
 func (s *Server) zone() string {
-	a := s.Keeper.Change(word.Evacuation("z"), &keep.Order{Query: true}, clk.Now().Add(5*clk.Second))
+	a := s.Keeper.Change(ids.Evacuation("z"), &consensus.Order{Query: true}, clock.Now().Add(5*clock.Second))
 	return string(a.Val)
 }
 
@@ -161,14 +163,14 @@
 	old := dial(t, l)
 	is.True(strings.HasPrefix(say(t, old, "GET /-/unknown HTTP/1.1\r\nHost: h\r\n\r\n"), "HTTP/1.1 404"))
 	s.Keeper.Pauses.Beat()
-	clk.Sleep(600 * clk.Millisecond) // nothing shows that it runs
+	clock.Sleep(600 * clock.Millisecond) // nothing shows that it runs
 	for _, c := range []net.Conn{old, dial(t, l)} {
 		a := say(t, c, initiate)
 		is.True(strings.HasPrefix(a, "HTTP/1.1 503") && strings.Contains(a, `"code":316`))
 		is.True(strings.Contains(a, "Connection: close") && strings.Contains(a, "Retry-After"))
 		is.Equal(s.zone(), "")
 	}
-	clk.Sleep(310 * clk.Millisecond)
+	clock.Sleep(310 * clock.Millisecond)
 	is.True(strings.HasPrefix(say(t, dial(t, l), initiate), "HTTP/1.1 200"))
 	is.Equal(s.zone(), "on")
 }
@@ -178,7 +180,7 @@
 	is := is.New(t)
 	s, _ := newServer(t)
 	s.Keeper.Pauses = nil
-	l, err := wire.Listen("127.0.0.1:0")
+	l, err := rpc.Listen("127.0.0.1:0")
 	is.NoErr(err)
 	for _, gone := range []bool{true, false} {
 		c := dial(t, l)
@@ -187,10 +189,10 @@
 		if gone {
 			is.NoErr(c.Close())
 		}
-		for i := 0; gone && i < 5000 && !wire.Gone(in); i++ {
-			clk.Sleep(clk.Millisecond)
+		for i := 0; gone && i < 5000 && !rpc.Gone(in); i++ {
+			clock.Sleep(clock.Millisecond)
 		}
-		is.Equal(wire.Gone(in), gone)
+		is.Equal(rpc.Gone(in), gone)
 		var q fasthttp.Request
 		q.Header.SetMethod("POST")
 		q.SetRequestURI("/-/evacuation/z/initiate")
--- a/internal/proc/cores.go
+++ b/internal/daemon/cores.go
@@ -1,17 +1,17 @@
-package proc
+package daemon
 
 import (
 	"runtime"
 
-	"spoolswitch/internal/boot"
-	"spoolswitch/internal/note"
+	"spoolswitch/internal/settings"
+	"spoolswitch/internal/telemetry"
 )
 
 // Cores lets the process run on as many processors as its settings say, and
 // returns how many; settings that say nothing leave it at what the machine shows.
-func Cores(l boot.Limits) int {
+func Cores(l settings.Limits) int {
 	if l.Cores > 0 && l.Cores != runtime.GOMAXPROCS(0) {
-		note.State("processors", "cores", l.Cores, "were", runtime.GOMAXPROCS(l.Cores))
+		telemetry.State("processors", "cores", l.Cores, "were", runtime.GOMAXPROCS(l.Cores))
 	}
 	return runtime.GOMAXPROCS(0)
 }
--- a/internal/proc/cores_test.go
+++ b/internal/daemon/cores_test.go
@@ -1,4 +1,4 @@
-package proc
+package daemon
 
 import (
 	"fmt"
@@ -7,10 +7,10 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/boot"
+	"spoolswitch/internal/settings"
 )
 
-const settings = `
+const settingsText = `
 node-name = "a"
 ip = "10.0.0.1"
 zone = "z"
@@ -31,8 +31,8 @@
 	is := is.New(t)
 	was := runtime.GOMAXPROCS(0)
 	defer runtime.GOMAXPROCS(was)
-	file := func(line string) *boot.Settings {
-		s, errs := boot.Parse(fmt.Appendf(nil, settings, line))
+	file := func(line string) *settings.Settings {
+		s, errs := settings.Parse(fmt.Appendf(nil, settingsText, line))
 		is.Equal(len(errs), 0)
 		return s
 	}
@@ -52,5 +52,5 @@
 
 type taker struct{ n int }
 
-func (d *taker) Take(*boot.Settings) { d.n++ }
-func (d *taker) Stop()               {}
+func (d *taker) Take(*settings.Settings) { d.n++ }
+func (d *taker) Stop()                   {}
--- a/internal/proc/proc.go
+++ b/internal/daemon/daemon.go
@@ -1,6 +1,6 @@
-// Package proc is what the daemons' programs have in common: command line,
+// Package daemon is what the daemons' programs have in common: command line,
 // settings, signals, counters.
-package proc
+package daemon
 
 import (
 	"fmt"
@@ -8,10 +8,10 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"spoolswitch/internal/boot"
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/note"
-	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/settings"
+	"spoolswitch/internal/telemetry"
 )
 
 // Release is the release of all programs.
@@ -19,18 +19,18 @@
 
 // Daemon is what a program runs.
 type Daemon interface {
-	Take(*boot.Settings)
+	Take(*settings.Settings)
 	Stop()
 }
 
 // Main runs a daemon until it is told to stop.
-func Main(name, help string, start func(*boot.Settings) (Daemon, error)) {
-	app := kingpin.New(name, help+" Settings are read from the file that "+boot.Env+" names.")
+func Main(name, help string, start func(*settings.Settings) (Daemon, error)) {
+	app := kingpin.New(name, help+" Settings are read from the file that "+settings.Env+" names.")
 	app.Version(Release)
 	app.HelpFlag.Short('h')
 	pools := app.Flag("pool", "Divide replicas into prefill and decode pools, whatever the settings say.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	s, errs := boot.Load()
+	s, errs := settings.Load()
 	if len(errs) > 0 {
 		for _, err := range errs {
 			fmt.Fprintln(os.Stderr, err)
@@ -44,19 +44,19 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	done := spawn.NewMark()
-	w := &boot.Watch{Path: os.Getenv(boot.Env), Take: take(d)}
+	done := concurrency.NewMark()
+	w := &settings.Watch{Path: os.Getenv(settings.Env), Take: take(d)}
 	w.Run()
-	spawn.Signals(done.Set, w.Look)
-	for !done.Wait(clk.Minute) {
-		note.Sum()
+	concurrency.Signals(done.Set, w.Look)
+	for !done.Wait(clock.Minute) {
+		telemetry.Sum()
 	}
 	d.Stop()
-	note.Sum()
+	telemetry.Sum()
 }
 
-func take(d Daemon) func(*boot.Settings) {
-	return func(s *boot.Settings) {
+func take(d Daemon) func(*settings.Settings) {
+	return func(s *settings.Settings) {
 		Cores(s.Limits)
 		d.Take(s)
 	}
--- a/internal/deflate/deflate.go
+++ b/internal/deflate/deflate.go
@@ -6,7 +6,7 @@
 	"compress/flate"
 	"io"
 
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/codes"
 )
 
 const (
@@ -42,10 +42,10 @@
 	r := flate.NewReader(bytes.NewReader(packed))
 	val, err := io.ReadAll(io.LimitReader(r, inflatedMost+1))
 	if err != nil {
-		return nil, code.New(code.BadBody, "%v", err)
+		return nil, codes.New(codes.BadBody, "%v", err)
 	}
 	if len(val) > inflatedMost {
-		return nil, code.New(code.BodyTooLarge, "a value of over %d bytes", inflatedMost)
+		return nil, codes.New(codes.BodyTooLarge, "a value of over %d bytes", inflatedMost)
 	}
 	return val, nil
 }
--- a/internal/deflate/deflate_test.go
+++ b/internal/deflate/deflate_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/codes"
 )
 
 func TestPack(t *testing.T) {
@@ -24,7 +24,7 @@
 		is.NoErr(err)
 		is.Equal(got, val)
 		_, err = Unpack(out[:len(out)/2])
-		is.Equal(code.Of(err), code.BadBody)
+		is.Equal(codes.Of(err), codes.BadBody)
 	}
 	noise := make([]byte, 4096)
 	for i := range noise {
@@ -38,5 +38,5 @@
 	huge, packed := Pack(make([]byte, inflatedMost+1))
 	is.True(packed)
 	_, err = Unpack(huge)
-	is.Equal(code.Of(err), code.BodyTooLarge)
+	is.Equal(codes.Of(err), codes.BodyTooLarge)
 }
--- a/internal/list/delta.go
+++ b/internal/discovery/delta.go
@@ -1,4 +1,4 @@
-package list
+package discovery
 
 import (
 	"bytes"
@@ -8,7 +8,7 @@
 	"slices"
 	"strings"
 
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
 )
 
 // Delta is what changed from one list to the next: replicas that are new or
@@ -18,7 +18,7 @@
 type Delta struct {
 	Read Reading
 	Up   []Replica
-	Gone []word.Replica
+	Gone []ids.Replica
 }
 
 // coldSlackMs is by how much the time that a replica stays cold may differ from
@@ -35,7 +35,7 @@
 	}
 	passed, known := b.Read.since(a.Read)
 	d := Delta{Read: b.Read}
-	had := map[word.Replica]*Replica{}
+	had := map[ids.Replica]*Replica{}
 	for i := range a.Replicas {
 		had[a.Replicas[i].ID] = &a.Replicas[i]
 	}
@@ -73,7 +73,7 @@
 	if !ok || !ok2 {
 		return nil, false
 	}
-	replaced := map[word.Replica]bool{}
+	replaced := map[ids.Replica]bool{}
 	for _, id := range d.Gone {
 		replaced[id] = true
 	}
--- a/internal/list/duty.go
+++ b/internal/discovery/duty.go
@@ -1,29 +1,29 @@
-package list
+package discovery
 
 import (
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/keep"
-	"spoolswitch/internal/note"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/consensus"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/telemetry"
 )
 
 // Duty is the duty of reading the list, done by one keeper at a time.
 type Duty struct {
-	keep.Duty
+	consensus.Duty
 	Read func() ([]Replica, error)
 	// Drain is the time after which nothing may be sent to a replica that the
 	// list shows as draining.
-	Drain clk.Span
-	mu    spawn.Mutex
-	epoch word.Epoch
+	Drain clock.Span
+	mu    concurrency.Mutex
+	epoch ids.Epoch
 	seq   uint64
 	last  []Replica
-	at    clk.Tick
-	held  word.Place
-	since clk.Tick
-	wait  clk.Span
-	done  clk.Tick
+	at    clock.Tick
+	held  ids.Place
+	since clock.Tick
+	wait  clock.Span
+	done  clock.Tick
 	fails int
 	// clock names the clock that readings are told by.
 	clock uint64
@@ -31,22 +31,22 @@
 
 const (
 	// Glance is the time between two steps.
-	Glance = 100 * clk.Millisecond
+	Glance = 100 * clock.Millisecond
 
-	drainDefault = 3 * clk.Second
+	drainDefault = 3 * clock.Second
 	patience     = 3
 )
 
-func (d *Duty) drain() clk.Span {
+func (d *Duty) drain() clock.Span {
 	if d.Drain > 0 {
 		return d.Drain
 	}
 	return drainDefault
 }
 
-func (d *Duty) pause() clk.Span { return d.drain() * 3 / 10 }
+func (d *Duty) pause() clock.Span { return d.drain() * 3 / 10 }
 
-func (d *Duty) gone() clk.Span { return d.drain() / 2 }
+func (d *Duty) gone() clock.Span { return d.drain() / 2 }
 
 // Step takes one step: reads the list if the duty is this keeper's, and holds
 // a ballot if the duty is vacant.
@@ -72,14 +72,14 @@
 	if d.epoch != at.Epoch {
 		d.epoch, d.seq, d.last = at.Epoch, 0, nil
 	}
-	if d.done != 0 && clk.Since(d.done) < d.pause()-Glance/2 {
+	if d.done != 0 && clock.Since(d.done) < d.pause()-Glance/2 {
 		return
 	}
-	now := clk.Now()
+	now := clock.Now()
 	d.done = now
 	rs, err := d.Read()
 	if err != nil {
-		note.Counter("list.failed").Add(1)
+		telemetry.Counter("list.failed").Add(1)
 		if d.fails++; d.fails <= patience {
 			k.ListSeen(now)
 		}
@@ -87,8 +87,8 @@
 	}
 	d.fails = 0
 	// a reading that this process stood still in tells of a list that is gone by
-	if !k.Sure(d.gone()) || clk.Since(now) > d.drain() {
-		note.Counter("list.overtaken").Add(1)
+	if !k.Sure(d.gone()) || clock.Since(now) > d.drain() {
+		telemetry.Counter("list.overtaken").Add(1)
 		return
 	}
 	if d.seq > 0 && same(d.last, rs, now.Sub(d.at)) {
@@ -99,24 +99,24 @@
 	d.last, d.at = rs, now
 	k.ListSeen(now)
 	if d.clock == 0 {
-		d.clock = spawn.Uint64() | 1
+		d.clock = concurrency.Uint64() | 1
 	}
-	read := Reading{Clock: d.clock, AtMs: float64(now) / float64(clk.Millisecond)}
-	k.Share(word.List, word.Place{Epoch: d.epoch, Seq: d.seq}, EncodeRead(rs, read))
+	read := Reading{Clock: d.clock, AtMs: float64(now) / float64(clock.Millisecond)}
+	k.Share(ids.List, ids.Place{Epoch: d.epoch, Seq: d.seq}, EncodeRead(rs, read))
 }
 
-func (d *Duty) vacant(at word.Place) bool {
+func (d *Duty) vacant(at ids.Place) bool {
 	if at != d.held || d.since == 0 {
-		d.held, d.since = at, clk.Now()
-		d.wait = clk.Span(spawn.Int64N(int64(350 * clk.Millisecond)))
+		d.held, d.since = at, clock.Now()
+		d.wait = clock.Span(concurrency.Int64N(int64(350 * clock.Millisecond)))
 	}
-	if age := d.Keeper.ListAge(); age < clk.Second*3600 {
-		return age >= d.gone()+d.pause() && clk.Since(d.since) >= d.gone()+d.pause()
+	if age := d.Keeper.ListAge(); age < clock.Second*3600 {
+		return age >= d.gone()+d.pause() && clock.Since(d.since) >= d.gone()+d.pause()
 	}
-	return clk.Since(d.since) >= d.wait
+	return clock.Since(d.since) >= d.wait
 }
 
-func same(a, b []Replica, d clk.Span) bool {
+func same(a, b []Replica, d clock.Span) bool {
 	if len(a) != len(b) {
 		return false
 	}
@@ -125,7 +125,7 @@
 		if !alike(x, y) {
 			return false
 		}
-		if y.ColdMs > warmed(x.ColdMs, float64(d/clk.Millisecond))+coldSlackMs {
+		if y.ColdMs > warmed(x.ColdMs, float64(d/clock.Millisecond))+coldSlackMs {
 			return false
 		}
 	}
--- a/internal/list/duty_test.go
+++ b/internal/discovery/duty_test.go
@@ -1,4 +1,4 @@
-package list
+package discovery
 
 import (
 	"fmt"
@@ -7,44 +7,46 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/keep"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/consensus"
+	"spoolswitch/internal/ids"
 )
 
 // alone is the world of a single keeper.
 type alone struct {
-	items map[word.Key]keep.Item
+	items map[ids.Key]consensus.Item
 	recs  [][]byte
 }
 
-func (a *alone) Ask(word.Node, keep.Msg, clk.Span) (keep.Msg, bool) { return keep.Msg{}, false }
-func (a *alone) Publish(it keep.Item) bool {
+func (a *alone) Ask(ids.Node, consensus.Msg, clock.Span) (consensus.Msg, bool) {
+	return consensus.Msg{}, false
+}
+func (a *alone) Publish(it consensus.Item) bool {
 	a.items[it.Key] = it
 	return true
 }
-func (a *alone) Known() map[word.Key]word.Place { return nil }
-func (a *alone) Followers() []word.Node         { return nil }
-func (a *alone) Value(k word.Key) ([]byte, word.Place) {
+func (a *alone) Known() map[ids.Key]ids.Place { return nil }
+func (a *alone) Followers() []ids.Node        { return nil }
+func (a *alone) Value(k ids.Key) ([]byte, ids.Place) {
 	return a.items[k].Val, a.items[k].At
 }
 func (a *alone) Append(p []byte) error     { a.recs = append(a.recs, p); return nil }
 func (a *alone) Long(int64) bool           { return false }
 func (a *alone) Rewrite(ps [][]byte) error { return nil }
 
-func newDuty(t *testing.T) (*Duty, *alone, *clk.Sim) {
-	sim := &clk.Sim{}
+func newDuty(t *testing.T) (*Duty, *alone, *clock.Sim) {
+	sim := &clock.Sim{}
 	t.Cleanup(sim.Use())
-	w := &alone{items: map[word.Key]keep.Item{}}
-	acc := keep.NewAcceptor()
+	w := &alone{items: map[ids.Key]consensus.Item{}}
+	acc := consensus.NewAcceptor()
 	acc.Use(w)
-	if err := acc.Found(keep.Founding([]word.Node{"a"}), nil); err != nil {
+	if err := acc.Found(consensus.Founding([]ids.Node{"a"}), nil); err != nil {
 		t.Fatal(err)
 	}
-	k := keep.New("a", acc, w, w)
+	k := consensus.New("a", acc, w, w)
 	k.Round()
-	return &Duty{Duty: keep.Duty{Keeper: k, Key: word.ListDuty, Value: w.Value}}, w, sim
+	return &Duty{Duty: consensus.Duty{Keeper: k, Key: ids.ListDuty, Value: w.Value}}, w, sim
 }
 
 // The list is told when it says something new, not each time that it is read.
@@ -54,25 +56,25 @@
 	rs := []Replica{{ID: "i-1", State: "in_service", ColdMs: 3000}}
 	reads := 0
 	d.Read = func() ([]Replica, error) { reads++; return append([]Replica(nil), rs...), nil }
-	step := func(dur clk.Span) uint64 {
+	step := func(dur clock.Span) uint64 {
 		sim.Move(dur)
 		d.Keeper.Round()
 		d.Step()
-		return w.items[word.List].At.Seq
+		return w.items[ids.List].At.Seq
 	}
-	step(clk.Second) // the duty is vacant: won after a little wait
-	first := step(clk.Second)
+	step(clock.Second) // the duty is vacant: won after a little wait
+	first := step(clock.Second)
 	is.Equal(first, uint64(1))
 	rs[0].ColdMs = 2000
-	is.Equal(step(clk.Second), uint64(1)) // colder by as much as the time that went
+	is.Equal(step(clock.Second), uint64(1)) // colder by as much as the time that went
 	rs[0].ColdMs = 3000
-	is.Equal(step(clk.Second), uint64(2)) // cold again
+	is.Equal(step(clock.Second), uint64(2)) // cold again
 	rs[0].ColdMs = 0
-	is.Equal(step(4*clk.Second), uint64(2))
+	is.Equal(step(4*clock.Second), uint64(2))
 	rs[0].State = "draining"
-	is.Equal(step(clk.Second), uint64(3))
+	is.Equal(step(clock.Second), uint64(3))
 	n := reads
-	step(10 * clk.Millisecond) // never sooner than the pause
+	step(10 * clock.Millisecond) // never sooner than the pause
 	is.Equal(reads, n)
 }
 
@@ -83,43 +85,43 @@
 	d, w, sim := newDuty(t)
 	d.Read = func() ([]Replica, error) { return []Replica{{ID: "i-1", State: "in_service"}}, nil }
 	for range 3 {
-		sim.Move(clk.Second)
+		sim.Move(clock.Second)
 		d.Keeper.Round()
 		d.Step()
 	}
-	was := w.items[word.List].At
+	was := w.items[ids.List].At
 	is.True(!was.Zero())
 	d.Read = func() ([]Replica, error) {
-		sim.Move(4 * clk.Second)
+		sim.Move(4 * clock.Second)
 		return []Replica{{ID: "i-2", State: "in_service"}}, nil
 	}
-	sim.Move(clk.Second)
+	sim.Move(clock.Second)
 	d.Keeper.Round()
 	d.Step()
-	is.Equal(w.items[word.List].At, was)
-	is.True(d.Keeper.ListAge() > 4*clk.Second)
+	is.Equal(w.items[ids.List].At, was)
+	is.True(d.Keeper.ListAge() > 4*clock.Second)
 	d.Read = func() ([]Replica, error) {
-		sim.Move(400 * clk.Millisecond)
+		sim.Move(400 * clock.Millisecond)
 		return []Replica{{ID: "i-2", State: "in_service"}}, nil
 	}
 	d.Keeper.Round()
 	d.Step()
-	is.True(was.Less(w.items[word.List].At))
-	is.Equal(d.Keeper.ListAge(), 400*clk.Millisecond)
+	is.True(was.Less(w.items[ids.List].At))
+	is.Equal(d.Keeper.ListAge(), 400*clock.Millisecond)
 }
 
 // A platform that is down does not make the duty go round.
 func TestPlatformDown(t *testing.T) {
 	is := is.New(t)
 	d, w, sim := newDuty(t)
-	d.Read = func() ([]Replica, error) { return nil, code.New(code.ListRefused, "down") }
+	d.Read = func() ([]Replica, error) { return nil, codes.New(codes.ListRefused, "down") }
 	for range 20 {
-		sim.Move(200 * clk.Millisecond)
+		sim.Move(200 * clock.Millisecond)
 		d.Keeper.Round()
 		d.Step()
 	}
-	is.Equal(w.items[word.ListDuty].At.Epoch.Round, uint64(1)) // won once
-	is.True(d.Keeper.ListAge() > clk.Second)                   // and given up for others
+	is.Equal(w.items[ids.ListDuty].At.Epoch.Round, uint64(1)) // won once
+	is.True(d.Keeper.ListAge() > clock.Second)                // and given up for others
 }
 
 func TestReadPages(t *testing.T) {
@@ -139,7 +141,7 @@
 	is := is.New(t)
 	r := &Reader{Addr: "127.0.0.1:1", Rate: Share(2, 0.5)}
 	_, err := r.Read()
-	is.True(code.Of(err) == code.ListRefused)
+	is.True(codes.Of(err) == codes.ListRefused)
 	r.Rate.Reserve()
 	r.Rate.Reserve()
 	is.True(r.Rate.Tokens() < 1)
@@ -152,7 +154,7 @@
 	is := is.New(t)
 	var a, b []Replica
 	for i := range 40 {
-		r := Replica{ID: word.Replica(fmt.Sprint("i-", i)), Service: "s", Addr: "10.0.0.1:80", Zone: "z", State: "in_service", Models: []Model{{"m", 1}}}
+		r := Replica{ID: ids.Replica(fmt.Sprint("i-", i)), Service: "s", Addr: "10.0.0.1:80", Zone: "z", State: "in_service", Models: []Model{{"m", 1}}}
 		a = append(a, r)
 		switch i {
 		case 3:
@@ -171,12 +173,12 @@
 	b = append(b, Replica{ID: "i-new"})
 	d, ok := DecodeDelta(Diff(Encode(a), Encode(b)))
 	is.True(ok)
-	is.Equal(d.Gone, []word.Replica{"i-3"})
-	var up []word.Replica
+	is.Equal(d.Gone, []ids.Replica{"i-3"})
+	var up []ids.Replica
 	for _, r := range d.Up {
 		up = append(up, r.ID)
 	}
-	is.Equal(up, []word.Replica{"i-5", "i-7", "i-9", "i-11", "i-new"})
+	is.Equal(up, []ids.Replica{"i-5", "i-7", "i-9", "i-11", "i-new"})
 	is.True(len(Diff(Encode(a), Encode(b))) < len(Encode(b))/2)
 	is.True(Diff(Encode(a), []byte("x")) == nil)
 	is.True(Diff(nil, Encode(a)) == nil)
--- a/internal/list/patch_test.go
+++ b/internal/discovery/patch_test.go
@@ -1,4 +1,4 @@
-package list
+package discovery
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
 )
 
 // A keeper that patches its list by each change has the list that was read.
@@ -17,7 +17,7 @@
 	next := 0
 	fresh := func() Replica {
 		next++
-		return Replica{ID: word.Replica(fmt.Sprintf("i-%04d", next)), Service: "s", Addr: "10.0.0.1:80", Zone: "z", State: "in_service", ColdMs: float64(next % 3 * 100)}
+		return Replica{ID: ids.Replica(fmt.Sprintf("i-%04d", next)), Service: "s", Addr: "10.0.0.1:80", Zone: "z", State: "in_service", ColdMs: float64(next % 3 * 100)}
 	}
 	var rs []Replica
 	for range 50 {
@@ -61,7 +61,7 @@
 	at := func(ms float64, clock uint64, cold ...float64) []byte {
 		var rs []Replica
 		for i, c := range cold {
-			rs = append(rs, Replica{ID: word.Replica(fmt.Sprint("i-", i)), State: "in_service", Service: "a service with a name", ColdMs: c})
+			rs = append(rs, Replica{ID: ids.Replica(fmt.Sprint("i-", i)), State: "in_service", Service: "a service with a name", ColdMs: c})
 		}
 		return EncodeRead(rs, Reading{clock, ms})
 	}
--- a/internal/list/reader.go
+++ b/internal/discovery/reader.go
@@ -1,4 +1,4 @@
-package list
+package discovery
 
 import (
 	"bufio"
@@ -11,23 +11,23 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/note"
-	"spoolswitch/internal/wire"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/rpc"
+	"spoolswitch/internal/telemetry"
 )
 
 const (
-	callTimeout = 800 * clk.Millisecond
+	callTimeout = 800 * clock.Millisecond
 	pagesMost   = 1000
 )
 
-var calls = note.Counter("list.calls")
+var calls = telemetry.Counter("list.calls")
 
 // Reader reads the whole list, page by page, on one connection.
 type Reader struct {
-	Addr word.Addr
+	Addr ids.Addr
 	// Rate bounds the calls, if it is set. A reading that has begun is ended.
 	Rate *rate.Limiter
 	mu   sync.Mutex
@@ -50,7 +50,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.Rate != nil && r.Rate.Tokens() < 1 {
-		return nil, code.New(code.ListRefused, "over this daemon's share of the rate")
+		return nil, codes.New(codes.ListRefused, "over this daemon's share of the rate")
 	}
 	var out []Replica
 	token := ""
@@ -67,7 +67,7 @@
 		}
 		token = *p.Next
 	}
-	return nil, code.New(code.ListRefused, "more than %d pages", pagesMost)
+	return nil, codes.New(codes.ListRefused, "more than %d pages", pagesMost)
 }
 
 func (r *Reader) drop() {
@@ -79,9 +79,9 @@
 
 func (r *Reader) page(token string) (*page, error) {
 	if r.c == nil {
-		c, err := wire.Dial(r.Addr, callTimeout)
+		c, err := rpc.Dial(r.Addr, callTimeout)
 		if err != nil {
-			return nil, code.New(code.ListRefused, "%v", err)
+			return nil, codes.New(codes.ListRefused, "%v", err)
 		}
 		r.c, r.br = c, bufio.NewReaderSize(c, 4096)
 	}
@@ -89,27 +89,27 @@
 		r.Rate.Reserve()
 	}
 	calls.Add(1)
-	_ = r.c.SetDeadline(clk.Now().Add(callTimeout).Deadline())
+	_ = r.c.SetDeadline(clock.Now().Add(callTimeout).Deadline())
 	path := "/replicas"
 	if token != "" {
 		path += "?page-token=" + url.QueryEscape(token)
 	}
 	if _, err := r.c.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: " + string(r.Addr) + "\r\n\r\n")); err != nil {
-		return nil, code.New(code.ListRefused, "%v", err)
+		return nil, codes.New(codes.ListRefused, "%v", err)
 	}
 	var a fasthttp.Response
 	if err := a.ReadLimitBody(r.br, 8<<20); err != nil {
-		return nil, code.New(code.ListRefused, "%v", err)
+		return nil, codes.New(codes.ListRefused, "%v", err)
 	}
 	if a.ConnectionClose() {
 		defer r.drop()
 	}
 	if a.StatusCode() != 200 {
-		return nil, code.New(code.ListRefused, "status %d", a.StatusCode())
+		return nil, codes.New(codes.ListRefused, "status %d", a.StatusCode())
 	}
 	p := &page{}
 	if err := json.Unmarshal(a.Body(), p); err != nil {
-		return nil, code.New(code.ListRefused, "%v", err)
+		return nil, codes.New(codes.ListRefused, "%v", err)
 	}
 	return p, nil
 }
--- a/internal/list/replica.go
+++ b/internal/discovery/replica.go
@@ -1,11 +1,11 @@
-// Package list reads the platform's list of replicas.
-package list
+// Package discovery reads the platform's list of replicas.
+package discovery
 
 import (
 	"bytes"
 	"encoding/gob"
 
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
 )
 
 // Model is a model that a replica holds.
@@ -16,16 +16,16 @@
 
 // Replica is one entry of the list.
 type Replica struct {
-	ID      word.Replica `json:"replica-id"`
-	Service word.Service `json:"service"`
-	Addr    word.Addr    `json:"address"`
-	Zone    word.Zone    `json:"zone"`
-	Version string       `json:"version"`
-	Slots   int          `json:"capacity-slots"`
-	State   string       `json:"state"`
-	ColdMs  float64      `json:"cold-remaining-ms"`
-	Stage   string       `json:"stage"`
-	Models  []Model      `json:"models"`
+	ID      ids.Replica `json:"replica-id"`
+	Service ids.Service `json:"service"`
+	Addr    ids.Addr    `json:"address"`
+	Zone    ids.Zone    `json:"zone"`
+	Version string      `json:"version"`
+	Slots   int         `json:"capacity-slots"`
+	State   string      `json:"state"`
+	ColdMs  float64     `json:"cold-remaining-ms"`
+	Stage   string      `json:"stage"`
+	Models  []Model     `json:"models"`
 }
 
 // InService tells whether the replica may be sent to.
--- a/internal/disk/log.go
+++ b/internal/disk/log.go
@@ -9,7 +9,7 @@
 	"os"
 	"path/filepath"
 
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/codes"
 	"spoolswitch/internal/guards"
 )
 
@@ -78,7 +78,7 @@
 		}
 	}
 	if err != nil && !os.IsNotExist(err) {
-		return nil, Corrupt, code.New(code.DiskRefused, "%v", err)
+		return nil, Corrupt, codes.New(codes.DiskRefused, "%v", err)
 	}
 	state := Whole
 	if os.IsNotExist(err) {
@@ -93,7 +93,7 @@
 	}
 	f, err := fs.Open(name)
 	if err != nil {
-		return nil, state, code.New(code.DiskRefused, "%v", err)
+		return nil, state, codes.New(codes.DiskRefused, "%v", err)
 	}
 	l := &Log{fs: fs, f: f, at: at, lost: bad}
 	if bad {
@@ -101,7 +101,7 @@
 	}
 	if err := l.settle(b, last); err != nil {
 		_ = f.Close()
-		return nil, state, code.New(code.DiskRefused, "%v", err)
+		return nil, state, codes.New(codes.DiskRefused, "%v", err)
 	}
 	return l, state, nil
 }
@@ -114,14 +114,14 @@
 		return nil, nil
 	}
 	if err != nil {
-		return nil, code.New(code.DiskRefused, "%v", err)
+		return nil, codes.New(codes.DiskRefused, "%v", err)
 	}
 	at, _, bad := scan(b, func([]byte) {})
 	if bad || at == 0 || at != int64(len(b)) {
 		return nil, nil
 	}
 	if err := fs.Rename(fresh, name); err != nil {
-		return nil, code.New(code.DiskRefused, "%v", err)
+		return nil, codes.New(codes.DiskRefused, "%v", err)
 	}
 	return b, nil
 }
@@ -188,7 +188,7 @@
 // the log, but may be found as its last at the next start.
 func (l *Log) Append(p []byte) error {
 	if l.lost {
-		return code.New(code.DiskRefused, "corrupt, or no file is known to have the name")
+		return codes.New(codes.DiskRefused, "corrupt, or no file is known to have the name")
 	}
 	if l.owed {
 		if err := l.named(); err != nil {
@@ -219,7 +219,7 @@
 		return nil
 	}
 	if err := l.fs.SyncDir(); err != nil {
-		return code.New(code.DiskRefused, "%v", err)
+		return codes.New(codes.DiskRefused, "%v", err)
 	}
 	l.owed = false
 	return nil
@@ -228,12 +228,12 @@
 func (l *Log) refuse(err error) error {
 	l.hurt = true
 	_ = l.mend()
-	return code.New(code.DiskRefused, "%v", err)
+	return codes.New(codes.DiskRefused, "%v", err)
 }
 
 func (l *Log) mend() error {
 	if err := l.f.Truncate(l.at); err != nil {
-		return code.New(code.DiskRefused, "%v", err)
+		return codes.New(codes.DiskRefused, "%v", err)
 	}
 	l.hurt = false
 	return nil
@@ -254,11 +254,11 @@
 	}
 	// after a loss of power both names may stand for one file, the log
 	if err := l.fs.Remove(fresh); err != nil && !os.IsNotExist(err) {
-		return code.New(code.DiskRefused, "%v", err)
+		return codes.New(codes.DiskRefused, "%v", err)
 	}
 	f, err := l.fs.Open(fresh)
 	if err != nil {
-		return code.New(code.DiskRefused, "%v", err)
+		return codes.New(codes.DiskRefused, "%v", err)
 	}
 	if _, err = f.WriteAt(b, 0); err == nil {
 		err = f.Sync()
@@ -266,7 +266,7 @@
 	if err != nil {
 		_ = f.Close()
 		_ = l.fs.Remove(fresh) // its room is the log's
-		return code.New(code.DiskRefused, "%v", err)
+		return codes.New(codes.DiskRefused, "%v", err)
 	}
 	if err := l.fs.Rename(fresh, name); err != nil {
 		if _, gone := l.fs.Read(fresh); !os.IsNotExist(gone) {
@@ -275,7 +275,7 @@
 			if gone == nil {
 				_ = l.fs.Remove(fresh)
 			}
-			return code.New(code.DiskRefused, "%v", err)
+			return codes.New(codes.DiskRefused, "%v", err)
 		}
 	}
 	_ = l.f.Close()
--- a/internal/evidence/stream.go
+++ b/internal/evidence/stream.go
@@ -5,7 +5,7 @@
 	"sync"
 
 	"spoolswitch/internal/kvindex"
-	"spoolswitch/internal/note"
+	"spoolswitch/internal/telemetry"
 )
 
 // Outcome is what became of an attempt, as far as it says what is kept.
@@ -21,9 +21,9 @@
 )
 
 var (
-	attempts = note.Counter("evidence.attempts")
-	unseen   = note.Counter("evidence.unseen")
-	late     = note.Counter("evidence.late")
+	attempts = telemetry.Counter("evidence.attempts")
+	unseen   = telemetry.Counter("evidence.unseen")
+	late     = telemetry.Counter("evidence.late")
 )
 
 // Stream is the publisher of one life of a replica.
--- a/internal/evidence/stream_test.go
+++ b/internal/evidence/stream_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/check"
+	"spoolswitch/internal/interleave"
 	"spoolswitch/internal/kvindex"
 )
 
@@ -30,12 +30,12 @@
 // Outcomes are published in the order of sending, whatever order they come in.
 func TestInOrder(t *testing.T) {
 	c := []kvindex.Chain{chain(t, "a:10"), chain(t, "b:10"), chain(t, "c:10")}
-	n := check.All(t, func() ([]check.Thread, func([]int)) {
+	n := interleave.All(t, func() ([]interleave.Thread, func([]int)) {
 		d := NewDesk()
 		s := d.Open(e1)
 		a := []*Attempt{s.Sent(), s.Sent(), s.Sent()}
-		settle := func(i int) check.Thread {
-			return check.Steps(func() {
+		settle := func(i int) interleave.Thread {
+			return interleave.Steps(func() {
 				if i == 1 {
 					a[i].Settle(NotRun)
 				} else {
@@ -43,7 +43,7 @@
 				}
 			}, func() { a[i].Settle(Unseen) }) // the first word counts
 		}
-		return []check.Thread{settle(0), settle(1), settle(2)}, func(o []int) {
+		return []interleave.Thread{settle(0), settle(1), settle(2)}, func(o []int) {
 			if d.tokens(c[0]) != 10 || d.tokens(c[1]) != 0 || d.tokens(c[2]) != 10 || d.Index.Quarantined() != 0 {
 				t.Errorf("order %v", o)
 			}
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -10,24 +10,24 @@
 	"strings"
 	"sync"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/consensus"
 	"spoolswitch/internal/deflate"
-	"spoolswitch/internal/keep"
-	"spoolswitch/internal/note"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/telemetry"
 )
 
 const (
 	// idle is the longest pause between two messages to a follower.
-	idle         = clk.Second
-	applyDefault = 2 * clk.Second
+	idle         = clock.Second
+	applyDefault = 2 * clock.Second
 )
 
 type kept struct {
-	it    keep.Item
-	since clk.Tick
+	it    consensus.Item
+	since clock.Tick
 	// fed is what followers get of the value, and whole the same as it is sent,
 	// nil before the first time; packed says whether that is compressed.
 	fed, whole []byte
@@ -44,7 +44,7 @@
 
 // version is an earlier value of a key, as followers got it.
 type version struct {
-	at  word.Place
+	at  ids.Place
 	fed []byte
 }
 
@@ -52,28 +52,28 @@
 const pastKept = 8
 
 type follower struct {
-	has  map[word.Key]word.Place
-	name word.Node
-	addr word.Addr
-	mark *spawn.Mark
+	has  map[ids.Key]ids.Place
+	name ids.Node
+	addr ids.Addr
+	mark *concurrency.Mark
 	num  uint64
 }
 
 // Status is what the hub says of its keeper with each message.
 type Status interface {
 	Life() uint64
-	Sure(clk.Span) bool
+	Sure(clock.Span) bool
 	Relays() int
-	ListAge() clk.Span
-	KeeperZones() map[word.Node]word.Zone
+	ListAge() clock.Span
+	KeeperZones() map[ids.Node]ids.Zone
 	// FedElsewhere tells whether a zone is another than the keeper's and has a
 	// keeper that feeds.
-	FedElsewhere(z word.Zone) bool
+	FedElsewhere(z ids.Zone) bool
 	// SeatZones tells the zone of each seat of the roster that the keeper goes
 	// by, with its number, and Rounds whether it can ever become sure.
 	// Confirmed waits for a majority's confirmation that began after the call.
-	Confirmed(timeout clk.Span) bool
-	SeatZones() (uint64, map[word.Node]word.Zone)
+	Confirmed(timeout clock.Span) bool
+	SeatZones() (uint64, map[ids.Node]ids.Zone)
 	Rounds() bool
 }
 
@@ -81,27 +81,27 @@
 type Hub struct {
 	Status Status
 	// Apply is the time within which a change has to be in force everywhere.
-	Apply clk.Span
+	Apply clock.Span
 	// Diff tells what changed from one value of a key to the next, nil if that
 	// cannot be told or is not worth it. Without it values are fed whole.
-	Diff func(key word.Key, old, fresh []byte) []byte
+	Diff func(key ids.Key, old, fresh []byte) []byte
 	// Trim leaves out of a value what only keepers need. Without it followers get
 	// values as they are.
-	Trim func(key word.Key, val []byte) []byte
+	Trim func(key ids.Key, val []byte) []byte
 
 	mu    sync.Mutex
-	past  map[word.Key][]version
+	past  map[ids.Key][]version
 	steps map[step]change
 	num   uint64
 	sure  bool
-	items map[word.Key]*kept
+	items map[ids.Key]*kept
 	who   []*follower
 }
 
 // NewHub makes an empty hub.
-func NewHub() *Hub { return &Hub{items: map[word.Key]*kept{}, past: map[word.Key][]version{}} }
+func NewHub() *Hub { return &Hub{items: map[ids.Key]*kept{}, past: map[ids.Key][]version{}} }
 
-func (h *Hub) freshFor() clk.Span {
+func (h *Hub) freshFor() clock.Span {
 	if h.Apply > 0 {
 		return h.Apply / 2
 	}
@@ -109,7 +109,7 @@
 }
 
 // Publish takes a value in; false if it is not newer than what is there.
-func (h *Hub) Publish(it keep.Item) bool {
+func (h *Hub) Publish(it consensus.Item) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if have, ok := h.items[it.Key]; ok && !have.it.At.Less(it.At) {
@@ -117,7 +117,7 @@
 	}
 	h.num++
 	it.Num = h.num
-	v := &kept{it: it, since: clk.Now(), fed: it.Val}
+	v := &kept{it: it, since: clock.Now(), fed: it.Val}
 	if h.Trim != nil {
 		v.fed = h.Trim(it.Key, it.Val)
 	}
@@ -145,10 +145,10 @@
 }
 
 // Known tells the place of each value that the hub has.
-func (h *Hub) Known() map[word.Key]word.Place {
+func (h *Hub) Known() map[ids.Key]ids.Place {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	out := make(map[word.Key]word.Place, len(h.items))
+	out := make(map[ids.Key]ids.Place, len(h.items))
 	for k, v := range h.items {
 		out[k] = v.it.At
 	}
@@ -156,12 +156,12 @@
 }
 
 // Value reads one value.
-func (h *Hub) Value(k word.Key) ([]byte, word.Place) {
+func (h *Hub) Value(k ids.Key) ([]byte, ids.Place) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	v := h.items[k]
 	if v == nil {
-		return nil, word.Place{}
+		return nil, ids.Place{}
 	}
 	return v.it.Val, v.it.At
 }
@@ -174,10 +174,10 @@
 }
 
 // Followers names the relays that follow.
-func (h *Hub) Followers() []word.Node {
+func (h *Hub) Followers() []ids.Node {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var out []word.Node
+	var out []ids.Node
 	for _, f := range h.who {
 		out = append(out, f.name)
 	}
@@ -185,31 +185,31 @@
 }
 
 // Relays tells where each follower answers traces.
-func (h *Hub) Relays() map[word.Node]word.Addr {
+func (h *Hub) Relays() map[ids.Node]ids.Addr {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	out := map[word.Node]word.Addr{}
+	out := map[ids.Node]ids.Addr{}
 	for _, f := range h.who {
 		out[f.name] = f.addr
 	}
 	return out
 }
 
-func turn(k word.Key) int {
+func turn(k ids.Key) int {
 	switch k {
-	case word.Configuration:
+	case ids.Configuration:
 		return 2
-	case word.List:
+	case ids.List:
 		return 1
 	}
 	return 0
 }
 
-const briefFor = 10 * clk.Second
+const briefFor = 10 * clock.Second
 
 type step struct {
-	key      word.Key
-	from, to word.Place
+	key      ids.Key
+	from, to ids.Place
 }
 
 // remember keeps a value so that later ones can be told as changes from it.
@@ -247,9 +247,9 @@
 
 // item is a value as a follower gets it: the change from what it has, where that
 // is known, and else the whole.
-func (h *Hub) item(f *follower, v *kept) keep.Item {
+func (h *Hub) item(f *follower, v *kept) consensus.Item {
 	it := v.it
-	it.Age = clk.Since(v.since)
+	it.Age = clock.Since(v.since)
 	at := f.has[it.Key]
 	if !it.Brief() {
 		f.has[it.Key] = it.At
@@ -269,18 +269,18 @@
 	return it
 }
 
-func (h *Hub) since(f *follower, n uint64) ([]keep.Item, uint64) {
+func (h *Hub) since(f *follower, n uint64) ([]consensus.Item, uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var out []keep.Item
+	var out []consensus.Item
 	for k, v := range h.items {
-		if v.it.Brief() && clk.Since(v.since) > briefFor {
+		if v.it.Brief() && clock.Since(v.since) > briefFor {
 			delete(h.items, k)
 		}
 	}
 	for _, k := range slices.Sorted(maps.Keys(h.items)) {
 		v := h.items[k]
-		if v.it.Num > n && v.it.Key != word.Roster && !v.it.Key.Duty() && f.has[k].Less(v.it.At) {
+		if v.it.Num > n && v.it.Key != ids.Roster && !v.it.Key.Duty() && f.has[k].Less(v.it.At) {
 			out = append(out, h.item(f, v))
 		}
 	}
@@ -293,42 +293,42 @@
 	return out, h.num
 }
 
-const confirmTimeout = 2 * clk.Second
+const confirmTimeout = 2 * clock.Second
 
 // Confirm answers a relay that asks whether what it is fed is current: after a
 // majority's confirmation that began when the question was here, with the
 // number up to which the relay must have been fed by then.
-func (h *Hub) Confirm(m keep.Msg) keep.Msg {
+func (h *Hub) Confirm(m consensus.Msg) consensus.Msg {
 	timeout := confirmTimeout
 	if m.Left > 0 {
 		timeout = min(timeout, m.Left)
 	}
 	if !h.Status.Confirmed(timeout) {
-		return keep.Msg{Code: code.NoMajority}
+		return consensus.Msg{Code: codes.NoMajority}
 	}
-	return keep.Msg{OK: true, Life: h.Status.Life(), Num: h.Num(), Count: h.Status.Relays(), ListAge: h.Status.ListAge()}
+	return consensus.Msg{OK: true, Life: h.Status.Life(), Num: h.Num(), Count: h.Status.Relays(), ListAge: h.Status.ListAge()}
 }
 
 // homeWait is how long a relay of another zone has to go over to a keeper of its
 // own before it is fed.
-const homeWait = 200 * clk.Millisecond
+const homeWait = 200 * clock.Millisecond
 
 // homeFirst tells whether a relay that has not yet looked for a keeper of its own
 // zone will find one: a whole snapshot need not cross zones for it.
-func (h *Hub) homeFirst(m keep.Msg) bool {
+func (h *Hub) homeFirst(m consensus.Msg) bool {
 	return m.Stray && h.Status.Sure(h.freshFor()) && h.Status.FedElsewhere(m.Zone)
 }
 
 // greeting names the keepers, and feeds nothing.
-func (h *Hub) greeting() keep.Msg {
-	m := keep.Msg{Kind: keep.Follow, Life: h.Status.Life(), Greeting: true, KeeperZones: h.Status.KeeperZones()}
+func (h *Hub) greeting() consensus.Msg {
+	m := consensus.Msg{Kind: consensus.Follow, Life: h.Status.Life(), Greeting: true, KeeperZones: h.Status.KeeperZones()}
 	m.Roster.Num, m.SeatZones = h.Status.SeatZones()
 	return m
 }
 
 // Follow feeds one relay until it is gone.
-func (h *Hub) Follow(m keep.Msg, push func(keep.Msg) error) {
-	f := &follower{has: map[word.Key]word.Place{}, name: m.From, addr: m.Addr, mark: spawn.NewMark()}
+func (h *Hub) Follow(m consensus.Msg, push func(consensus.Msg) error) {
+	f := &follower{has: map[ids.Key]ids.Place{}, name: m.From, addr: m.Addr, mark: concurrency.NewMark()}
 	maps.Copy(f.has, m.Places)
 	if m.Life == h.Status.Life() {
 		f.num = m.Num
@@ -349,9 +349,9 @@
 	}
 	first := true
 	zones := -1
-	var seats map[word.Node]word.Zone
+	var seats map[ids.Node]ids.Zone
 	for {
-		out := keep.Msg{Kind: keep.Follow, Life: h.Status.Life(), Fresh: h.Status.Sure(h.freshFor()),
+		out := consensus.Msg{Kind: consensus.Follow, Life: h.Status.Life(), Fresh: h.Status.Sure(h.freshFor()),
 			Count: h.Status.Relays(), ListAge: h.Status.ListAge()}
 		if out.Fresh {
 			out.Snapshot = first && f.num == 0
@@ -360,15 +360,15 @@
 				out.KeeperZones, zones = l, len(l)
 			}
 		} else if !h.Status.Rounds() {
-			out.Code = code.NotVoting
+			out.Code = codes.NotVoting
 		}
 		if num, l := h.Status.SeatZones(); !maps.Equal(l, seats) {
 			out.Roster.Num, out.SeatZones, seats = num, l, l
 		}
 		for _, it := range out.Items {
 			name := strings.Split(string(it.Key), "/")[0]
-			note.Counter("feed.items." + name).Add(1)
-			note.Counter("feed.bytes." + name).Add(int64(len(it.Val)))
+			telemetry.Counter("feed.items." + name).Add(1)
+			telemetry.Counter("feed.bytes." + name).Add(int64(len(it.Val)))
 		}
 		if err := push(out); err != nil {
 			return
@@ -380,9 +380,9 @@
 	}
 }
 
-var _ keep.Sink = (*Hub)(nil)
+var _ consensus.Sink = (*Hub)(nil)
 
 var (
-	newsTaken = note.Counter("feed.news")
-	newsGap   = note.Counter("feed.news-anew")
+	newsTaken = telemetry.Counter("feed.news")
+	newsGap   = telemetry.Counter("feed.news-anew")
 )
--- a/internal/feed/hub_test.go
+++ b/internal/feed/hub_test.go
@@ -6,36 +6,36 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/check"
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/keep"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/consensus"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/interleave"
 )
 
 type status struct {
 	life uint64
 	sure bool
 	// seats are those that the keeper knows, seatless says that it has none.
-	seats    map[word.Node]word.Zone
+	seats    map[ids.Node]ids.Zone
 	seatless bool
 	num      uint64
 }
 
-func (s *status) Life() uint64                         { return s.life }
-func (s *status) Sure(clk.Span) bool                   { return s.sure }
-func (s *status) Relays() int                          { return 3 }
-func (s *status) ListAge() clk.Span                    { return 0 }
-func (s *status) KeeperZones() map[word.Node]word.Zone { return nil }
-func (s *status) FedElsewhere(z word.Zone) bool        { return z == "fed" }
-func (s *status) SeatZones() (uint64, map[word.Node]word.Zone) {
+func (s *status) Life() uint64                       { return s.life }
+func (s *status) Sure(clock.Span) bool               { return s.sure }
+func (s *status) Relays() int                        { return 3 }
+func (s *status) ListAge() clock.Span                { return 0 }
+func (s *status) KeeperZones() map[ids.Node]ids.Zone { return nil }
+func (s *status) FedElsewhere(z ids.Zone) bool       { return z == "fed" }
+func (s *status) SeatZones() (uint64, map[ids.Node]ids.Zone) {
 	return s.num, s.seats
 }
-func (s *status) Confirmed(clk.Span) bool { return s.sure }
-func (s *status) Rounds() bool            { return !s.seatless }
+func (s *status) Confirmed(clock.Span) bool { return s.sure }
+func (s *status) Rounds() bool              { return !s.seatless }
 
-func item(k word.Key, round, seq uint64, v string) keep.Item {
-	return keep.Item{Key: k, At: word.Place{Epoch: word.Epoch{Round: round, Node: "a"}, Seq: seq}, Val: []byte(v)}
+func item(k ids.Key, round, seq uint64, v string) consensus.Item {
+	return consensus.Item{Key: k, At: ids.Place{Epoch: ids.Epoch{Round: round, Node: "a"}, Seq: seq}, Val: []byte(v)}
 }
 
 func TestPublishNeverBack(t *testing.T) {
@@ -53,17 +53,17 @@
 // goes back, and ends at the newest.
 func TestTailNeverBack(t *testing.T) {
 	is := is.New(t)
-	n := check.All(t, func() ([]check.Thread, func([]int)) {
+	n := interleave.All(t, func() ([]interleave.Thread, func([]int)) {
 		var took []string
-		tail := &Tail{Take: func(it keep.Item) bool { took = append(took, string(it.Val)); return true }}
-		give := func(its ...keep.Item) check.Thread {
+		tail := &Tail{Take: func(it consensus.Item) bool { took = append(took, string(it.Val)); return true }}
+		give := func(its ...consensus.Item) interleave.Thread {
 			var fs []func()
 			for _, it := range its {
 				fs = append(fs, func() { tail.Taken(it) })
 			}
-			return check.Steps(fs...)
+			return interleave.Steps(fs...)
 		}
-		return []check.Thread{
+		return []interleave.Thread{
 				give(item("k", 1, 1, "a"), item("k", 1, 2, "b"), item("k", 2, 1, "c"), item("k", 2, 2, "d")),
 				give(item("k", 1, 2, "b"), item("k", 2, 1, "c"), item("k", 2, 2, "d")),
 				give(item("k", 1, 1, "a"), item("k", 2, 2, "d"))},
@@ -88,41 +88,41 @@
 	st := &status{life: 7}
 	h := NewHub()
 	h.Status = st
-	h.Trim = func(k word.Key, v []byte) []byte {
-		if k != word.Configuration {
+	h.Trim = func(k ids.Key, v []byte) []byte {
+		if k != ids.Configuration {
 			return v
 		}
 		return v[:4]
 	}
-	h.Publish(item(word.Configuration, 1, 1, "conf, and what only keepers need"))
-	h.Publish(item(word.List, 1, 1, "list"))
-	h.Publish(item(word.Evacuation("z"), 1, 1, "on"))
-	h.Publish(item(word.Roster, 1, 1, "not for relays"))
-	got := spawn.NewMark()
-	var msgs []keep.Msg
-	spawn.Go(func() {
-		h.Follow(keep.Msg{From: "r"}, func(m keep.Msg) error {
+	h.Publish(item(ids.Configuration, 1, 1, "conf, and what only keepers need"))
+	h.Publish(item(ids.List, 1, 1, "list"))
+	h.Publish(item(ids.Evacuation("z"), 1, 1, "on"))
+	h.Publish(item(ids.Roster, 1, 1, "not for relays"))
+	got := concurrency.NewMark()
+	var msgs []consensus.Msg
+	concurrency.Go(func() {
+		h.Follow(consensus.Msg{From: "r"}, func(m consensus.Msg) error {
 			msgs = append(msgs, m)
 			if len(msgs) == 2 {
 				got.Set()
 				return errEnd
 			}
 			st.sure = true
-			spawn.Go(h.Check)
+			concurrency.Go(h.Check)
 			return nil
 		})
 	})
-	is.True(got.Wait(10 * clk.Second))
+	is.True(got.Wait(10 * clock.Second))
 	is.True(!msgs[0].Fresh)
 	is.Equal(len(msgs[0].Items), 0)
 	is.True(msgs[1].Fresh && msgs[1].Snapshot)
-	var keys []word.Key
+	var keys []ids.Key
 	for _, it := range msgs[1].Items {
 		keys = append(keys, it.Key)
 	}
-	is.Equal(keys, []word.Key{word.Evacuation("z"), word.List, word.Configuration})
+	is.Equal(keys, []ids.Key{ids.Evacuation("z"), ids.List, ids.Configuration})
 	is.Equal(string(msgs[1].Items[2].Val), "conf")
-	v, _ := h.Value(word.Configuration)
+	v, _ := h.Value(ids.Configuration)
 	is.Equal(string(v), "conf, and what only keepers need")
 	is.Equal(msgs[1].Num, h.Num())
 }
@@ -139,42 +139,42 @@
 	is := is.New(t)
 	h := NewHub()
 	diffs := 0
-	h.Diff = func(_ word.Key, old, fresh []byte) []byte {
+	h.Diff = func(_ ids.Key, old, fresh []byte) []byte {
 		diffs++
 		return []byte(string(old) + ">" + string(fresh))
 	}
 	var took []string
-	tail := &Tail{Heard: func(int, clk.Span) {}, Take: func(it keep.Item) bool { took = append(took, string(it.Val)); return true }}
-	f := &follower{has: map[word.Key]word.Place{}}
+	tail := &Tail{Heard: func(int, clock.Span) {}, Take: func(it consensus.Item) bool { took = append(took, string(it.Val)); return true }}
+	f := &follower{has: map[ids.Key]ids.Place{}}
 	push := func() bool {
 		its, n := h.since(f, f.num)
 		f.num = n
-		return tail.news("a", keep.Msg{Items: its, Num: n, Life: 1})
+		return tail.news("a", consensus.Msg{Items: its, Num: n, Life: 1})
 	}
-	h.Publish(item(word.List, 1, 1, "a"))
-	h.Publish(item(word.Configuration, 1, 1, "c1"))
+	h.Publish(item(ids.List, 1, 1, "a"))
+	h.Publish(item(ids.Configuration, 1, 1, "c1"))
 	is.True(push())
-	h.Publish(item(word.List, 1, 2, "b"))
-	h.Publish(item(word.Configuration, 1, 2, "c2"))
+	h.Publish(item(ids.List, 1, 2, "b"))
+	h.Publish(item(ids.Configuration, 1, 2, "c2"))
 	is.True(push())
 	for range 50 { // worked out once, however many follow
-		g := &follower{has: map[word.Key]word.Place{word.List: item(word.List, 1, 1, "").At}}
+		g := &follower{has: map[ids.Key]ids.Place{ids.List: item(ids.List, 1, 1, "").At}}
 		its, _ := h.since(g, 2)
 		is.Equal(string(its[0].Val), "a>b")
 	}
 	is.Equal(diffs, 2)                                  // one of the list, one of the configuration
 	is.Equal(took, []string{"a", "c1", "a>b", "c1>c2"}) // what is kept on disks as well
 	for i := range 2 * pastKept {                       // a follower that fell far behind
-		h.Publish(item(word.List, 1, uint64(3+i), "x"))
+		h.Publish(item(ids.List, 1, uint64(3+i), "x"))
 	}
 	is.True(push())
 	is.Equal(took[4], "x")
-	tail.Taken(item(word.List, 2, 1, "other")) // from another keeper
-	h.Publish(item(word.List, 2, 2, "y"))
+	tail.Taken(item(ids.List, 2, 1, "other")) // from another keeper
+	h.Publish(item(ids.List, 2, 2, "y"))
 	is.True(!push())
 	_, num, _ := tail.Place()
 	is.Equal(num, uint64(0))
-	f = &follower{has: map[word.Key]word.Place{}}
+	f = &follower{has: map[ids.Key]ids.Place{}}
 	is.True(push())
 	is.Equal(took[len(took)-1], "y")
 }
@@ -184,35 +184,35 @@
 func TestNothingTwice(t *testing.T) {
 	is := is.New(t)
 	h := NewHub()
-	h.Diff = func(word.Key, []byte, []byte) []byte { return nil }
+	h.Diff = func(ids.Key, []byte, []byte) []byte { return nil }
 	large := strings.Repeat("route ", 1000)
-	h.Publish(item(word.Configuration, 1, 1, large))
+	h.Publish(item(ids.Configuration, 1, 1, large))
 	var took []string
-	tail := &Tail{Heard: func(int, clk.Span) {}, Take: func(it keep.Item) bool { took = append(took, string(it.Val)); return true }}
-	f := &follower{has: map[word.Key]word.Place{}}
+	tail := &Tail{Heard: func(int, clock.Span) {}, Take: func(it consensus.Item) bool { took = append(took, string(it.Val)); return true }}
+	f := &follower{has: map[ids.Key]ids.Place{}}
 	its, n := h.since(f, 0)
 	is.True(its[0].Packed)
 	is.True(len(its[0].Val) < len(large)/10)
-	is.True(tail.news("a", keep.Msg{Items: its, Num: n, Life: 1}))
+	is.True(tail.news("a", consensus.Msg{Items: its, Num: n, Life: 1}))
 	is.Equal(took, []string{large})
 
-	h.Publish(item(word.Configuration, 2, 1, large)) // taken up by another owner
+	h.Publish(item(ids.Configuration, 2, 1, large)) // taken up by another owner
 	its, n = h.since(f, n)
 	is.Equal(len(its), 1)
 	is.Equal(len(its[0].Val), 0)
-	is.True(tail.news("a", keep.Msg{Items: its, Num: n, Life: 1}))
+	is.True(tail.news("a", consensus.Msg{Items: its, Num: n, Life: 1}))
 	is.Equal(len(took), 1)
 	_, _, places := tail.Place()
-	is.Equal(places[word.Configuration], item("", 2, 1, "").At)
+	is.Equal(places[ids.Configuration], item("", 2, 1, "").At)
 
 	other := NewHub()
 	other.Diff = h.Diff
-	other.Publish(item(word.Configuration, 2, 1, large))
+	other.Publish(item(ids.Configuration, 2, 1, large))
 	g := &follower{has: tail.had()}
 	its, _ = other.since(g, 0)
 	is.Equal(len(its), 0)
 
-	tail.Forget(word.Configuration) // what the relay goes by is its own
+	tail.Forget(ids.Configuration) // what the relay goes by is its own
 	g = &follower{has: tail.had()}
 	its, _ = other.since(g, 0)
 	is.Equal(len(its), 1)
@@ -224,29 +224,29 @@
 func TestUnfitChange(t *testing.T) {
 	is := is.New(t)
 	h := NewHub()
-	h.Diff = func(word.Key, []byte, []byte) []byte { return []byte("unfit") }
+	h.Diff = func(ids.Key, []byte, []byte) []byte { return []byte("unfit") }
 	var took []string
-	tail := &Tail{Heard: func(int, clk.Span) {}, Take: func(it keep.Item) bool {
+	tail := &Tail{Heard: func(int, clock.Span) {}, Take: func(it consensus.Item) bool {
 		if string(it.Val) == "unfit" {
 			return false
 		}
 		took = append(took, string(it.Val))
 		return true
 	}}
-	f := &follower{has: map[word.Key]word.Place{}}
+	f := &follower{has: map[ids.Key]ids.Place{}}
 	feed := func() bool {
 		its, n := h.since(f, f.num)
 		f.num = n
-		return tail.news("a", keep.Msg{Items: its, Num: n, Life: 1})
+		return tail.news("a", consensus.Msg{Items: its, Num: n, Life: 1})
 	}
-	h.Publish(item(word.Configuration, 1, 1, "one"))
+	h.Publish(item(ids.Configuration, 1, 1, "one"))
 	is.True(feed())
-	h.Publish(item(word.Configuration, 1, 2, "two"))
+	h.Publish(item(ids.Configuration, 1, 2, "two"))
 	is.True(!feed())
 	f = &follower{has: tail.had()}
 	is.True(feed())
 	is.Equal(took, []string{"one", "two"})
-	is.True(!tail.Taken(keep.Item{Key: "k", At: item("", 3, 1, "").At, Val: []byte("no flate"), Packed: true}))
+	is.True(!tail.Taken(consensus.Item{Key: "k", At: item("", 3, 1, "").At, Val: []byte("no flate"), Packed: true}))
 }
 
 // A relay of a zone that has a keeper is told of it before a snapshot crosses
@@ -256,9 +256,9 @@
 	h := NewHub()
 	st := &status{life: 7, sure: true}
 	h.Status = st
-	h.Publish(item(word.List, 1, 1, "list"))
-	follow := func(m keep.Msg, most int) (got []keep.Msg) {
-		h.Follow(m, func(m keep.Msg) error {
+	h.Publish(item(ids.List, 1, 1, "list"))
+	follow := func(m consensus.Msg, most int) (got []consensus.Msg) {
+		h.Follow(m, func(m consensus.Msg) error {
 			if got = append(got, m); len(got) == most {
 				return errEnd
 			}
@@ -266,11 +266,11 @@
 		})
 		return got
 	}
-	got := follow(keep.Msg{Zone: "fed", Stray: true}, 2)
+	got := follow(consensus.Msg{Zone: "fed", Stray: true}, 2)
 	is.True(got[0].Greeting)
 	is.Equal(len(got[0].Items), 0)
 	is.Equal(len(got[1].Items), 1)
 	is.True(!got[1].Greeting)
-	is.Equal(len(follow(keep.Msg{Zone: "fed"}, 1)[0].Items), 1)                // has looked already
-	is.Equal(len(follow(keep.Msg{Zone: "other", Stray: true}, 1)[0].Items), 1) // nowhere else to go
+	is.Equal(len(follow(consensus.Msg{Zone: "fed"}, 1)[0].Items), 1)                // has looked already
+	is.Equal(len(follow(consensus.Msg{Zone: "other", Stray: true}, 1)[0].Items), 1) // nowhere else to go
 }
--- a/internal/feed/tail.go
+++ b/internal/feed/tail.go
@@ -7,55 +7,55 @@
 	"sort"
 	"sync"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/consensus"
 	"spoolswitch/internal/deflate"
-	"spoolswitch/internal/keep"
-	"spoolswitch/internal/note"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/wire"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/rpc"
+	"spoolswitch/internal/telemetry"
 )
 
 const (
-	avoid     = 2 * clk.Second
-	firstWait = 500 * clk.Millisecond
+	avoid     = 2 * clock.Second
+	firstWait = 500 * clock.Millisecond
 	// confirmPause is the pause between two questions whether the feed is
 	// current.
-	confirmPause = 600 * clk.Millisecond
-	retryPause   = 50 * clk.Millisecond
+	confirmPause = 600 * clock.Millisecond
+	retryPause   = 50 * clock.Millisecond
 )
 
 // Tail is the relay's end of the feed. It follows one keeper at a time and
 // goes over to another when the news turn stale.
 type Tail struct {
-	Self  word.Node
-	Addr  word.Addr
+	Self  ids.Node
+	Addr  ids.Addr
 	IP    string
-	Zone  word.Zone
-	Seeds func() []word.Addr
+	Zone  ids.Zone
+	Seeds func() []ids.Addr
 	// Take takes a value in, or the change from the last one of its key; false if
 	// the change cannot be taken, and the whole is wanted.
-	Take func(it keep.Item) bool
+	Take func(it consensus.Item) bool
 	// Apply is the time within which a change has to be in force everywhere.
-	Apply clk.Span
-	Heard func(count int, listAge clk.Span)
+	Apply clock.Span
+	Heard func(count int, listAge clock.Span)
 
 	mu     sync.Mutex
-	places map[word.Key]word.Place
-	zones  map[word.Node]word.Zone
+	places map[ids.Key]ids.Place
+	zones  map[ids.Node]ids.Zone
 	// seats are those of the newest roster that anybody told of, by its number.
-	seats  map[word.Node]word.Zone
+	seats  map[ids.Node]ids.Zone
 	roster uint64
-	fresh  clk.Tick
+	fresh  clock.Tick
 	life   uint64
 	num    uint64
-	at     word.Addr
-	peer   *wire.Peer[keep.Msg]
-	bad    map[word.Addr]clk.Tick
+	at     ids.Addr
+	peer   *rpc.Peer[consensus.Msg]
+	bad    map[ids.Addr]clock.Tick
 }
 
-func (t *Tail) stale() clk.Span {
+func (t *Tail) stale() clock.Span {
 	d := t.Apply
 	if d <= 0 {
 		d = applyDefault
@@ -65,17 +65,17 @@
 
 // Fresh tells whether what was fed was current within d: the time counts from
 // when this relay asked, by its own clock, not from when an answer came.
-func (t *Tail) Fresh(d clk.Span) bool {
+func (t *Tail) Fresh(d clock.Span) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.fresh != 0 && clk.Since(t.fresh) < d
+	return t.fresh != 0 && clock.Since(t.fresh) < d
 }
 
 // Place tells which keeper is followed and how far.
-func (t *Tail) Place() (word.Addr, uint64, map[word.Key]word.Place) {
+func (t *Tail) Place() (ids.Addr, uint64, map[ids.Key]ids.Place) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := map[word.Key]word.Place{}
+	out := map[ids.Key]ids.Place{}
 	for k, p := range t.places {
 		out[k] = p
 	}
@@ -84,10 +84,10 @@
 
 // Taken takes one item in; older ones than those had are left. It tells false
 // if the item is a change from a value that this relay does not have.
-func (t *Tail) Taken(it keep.Item) bool {
+func (t *Tail) Taken(it consensus.Item) bool {
 	t.mu.Lock()
 	if t.places == nil {
-		t.places = map[word.Key]word.Place{}
+		t.places = map[ids.Key]ids.Place{}
 	}
 	have, ok := t.places[it.Key]
 	if ok && !have.Less(it.At) {
@@ -108,11 +108,11 @@
 	return false
 }
 
-func (t *Tail) take(it keep.Item) bool {
+func (t *Tail) take(it consensus.Item) bool {
 	if it.Packed {
 		val, err := deflate.Unpack(it.Val)
 		if err != nil {
-			note.Trouble("value not legible", "key", it.Key, "err", err)
+			telemetry.Trouble("value not legible", "key", it.Key, "err", err)
 			return false
 		}
 		it.Val, it.Packed = val, false
@@ -122,7 +122,7 @@
 
 // Forget says that what this relay goes by is no longer what it was fed under a
 // key: the next value has to be fed whole.
-func (t *Tail) Forget(key word.Key) {
+func (t *Tail) Forget(key ids.Key) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.places, key)
@@ -130,8 +130,8 @@
 }
 
 // had are the places of the values that a keeper need not feed again.
-func (t *Tail) had() map[word.Key]word.Place {
-	out := map[word.Key]word.Place{}
+func (t *Tail) had() map[ids.Key]ids.Place {
+	out := map[ids.Key]ids.Place{}
 	for key, at := range t.places {
 		if key.Kept() || key.Shared() {
 			out[key] = at
@@ -140,34 +140,34 @@
 	return out
 }
 
-func (t *Tail) order() []word.Addr {
+func (t *Tail) order() []ids.Addr {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	seen := map[word.Addr]bool{}
-	var out []word.Addr
-	add := func(a word.Addr) {
+	seen := map[ids.Addr]bool{}
+	var out []ids.Addr
+	add := func(a ids.Addr) {
 		if a != "" && !seen[a] {
 			seen[a] = true
 			out = append(out, a)
 		}
 	}
 	for n := range t.zones {
-		add(word.Addr(n))
+		add(ids.Addr(n))
 	}
 	for n := range t.seats {
-		add(word.Addr(n))
+		add(ids.Addr(n))
 	}
 	for _, a := range t.Seeds() {
 		add(a)
 	}
-	rank := func(a word.Addr) uint64 {
+	rank := func(a ids.Addr) uint64 {
 		h := fnv.New64a()
 		h.Write([]byte(string(t.Self) + "|" + string(a)))
 		r := h.Sum64() >> 2
 		if t.zone(a) != t.Zone {
 			r |= 1 << 62
 		}
-		if at, ok := t.bad[a]; ok && clk.Since(at) < avoid {
+		if at, ok := t.bad[a]; ok && clock.Since(at) < avoid {
 			r |= 1 << 63
 		}
 		return r
@@ -176,15 +176,15 @@
 	return out
 }
 
-func (t *Tail) zone(a word.Addr) word.Zone {
-	if z, ok := t.zones[word.Node(a)]; ok {
+func (t *Tail) zone(a ids.Addr) ids.Zone {
+	if z, ok := t.zones[ids.Node(a)]; ok {
 		return z
 	}
-	return t.seats[word.Node(a)]
+	return t.seats[ids.Node(a)]
 }
 
 // far tells whether a keeper is known to be in another zone.
-func (t *Tail) far(a word.Addr) bool {
+func (t *Tail) far(a ids.Addr) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	z := t.zone(a)
@@ -192,14 +192,14 @@
 }
 
 // home tells whether a keeper is of the own zone, or none that is answers.
-func (t *Tail) home(a word.Addr) bool {
+func (t *Tail) home(a ids.Addr) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.zones[word.Node(a)] == t.Zone {
+	if t.zones[ids.Node(a)] == t.Zone {
 		return true
 	}
 	for n, z := range t.zones {
-		if at, ok := t.bad[word.Addr(n)]; z == t.Zone && !(ok && clk.Since(at) < avoid) {
+		if at, ok := t.bad[ids.Addr(n)]; z == t.Zone && !(ok && clock.Since(at) < avoid) {
 			return false
 		}
 	}
@@ -208,10 +208,10 @@
 
 // Run follows for good.
 func (t *Tail) Run() {
-	spawn.Go(func() {
+	concurrency.Go(func() {
 		for {
 			t.pass()
-			clk.Sleep(50 * clk.Millisecond)
+			clock.Sleep(50 * clock.Millisecond)
 		}
 	})
 }
@@ -219,9 +219,9 @@
 // pass tries the keepers that are known, each once, until one was followed; what
 // one of them tells of others counts at once.
 func (t *Tail) pass() {
-	tried := map[word.Addr]bool{}
+	tried := map[ids.Addr]bool{}
 	for {
-		to := slices.DeleteFunc(t.order(), func(a word.Addr) bool { return tried[a] })
+		to := slices.DeleteFunc(t.order(), func(a ids.Addr) bool { return tried[a] })
 		if len(to) == 0 || t.follow(to[0]) {
 			return
 		}
@@ -233,26 +233,26 @@
 // counts only as of the moment when it was asked.
 type following struct {
 	mu    sync.Mutex
-	mark  *spawn.Mark
-	begun clk.Tick
-	fresh clk.Tick
+	mark  *concurrency.Mark
+	begun clock.Tick
+	fresh clock.Tick
 	lost  bool
 	over  bool
 	// away says that the keeper named one of the relay's own zone.
 	away   bool
-	asked  clk.Tick
-	answer keep.Msg
+	asked  clock.Tick
+	answer consensus.Msg
 }
 
-func (t *Tail) follow(a word.Addr) bool {
-	p := wire.NewPeer[keep.Msg](a)
+func (t *Tail) follow(a ids.Addr) bool {
+	p := rpc.NewPeer[consensus.Msg](a)
 	p.Far = func() bool { return t.far(a) }
 	defer p.Close()
-	f := &following{mark: spawn.NewMark(), begun: clk.Now()}
+	f := &following{mark: concurrency.NewMark(), begun: clock.Now()}
 	t.mu.Lock()
-	m := keep.Msg{Kind: keep.Follow, From: t.Self, Life: t.life, Num: t.num, Zone: t.Zone, Addr: t.Addr, Places: t.had(), Stray: len(t.zones) == 0}
+	m := consensus.Msg{Kind: consensus.Follow, From: t.Self, Life: t.life, Num: t.num, Zone: t.Zone, Addr: t.Addr, Places: t.had(), Stray: len(t.zones) == 0}
 	t.mu.Unlock()
-	end, err := p.Stream(m, firstWait, func(m keep.Msg, ok bool) {
+	end, err := p.Stream(m, firstWait, func(m consensus.Msg, ok bool) {
 		if ok {
 			t.told(m)
 		}
@@ -267,7 +267,7 @@
 			f.lost = true
 		case m.Fresh && f.fresh == 0:
 			f.fresh = f.begun
-		case !m.Fresh && (f.fresh != 0 || m.Code == code.NotVoting):
+		case !m.Fresh && (f.fresh != 0 || m.Code == codes.NotVoting):
 			f.lost = true
 		}
 		f.mu.Unlock()
@@ -295,34 +295,34 @@
 			if !t.home(a) {
 				return true
 			}
-			note.State("following", "keeper", a)
+			telemetry.State("following", "keeper", a)
 			t.mu.Lock()
 			t.peer = p
 			t.mu.Unlock()
-			spawn.Go(func() { t.confirm(p, f) })
+			concurrency.Go(func() { t.confirm(p, f) })
 		}
-		if gone || (l == 0 && clk.Since(f.begun) > firstWait) || (l != 0 && clk.Since(l) > t.stale()) {
+		if gone || (l == 0 && clock.Since(f.begun) > firstWait) || (l != 0 && clock.Since(l) > t.stale()) {
 			t.avoid(a)
 			if was {
-				note.State("keeper left", "keeper", a, "lost", gone)
+				telemetry.State("keeper left", "keeper", a, "lost", gone)
 			}
 			return was
 		}
 		wait = firstWait
 		if l != 0 {
-			wait = max(clk.Until(l.Add(t.stale())), 0) + clk.Millisecond
+			wait = max(clock.Until(l.Add(t.stale())), 0) + clock.Millisecond
 		}
 	}
 }
 
-func (t *Tail) avoid(a word.Addr) {
+func (t *Tail) avoid(a ids.Addr) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.bad == nil {
-		t.bad = map[word.Addr]clk.Tick{}
+		t.bad = map[ids.Addr]clock.Tick{}
 	}
-	maps.DeleteFunc(t.bad, func(_ word.Addr, at clk.Tick) bool { return clk.Since(at) >= avoid })
-	t.bad[a] = clk.Now()
+	maps.DeleteFunc(t.bad, func(_ ids.Addr, at clock.Tick) bool { return clock.Since(at) >= avoid })
+	t.bad[a] = clock.Now()
 }
 
 func (f *following) greeted(away bool) {
@@ -340,7 +340,7 @@
 
 // confirm asks the keeper again and again whether what it feeds is current,
 // until it is followed no more.
-func (t *Tail) confirm(p *wire.Peer[keep.Msg], f *following) {
+func (t *Tail) confirm(p *rpc.Peer[consensus.Msg], f *following) {
 	for {
 		f.mu.Lock()
 		over := f.over
@@ -349,14 +349,14 @@
 			p.Close()
 			return
 		}
-		asked := clk.Now()
-		a, err := p.Call(keep.Msg{Kind: keep.Confirm, Left: t.stale()}, t.stale())
+		asked := clock.Now()
+		a, err := p.Call(consensus.Msg{Kind: consensus.Confirm, Left: t.stale()}, t.stale())
 		f.mu.Lock()
 		switch {
 		case f.over || err != nil:
 		case a.OK:
 			f.asked, f.answer = asked, a
-		case a.Code == code.NoCall: // of the release before: its feed has to say it all
+		case a.Code == codes.NoCall: // of the release before: its feed has to say it all
 			f.fresh = asked
 		}
 		f.mu.Unlock()
@@ -365,7 +365,7 @@
 		}
 		t.count(f)
 		f.mark.Set()
-		clk.Sleep(max(clk.Until(asked.Add(confirmPause)), retryPause))
+		clock.Sleep(max(clock.Until(asked.Add(confirmPause)), retryPause))
 	}
 }
 
@@ -383,17 +383,17 @@
 }
 
 // Tell sends a message to the keeper that is followed, without waiting.
-func (t *Tail) Tell(m keep.Msg) {
+func (t *Tail) Tell(m consensus.Msg) {
 	t.mu.Lock()
 	p := t.peer
 	t.mu.Unlock()
 	if p == nil {
 		return
 	}
-	spawn.Go(func() { _, _ = p.Call(m, firstWait) })
+	concurrency.Go(func() { _, _ = p.Call(m, firstWait) })
 }
 
-func (t *Tail) told(m keep.Msg) {
+func (t *Tail) told(m consensus.Msg) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(m.SeatZones) > 0 && m.Roster.Num >= t.roster {
@@ -404,7 +404,7 @@
 	}
 }
 
-func (t *Tail) news(a word.Addr, m keep.Msg) bool {
+func (t *Tail) news(a ids.Addr, m consensus.Msg) bool {
 	t.mu.Lock()
 	if m.Life != t.life {
 		t.life, t.num = m.Life, 0
--- a/internal/feed/tail_test.go
+++ b/internal/feed/tail_test.go
@@ -6,54 +6,54 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/keep"
-	"spoolswitch/internal/wire"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/consensus"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/rpc"
 )
 
 // keeper is a keeper that pushes what it is told to, and answers questions
 // whether that is current while it is told to.
 type keeper struct {
-	addr    word.Addr
-	pushes  atomic.Pointer[keep.Msg]
-	answers atomic.Pointer[keep.Msg]
+	addr    ids.Addr
+	pushes  atomic.Pointer[consensus.Msg]
+	answers atomic.Pointer[consensus.Msg]
 	follows atomic.Int64
 }
 
 func newKeeper(t *testing.T) *keeper {
-	l, err := wire.Listen("127.0.0.1:0")
+	l, err := rpc.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	k := &keeper{addr: word.Addr(l.Addr().String())}
-	s := wire.Serve(l, func(m keep.Msg, push func(keep.Msg) error) (keep.Msg, bool) {
-		if m.Kind == keep.Confirm {
+	k := &keeper{addr: ids.Addr(l.Addr().String())}
+	s := rpc.Serve(l, func(m consensus.Msg, push func(consensus.Msg) error) (consensus.Msg, bool) {
+		if m.Kind == consensus.Confirm {
 			if a := k.answers.Load(); a != nil {
 				return *a, true
 			}
-			return keep.Msg{}, false
+			return consensus.Msg{}, false
 		}
 		k.follows.Add(1)
 		for push(*k.pushes.Load()) == nil {
-			clk.Sleep(20 * clk.Millisecond)
+			clock.Sleep(20 * clock.Millisecond)
 		}
-		return keep.Msg{}, false
+		return consensus.Msg{}, false
 	})
 	t.Cleanup(s.Close)
 	return k
 }
 
-func newTail(seeds ...word.Addr) *Tail {
-	return &Tail{Self: "r", Seeds: func() []word.Addr { return seeds }, Take: func(keep.Item) bool { return true },
-		Heard: func(int, clk.Span) {}, Apply: 800 * clk.Millisecond}
+func newTail(seeds ...ids.Addr) *Tail {
+	return &Tail{Self: "r", Seeds: func() []ids.Addr { return seeds }, Take: func(consensus.Item) bool { return true },
+		Heard: func(int, clock.Span) {}, Apply: 800 * clock.Millisecond}
 }
 
 func soon(t *testing.T, what string, fn func() bool) {
 	t.Helper()
-	for end := clk.Now().Add(20 * clk.Second); !fn(); clk.Sleep(clk.Millisecond) {
-		if clk.Now() > end {
+	for end := clock.Now().Add(20 * clock.Second); !fn(); clock.Sleep(clock.Millisecond) {
+		if clock.Now() > end {
 			t.Fatal("never came: " + what)
 		}
 	}
@@ -65,25 +65,25 @@
 func TestFreshAsOfTheQuestion(t *testing.T) {
 	is := is.New(t)
 	k := newKeeper(t)
-	k.pushes.Store(&keep.Msg{Fresh: true, Life: 1, Num: 5})
+	k.pushes.Store(&consensus.Msg{Fresh: true, Life: 1, Num: 5})
 	tail := newTail(k.addr)
-	begun := clk.Now()
+	begun := clock.Now()
 	is.True(tail.follow(k.addr)) // it left, though messages came all the while
-	is.True(clk.Since(begun) < 3*clk.Second)
-	is.True(!tail.Fresh(clk.Minute))
+	is.True(clock.Since(begun) < 3*clock.Second)
+	is.True(!tail.Fresh(clock.Minute))
 
-	k.answers.Store(&keep.Msg{OK: true, Life: 1, Num: 6})
+	k.answers.Store(&consensus.Msg{OK: true, Life: 1, Num: 6})
 	is.True(tail.follow(k.addr)) // it lags behind what its keeper knew
-	is.True(!tail.Fresh(clk.Minute))
+	is.True(!tail.Fresh(clock.Minute))
 
-	k.pushes.Store(&keep.Msg{Fresh: true, Life: 1, Num: 6})
+	k.pushes.Store(&consensus.Msg{Fresh: true, Life: 1, Num: 6})
 	tail.Run()
-	soon(t, "a confirmation", func() bool { return tail.Fresh(clk.Minute) })
+	soon(t, "a confirmation", func() bool { return tail.Fresh(clock.Minute) })
 	n := k.follows.Load()
-	clk.Sleep(2 * tail.stale())
+	clock.Sleep(2 * tail.stale())
 	is.Equal(k.follows.Load(), n) // stays
 	is.True(tail.Fresh(tail.stale()))
-	k.answers.Store(&keep.Msg{Code: code.NoMajority})
+	k.answers.Store(&consensus.Msg{Code: codes.NoMajority})
 	soon(t, "the end", func() bool { return k.follows.Load() > n })
 	is.True(!tail.Fresh(tail.stale()))
 }
@@ -93,25 +93,25 @@
 func TestSeatsByHearsay(t *testing.T) {
 	is := is.New(t)
 	seat, seed := newKeeper(t), newKeeper(t)
-	seat.pushes.Store(&keep.Msg{Fresh: true, Life: 1, Num: 1})
-	seat.answers.Store(&keep.Msg{OK: true, Life: 1, Num: 1})
-	m := keep.Msg{Code: code.NotVoting, SeatZones: map[word.Node]word.Zone{word.Node(seat.addr): "z"}}
+	seat.pushes.Store(&consensus.Msg{Fresh: true, Life: 1, Num: 1})
+	seat.answers.Store(&consensus.Msg{OK: true, Life: 1, Num: 1})
+	m := consensus.Msg{Code: codes.NotVoting, SeatZones: map[ids.Node]ids.Zone{ids.Node(seat.addr): "z"}}
 	m.Roster.Num = 3
 	seed.pushes.Store(&m)
-	var seeds atomic.Pointer[[]word.Addr]
-	seeds.Store(&[]word.Addr{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"})
+	var seeds atomic.Pointer[[]ids.Addr]
+	seeds.Store(&[]ids.Addr{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"})
 	tail := newTail()
 	tail.Zone = "z"
-	tail.Seeds = func() []word.Addr { return *seeds.Load() }
+	tail.Seeds = func() []ids.Addr { return *seeds.Load() }
 	tail.Run()
-	clk.Sleep(200 * clk.Millisecond)
-	seeds.Store(&[]word.Addr{"127.0.0.1:1", seed.addr})
-	soon(t, "the seat", func() bool { return tail.Fresh(clk.Minute) })
+	clock.Sleep(200 * clock.Millisecond)
+	seeds.Store(&[]ids.Addr{"127.0.0.1:1", seed.addr})
+	soon(t, "the seat", func() bool { return tail.Fresh(clock.Minute) })
 	is.Equal(seat.follows.Load(), int64(1))
-	old := keep.Msg{SeatZones: map[word.Node]word.Zone{"gone": "z"}}
+	old := consensus.Msg{SeatZones: map[ids.Node]ids.Zone{"gone": "z"}}
 	old.Roster.Num = 2
 	tail.told(old) // of an older roster
-	tail.told(keep.Msg{})
+	tail.told(consensus.Msg{})
 	is.Equal(tail.order()[0], seat.addr)
 }
 
@@ -119,12 +119,12 @@
 func TestHomeIsDown(t *testing.T) {
 	is := is.New(t)
 	away := newKeeper(t)
-	away.pushes.Store(&keep.Msg{Fresh: true, Life: 1, Num: 1, KeeperZones: map[word.Node]word.Zone{word.Node(away.addr): "y", "127.0.0.1:1": "z"}})
-	away.answers.Store(&keep.Msg{OK: true, Life: 1, Num: 1})
+	away.pushes.Store(&consensus.Msg{Fresh: true, Life: 1, Num: 1, KeeperZones: map[ids.Node]ids.Zone{ids.Node(away.addr): "y", "127.0.0.1:1": "z"}})
+	away.answers.Store(&consensus.Msg{OK: true, Life: 1, Num: 1})
 	tail := newTail(away.addr)
 	tail.Zone = "z"
 	tail.Run()
-	soon(t, "a confirmation", func() bool { return tail.Fresh(clk.Minute) })
+	soon(t, "a confirmation", func() bool { return tail.Fresh(clock.Minute) })
 	is.True(away.follows.Load() < 5)
 }
 
@@ -138,19 +138,19 @@
 		if down {
 			homeAddr = "127.0.0.1:1"
 		}
-		zones := map[word.Node]word.Zone{word.Node(away.addr): "y", word.Node(homeAddr): "z"}
-		home.pushes.Store(&keep.Msg{Fresh: true, Life: 1, Num: 1, KeeperZones: zones})
-		home.answers.Store(&keep.Msg{OK: true, Life: 1, Num: 1})
-		away.pushes.Store(&keep.Msg{Greeting: true, Life: 2, KeeperZones: zones})
-		away.answers.Store(&keep.Msg{OK: true, Life: 2, Num: 4})
+		zones := map[ids.Node]ids.Zone{ids.Node(away.addr): "y", ids.Node(homeAddr): "z"}
+		home.pushes.Store(&consensus.Msg{Fresh: true, Life: 1, Num: 1, KeeperZones: zones})
+		home.answers.Store(&consensus.Msg{OK: true, Life: 1, Num: 1})
+		away.pushes.Store(&consensus.Msg{Greeting: true, Life: 2, KeeperZones: zones})
+		away.answers.Store(&consensus.Msg{OK: true, Life: 2, Num: 4})
 		tail := newTail(away.addr)
 		tail.Zone = "z"
 		tail.Run()
 		if down {
 			soon(t, "the greeting", func() bool { return away.follows.Load() > 1 })
-			away.pushes.Store(&keep.Msg{Fresh: true, Life: 2, Num: 4, KeeperZones: zones})
+			away.pushes.Store(&consensus.Msg{Fresh: true, Life: 2, Num: 4, KeeperZones: zones})
 		}
-		soon(t, "a confirmation", func() bool { return tail.Fresh(clk.Minute) })
+		soon(t, "a confirmation", func() bool { return tail.Fresh(clock.Minute) })
 		at, _, _ := tail.Place()
 		is.Equal(at == away.addr, down)
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -16,19 +16,19 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
-	"spoolswitch/internal/boot"
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/ctl"
-	"spoolswitch/internal/list"
-	"spoolswitch/internal/note"
-	"spoolswitch/internal/oper"
-	"spoolswitch/internal/pick"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/control"
+	"spoolswitch/internal/discovery"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/operator"
 	"spoolswitch/internal/relay"
-	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/routing"
+	"spoolswitch/internal/settings"
 	"spoolswitch/internal/standin"
+	"spoolswitch/internal/telemetry"
 	"spoolswitch/internal/trace"
-	"spoolswitch/internal/word"
 )
 
 type fleet struct {
@@ -37,7 +37,7 @@
 	plat    *standin.Platform
 	rep     *standin.Replica
 	dirs    map[int]string
-	keepers map[int]*ctl.Daemon
+	keepers map[int]*control.Daemon
 	relays  map[int]*relay.Daemon
 	// more is appended to everybody's settings.
 	more string
@@ -65,11 +65,11 @@
 
 func newFleetOf(t *testing.T, keepers, relays int, more string) *fleet {
 	f := &fleet{t: t, more: more, seeds: []int{1, 2, 3}, base: ports(t), plat: standin.NewPlatform(1), dirs: map[int]string{},
-		keepers: map[int]*ctl.Daemon{}, relays: map[int]*relay.Daemon{}}
+		keepers: map[int]*control.Daemon{}, relays: map[int]*relay.Daemon{}}
 	f.rep = standin.NewReplica("i-1", standin.Well)
 	other := standin.NewReplica("i-2", standin.Well)
-	f.plat.Set(list.Replica{ID: "i-1", Service: "s", Addr: f.rep.Addr, Zone: "z1", Slots: 8, State: "in_service"},
-		list.Replica{ID: "i-2", Service: "t", Addr: other.Addr, Zone: "z1", Slots: 8, State: "in_service"})
+	f.plat.Set(discovery.Replica{ID: "i-1", Service: "s", Addr: f.rep.Addr, Zone: "z1", Slots: 8, State: "in_service"},
+		discovery.Replica{ID: "i-2", Service: "t", Addr: other.Addr, Zone: "z1", Slots: 8, State: "in_service"})
 	for i := 1; i <= keepers; i++ {
 		f.dirs[i] = t.TempDir()
 		f.startKeeper(i, true)
@@ -90,12 +90,12 @@
 	return f
 }
 
-func (f *fleet) settings(ip, node string, initial bool) *boot.Settings {
+func (f *fleet) settings(ip, node string, initial bool) *settings.Settings {
 	var seeds []string
 	for _, i := range f.seeds {
 		seeds = append(seeds, fmt.Sprintf("\"127.0.0.%d:%d\"", i, f.base+10))
 	}
-	s, errs := boot.Parse(fmt.Appendf(nil, `
+	s, errs := settings.Parse(fmt.Appendf(nil, `
 node-name = %q
 ip = %q
 zone = "z1"
@@ -133,7 +133,7 @@
 }
 
 func (f *fleet) startKeeper(i int, initial bool) {
-	d, err := ctl.Start(f.keeperSettings(i, initial))
+	d, err := control.Start(f.keeperSettings(i, initial))
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -165,7 +165,7 @@
 		q.Header.Set("Base-Version", fmt.Sprint(base))
 	}
 	q.SetBodyString(body)
-	if err := fasthttp.DoTimeout(&q, &a, 3*clk.Second); err != nil {
+	if err := fasthttp.DoTimeout(&q, &a, 3*clock.Second); err != nil {
 		return 0, err.Error()
 	}
 	return a.StatusCode(), string(a.Body())
@@ -190,7 +190,7 @@
 
 func (f *fleet) until(what string, fn func() bool) {
 	f.t.Helper()
-	for end := clk.Now().Add(30 * clk.Second); clk.Now() < end; runtime.Gosched() {
+	for end := clock.Now().Add(30 * clock.Second); clock.Now() < end; runtime.Gosched() {
 		if fn() {
 			return
 		}
@@ -220,7 +220,7 @@
 		return 0
 	}
 	_ = c.Close()
-	k := standin.Call(word.Addr(fmt.Sprintf("127.0.0.%d:%d", 10+relay, f.base+11)))
+	k := standin.Call(ids.Addr(fmt.Sprintf("127.0.0.%d:%d", 10+relay, f.base+11)))
 	defer k.Close()
 	r, err := k.Ask("h", path, fmt.Sprint(rand.Int()), "body", "Deadline-Ms: 1000")
 	if err != nil {
@@ -280,9 +280,9 @@
 	for e := 1; e < 8; e++ {
 		var mu sync.Mutex
 		got := map[int]int{}
-		done := spawn.NewMark()
+		done := concurrency.NewMark()
 		for i := 1; i <= 3; i++ {
-			spawn.Go(func() {
+			concurrency.Go(func() {
 				st := f.insist(i, replace, e, doc(e+1, fmt.Sprintf("/by-%d-%d/", i, e)))
 				mu.Lock()
 				defer mu.Unlock()
@@ -291,7 +291,7 @@
 				}
 			})
 		}
-		is.True(done.Wait(30 * clk.Second))
+		is.True(done.Wait(30 * clock.Second))
 		is.Equal(got[200], 1)
 		is.Equal(got[412], 2)
 	}
@@ -309,7 +309,7 @@
 	}
 	is.Equal(f.read(2), doc(3, "/a/"))
 	f.until("the evacuation", func() bool {
-		v, _ := f.keepers[3].Hub.Value(word.Evacuation("z2"))
+		v, _ := f.keepers[3].Hub.Value(ids.Evacuation("z2"))
 		return bytes.Equal(v, []byte("on"))
 	})
 	f.until("service", func() bool { return f.ask(1, "/a/x") == 200 })
@@ -382,9 +382,9 @@
 // A refused start says why.
 func TestBadSettings(t *testing.T) {
 	is := is.New(t)
-	_, errs := boot.Parse([]byte("node-name = \"a\"\nip = \"x\"\ninternal-ports = [1]\n"))
+	_, errs := settings.Parse([]byte("node-name = \"a\"\nip = \"x\"\ninternal-ports = [1]\n"))
 	is.True(len(errs) >= 5)
-	_, errs = boot.Parse([]byte("= no toml"))
+	_, errs = settings.Parse([]byte("= no toml"))
 	is.Equal(len(errs), 1)
 }
 
@@ -397,11 +397,11 @@
 	for i := range 2 {
 		f.until("service", func() bool { return f.ask(i+1, "/a/x") == 200 })
 	}
-	keeper := func(i int) word.Addr { return word.Addr(f.keepers[i].Keeper.Self) }
+	keeper := func(i int) ids.Addr { return ids.Addr(f.keepers[i].Keeper.Self) }
 	var tr *trace.Trace
 	f.until("all relays", func() bool {
 		var err error
-		tr, err = trace.Change(trace.Wire, keeper(2), word.Configuration, "3", 2*clk.Second)
+		tr, err = trace.Change(trace.Wire, keeper(2), ids.Configuration, "3", 2*clock.Second)
 		return err == nil && len(tr.Relays) == 2 && len(tr.InFeed) == 3
 	})
 	is.True(len(tr.Synced) >= 2)
@@ -409,39 +409,39 @@
 	is.Equal(len(tr.Silent), 0)
 	for _, r := range tr.Relays {
 		is.True(r.Applied)
-		is.Equal(r.Version, word.Version(3))
+		is.Equal(r.Version, ids.Version(3))
 	}
 	is.True(strings.Contains(tr.Text(), "in force"))
-	tr, err := trace.Change(trace.Wire, keeper(1), word.Evacuation("z2"), "on", 2*clk.Second)
+	tr, err := trace.Change(trace.Wire, keeper(1), ids.Evacuation("z2"), "on", 2*clock.Second)
 	is.NoErr(err)
 	is.True(!tr.At.Zero())
-	_, err = trace.Change(trace.Wire, keeper(1), word.Configuration, "99", 2*clk.Second)
-	is.Equal(code.Of(err), code.UnknownChange)
-	_, err = trace.Change(trace.Wire, "127.0.0.9:1", word.Configuration, "3", clk.Second)
-	is.Equal(code.Of(err), code.PeerLost)
+	_, err = trace.Change(trace.Wire, keeper(1), ids.Configuration, "99", 2*clock.Second)
+	is.Equal(codes.Of(err), codes.UnknownChange)
+	_, err = trace.Change(trace.Wire, "127.0.0.9:1", ids.Configuration, "3", clock.Second)
+	is.Equal(codes.Of(err), codes.PeerLost)
 	gone := string(keeper(3))
 	f.stopKeepers(3)
-	tr, err = trace.Change(trace.Wire, keeper(1), word.Configuration, "3", clk.Second)
+	tr, err = trace.Change(trace.Wire, keeper(1), ids.Configuration, "3", clock.Second)
 	is.NoErr(err)
 	is.Equal(tr.Silent, []string{gone})
 	r := f.relays[1].Report()
 	is.True(r.Gauges["relays"] >= 1)
-	is.Equal(r.Version, word.Version(3))
+	is.Equal(r.Version, ids.Version(3))
 }
 
 func TestOperatorCalls(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, 3, 0)
-	o := &oper.Client{Limit: 20 * clk.Second, Addrs: []word.Addr{"127.0.0.9:1", word.Addr(fmt.Sprintf("127.0.0.2:%d", f.base+10))}}
+	o := &operator.Client{Limit: 20 * clock.Second, Addrs: []ids.Addr{"127.0.0.9:1", ids.Addr(fmt.Sprintf("127.0.0.2:%d", f.base+10))}}
 	_, err := o.Call("POST", replace, 0, []byte(doc(3, "/a/")))
 	is.NoErr(err)
 	b, err := o.Call("GET", retrieve, -1, nil)
 	is.NoErr(err)
 	is.Equal(string(b), doc(3, "/a/"))
 	_, err = o.Call("POST", replace, 0, []byte(doc(4, "/a/")))
-	is.Equal(code.Of(err), code.OtherVersion)
+	is.Equal(codes.Of(err), codes.OtherVersion)
 	_, err = o.Call("POST", "/-/evacuation/nowhere/initiate", -1, nil)
-	is.Equal(code.Of(err), code.NoZone)
+	is.Equal(codes.Of(err), codes.NoZone)
 }
 
 // News of a drifted record reaches all relays through the keepers, and goes.
@@ -452,9 +452,9 @@
 	for i := range 2 {
 		f.until("service", func() bool { return f.ask(i+1, "/a/x") == 200 })
 	}
-	before := note.Counter("drift.told").Get()
-	f.relays[1].Relay.Tell(pick.Drift{Replica: "i-1", Horizon: clk.Second})
-	f.until("both relays", func() bool { return note.Counter("drift.told").Get() >= before+2 })
+	before := telemetry.Counter("drift.told").Get()
+	f.relays[1].Relay.Tell(routing.Drift{Replica: "i-1", Horizon: clock.Second})
+	f.until("both relays", func() bool { return telemetry.Counter("drift.told").Get() >= before+2 })
 	is.Equal(f.ask(1, "/a/x"), 200)
 	is.Equal(f.ask(2, "/a/x"), 200)
 }
@@ -471,8 +471,8 @@
 		is.Equal(f.insist(1, replace, e, doc(e+1, fmt.Sprintf("/p%d/", e))), 200)
 	}
 	f.until("the last record", func() bool {
-		_, at := f.keepers[1].Hub.Value(word.Configuration)
-		return at == f.keepers[2].Keeper.Acceptor().Cell(word.Configuration).At
+		_, at := f.keepers[1].Hub.Value(ids.Configuration)
+		return at == f.keepers[2].Keeper.Acceptor().Cell(ids.Configuration).At
 	})
 	f.stopKeepers(1, 2, 3)
 	p := f.dirs[2] + "/keep.log"
--- a/internal/fleet/seeds_test.go
+++ b/internal/fleet/seeds_test.go
@@ -6,10 +6,10 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/boot"
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/keep"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/consensus"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/settings"
 )
 
 // seeded changes which keepers the settings of later starts, and of all that
@@ -95,21 +95,21 @@
 		f.startKeeper(i, false)
 	}
 	for range 20 {
-		begun := clk.Now()
+		begun := clock.Now()
 		st, _ := f.call(4, "POST", replace, 0, doc(3, "/a/"))
 		is.Equal(st, 503)
-		is.True(clk.Since(begun) < 600*clk.Millisecond)
+		is.True(clock.Since(begun) < 600*clock.Millisecond)
 	}
-	m := f.keepers[5].Keeper.Handle(keep.Msg{Kind: keep.Forward, Key: word.Configuration, Order: &keep.Order{Query: true}})
+	m := f.keepers[5].Keeper.Handle(consensus.Msg{Kind: consensus.Forward, Key: ids.Configuration, Order: &consensus.Order{Query: true}})
 	is.True(!m.OK)
 }
 
-func (f *fleet) keeperSettings(i int, initial bool) *boot.Settings {
+func (f *fleet) keeperSettings(i int, initial bool) *settings.Settings {
 	s := f.settings(fmt.Sprintf("127.0.0.%d", i), fmt.Sprintf("keeper-%d", i), initial)
 	s.DataDir = f.dirs[i]
 	return s
 }
 
-func (f *fleet) relaySettings(i int) *boot.Settings {
+func (f *fleet) relaySettings(i int) *settings.Settings {
 	return f.settings(fmt.Sprintf("127.0.0.%d", 10+i), fmt.Sprintf("relay-%d", i), true)
 }
--- a/internal/head/body.go
+++ b/internal/httpmessage/body.go
@@ -1,4 +1,4 @@
-package head
+package httpmessage
 
 import (
 	"bufio"
@@ -6,7 +6,7 @@
 	"io"
 	"math"
 
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/codes"
 )
 
 // Body reads a framed body; it ends with io.EOF only if the body is whole.
@@ -73,7 +73,7 @@
 		return nil, err
 	}
 	if !bytes.HasSuffix(ln, crlf) {
-		return nil, code.New(code.BadBody, "a bare line feed")
+		return nil, codes.New(codes.BadBody, "a bare line feed")
 	}
 	return ln[:len(ln)-2], nil
 }
@@ -85,7 +85,7 @@
 			return err
 		}
 		if len(ln) != 0 {
-			return code.New(code.BadBody, "a chunk longer than it says")
+			return codes.New(codes.BadBody, "a chunk longer than it says")
 		}
 	}
 	b.begun = true
@@ -97,7 +97,7 @@
 		ln = bytes.TrimRight(ln[:i], " \t")
 	}
 	if len(ln) == 0 || len(ln) > 8 {
-		return code.New(code.BadBody, "a chunk of no size")
+		return codes.New(codes.BadBody, "a chunk of no size")
 	}
 	var n int64
 	for _, c := range ln {
@@ -109,7 +109,7 @@
 		case c >= 'A' && c <= 'F':
 			n = n<<4 | int64(c-'A'+10)
 		default:
-			return code.New(code.BadBody, "a chunk of no size")
+			return codes.New(codes.BadBody, "a chunk of no size")
 		}
 	}
 	if n > 0 {
@@ -126,7 +126,7 @@
 			return nil
 		}
 		if i > 32 || bytes.IndexByte(ln, ':') <= 0 {
-			return code.New(code.BadBody, "a malformed trailer")
+			return codes.New(codes.BadBody, "a malformed trailer")
 		}
 	}
 }
@@ -134,7 +134,7 @@
 // ReadAll reads a body of at most most bytes.
 func (b *Body) ReadAll(most int) ([]byte, error) {
 	if b.f.Length > int64(most) {
-		return nil, code.New(code.BodyTooLarge, "")
+		return nil, codes.New(codes.BodyTooLarge, "")
 	}
 	out := make([]byte, 0, max(512, min(b.f.Length, 64<<10)))
 	for {
@@ -144,7 +144,7 @@
 		n, err := b.Read(out[len(out):cap(out)])
 		out = out[:len(out)+n]
 		if len(out) > most {
-			return nil, code.New(code.BodyTooLarge, "")
+			return nil, codes.New(codes.BodyTooLarge, "")
 		}
 		if err == io.EOF {
 			return out, nil
--- a/internal/head/event.go
+++ b/internal/httpmessage/event.go
@@ -1,4 +1,4 @@
-package head
+package httpmessage
 
 import (
 	"bytes"
--- a/internal/head/head_test.go
+++ b/internal/httpmessage/head_test.go
@@ -1,4 +1,4 @@
-package head
+package httpmessage
 
 import (
 	"bufio"
@@ -12,7 +12,7 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/codes"
 )
 
 func reader(s string, one bool) *bufio.Reader {
@@ -57,7 +57,7 @@
 func TestHeadTooLarge(t *testing.T) {
 	is := is.New(t)
 	_, err := ReadRequest(reader("GET / HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("x", 5000)+"\r\n\r\n", false))
-	is.Equal(code.Of(err), code.HeadTooLarge)
+	is.Equal(codes.Of(err), codes.HeadTooLarge)
 }
 
 func TestBodyIsWholeOrNot(t *testing.T) {
@@ -133,7 +133,7 @@
 		out := string(q.Append(nil, len(b))) + string(b)
 		p, err := ReadRequest(reader(out, false))
 		if err != nil {
-			if errors.Is(err, io.ErrUnexpectedEOF) || code.Of(err) == code.HeadTooLarge {
+			if errors.Is(err, io.ErrUnexpectedEOF) || codes.Of(err) == codes.HeadTooLarge {
 				return
 			}
 			t.Fatalf("%q became %q: %v", s, out, err)
--- a/internal/head/request.go
+++ b/internal/httpmessage/request.go
@@ -1,4 +1,4 @@
-package head
+package httpmessage
 
 import (
 	"bufio"
@@ -7,7 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/codes"
 )
 
 // Request is the head of a request as a client sent it.
@@ -73,14 +73,14 @@
 			}
 		case bytes.EqualFold(k, []byte("expect")):
 			if !bytes.EqualFold(v, []byte("100-continue")) {
-				return code.New(code.BadHead, "an unknown expectation")
+				return codes.New(codes.BadHead, "an unknown expectation")
 			}
 			q.Expect = true
 		default:
 			for _, n := range once {
 				if len(n) == len(k) && strings.EqualFold(n, string(k)) {
 					if q.special[n]++; q.special[n] > 1 {
-						return code.New(code.BadHead, "%s stands twice", n)
+						return codes.New(codes.BadHead, "%s stands twice", n)
 					}
 				}
 			}
@@ -92,20 +92,20 @@
 	}
 	parts := bytes.Split(first, []byte(" "))
 	if len(parts) != 3 || !tokens(parts[0]) || len(parts[1]) == 0 {
-		return nil, code.New(code.BadHead, "a first line of %d parts", len(parts))
+		return nil, codes.New(codes.BadHead, "a first line of %d parts", len(parts))
 	}
 	old := bytes.Equal(parts[2], []byte("HTTP/1.0"))
 	if !old && !bytes.Equal(parts[2], []byte("HTTP/1.1")) {
-		return nil, code.New(code.BadHead, "an unknown protocol")
+		return nil, codes.New(codes.BadHead, "an unknown protocol")
 	}
 	if parts[1][0] != '/' {
-		return nil, code.New(code.BadHead, "a target that is no path")
+		return nil, codes.New(codes.BadHead, "a target that is no path")
 	}
 	if hosts != 1 {
-		return nil, code.New(code.BadHead, "%d hosts", hosts)
+		return nil, codes.New(codes.BadHead, "%d hosts", hosts)
 	}
 	if old && f.Chunked {
-		return nil, code.New(code.BadHead, "chunks in an old protocol")
+		return nil, codes.New(codes.BadHead, "chunks in an old protocol")
 	}
 	q.Framing, q.Method, q.URI = f, string(parts[0]), string(parts[1])
 	q.Close = old
@@ -118,7 +118,7 @@
 	q.codec.DisableNormalizing()
 	q.codec.SetNoDefaultContentType(true)
 	if err := q.codec.Read(br); err != nil {
-		return nil, code.New(code.BadHead, "%v", err)
+		return nil, codes.New(codes.BadHead, "%v", err)
 	}
 	return q, nil
 }
--- a/internal/head/response.go
+++ b/internal/httpmessage/response.go
@@ -1,4 +1,4 @@
-package head
+package httpmessage
 
 import (
 	"bufio"
@@ -8,8 +8,8 @@
 
 	"github.com/valyala/fasthttp"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
 )
 
 // Response is the head of a replica's answer.
@@ -17,7 +17,7 @@
 	Framing
 	Status int
 	Close  bool
-	Alive  clk.Span
+	Alive  clock.Span
 	bare   bool
 	told   int64
 	codec  fasthttp.ResponseHeader
@@ -38,11 +38,11 @@
 		}
 		if len(first) < 12 || !(bytes.HasPrefix(first, []byte("HTTP/1.1 ")) || bytes.HasPrefix(first, []byte("HTTP/1.0 "))) ||
 			(len(first) > 12 && first[12] != ' ') {
-			return nil, code.New(code.ReplicaBroke, "no status line")
+			return nil, codes.New(codes.ReplicaBroke, "no status line")
 		}
 		st, err := number(first[9:12])
 		if err != nil || st < 100 {
-			return nil, code.New(code.ReplicaBroke, "no status")
+			return nil, codes.New(codes.ReplicaBroke, "no status")
 		}
 		if st < 200 && st != 101 {
 			_, _ = br.Discard(len(raw))
@@ -53,7 +53,7 @@
 		a.codec.DisableNormalizing()
 		a.codec.SetNoDefaultContentType(true)
 		if err := a.codec.Read(br); err != nil {
-			return nil, code.New(code.ReplicaBroke, "%v", err)
+			return nil, codes.New(codes.ReplicaBroke, "%v", err)
 		}
 		switch {
 		case st == 204 || st == 304:
@@ -77,7 +77,7 @@
 		for p := range strings.SplitSeq(string(v), ",") {
 			if s, ok := strings.CutPrefix(strings.TrimSpace(p), "timeout="); ok {
 				if n, err := strconv.ParseFloat(s, 64); err == nil {
-					a.Alive = clk.Ms(n * 1000)
+					a.Alive = clock.Ms(n * 1000)
 				}
 			}
 		}
--- a/internal/head/scan.go
+++ b/internal/httpmessage/scan.go
@@ -1,7 +1,7 @@
-// Package head reads and writes the heads and bodies of HTTP/1.1 messages.
+// Package httpmessage reads and writes the heads and bodies of HTTP/1.1 messages.
 // fasthttp is the codec; what could be read in two ways is turned away before
 // the codec sees it.
-package head
+package httpmessage
 
 import (
 	"bufio"
@@ -9,7 +9,7 @@
 	"errors"
 	"io"
 
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/codes"
 )
 
 var (
@@ -34,12 +34,12 @@
 			return b[:from+i+len(endHead)], nil
 		}
 		if i := bytes.Index(b[from:], []byte("\n\n")); i >= 0 {
-			return nil, code.New(code.BadHead, "a bare line feed")
+			return nil, codes.New(codes.BadHead, "a bare line feed")
 		}
 		from = max(0, len(b)-len(endHead)+1)
 		if _, err := br.Peek(len(b) + 1); err != nil {
 			if errors.Is(err, bufio.ErrBufferFull) {
-				return nil, code.New(code.HeadTooLarge, "")
+				return nil, codes.New(codes.HeadTooLarge, "")
 			}
 			if errors.Is(err, io.EOF) && len(b) > 0 {
 				return nil, io.ErrUnexpectedEOF
@@ -67,7 +67,7 @@
 }
 
 func lines(raw []byte, fn func(k, v []byte) error) (first []byte, f Framing, err error) {
-	bad := func(s string) ([]byte, Framing, error) { return nil, f, code.New(code.BadHead, "%s", s) }
+	bad := func(s string) ([]byte, Framing, error) { return nil, f, codes.New(codes.BadHead, "%s", s) }
 	raw = raw[:len(raw)-len(crlf)]
 	f.None = true
 	sized := false
--- a/internal/word/word.go
+++ b/internal/ids/ids.go
@@ -1,5 +1,5 @@
-// Package word holds the small types that ids, versions and places are made of.
-package word
+// Package ids holds the small types that ids, versions and places are made of.
+package ids
 
 import (
 	"fmt"
--- a/internal/check/house_test.go
+++ b/internal/interleave/house_test.go
@@ -1,4 +1,4 @@
-package check
+package interleave
 
 import (
 	"go/ast"
@@ -13,15 +13,15 @@
 // The layers of the tree: a package may import only those of layers before its
 // own.
 var layers = [][]string{
-	{"clk", "word", "code", "guards"},
-	{"spawn", "note", "check"},
-	{"match", "response", "disk", "head", "conf", "cal", "lru", "deflate"},
-	{"wire", "boot", "kvindex"},
-	{"keep", "link", "evidence"},
-	{"feed", "list", "oper", "pool"},
-	{"pick", "trace"},
-	{"relay", "ctl"},
-	{"standin", "fleet", "proc", "sim"},
+	{"clock", "ids", "codes", "guards"},
+	{"concurrency", "telemetry", "interleave"},
+	{"match", "response", "disk", "httpmessage", "configuration", "schedule", "lru", "deflate"},
+	{"rpc", "settings", "kvindex"},
+	{"consensus", "upstream", "evidence"},
+	{"feed", "discovery", "operator", "pool"},
+	{"routing", "trace"},
+	{"relay", "control"},
+	{"standin", "fleet", "daemon", "sim"},
 	{"scale"},
 }
 
@@ -38,8 +38,8 @@
 
 // few names the packages that may import what the others reach through wrappers.
 var few = map[string][]string{
-	"time":    {"clk", "spawn"},
-	"context": {"wire"},
+	"time":    {"clock", "concurrency"},
+	"context": {"rpc"},
 }
 
 func TestHouse(t *testing.T) {
@@ -61,7 +61,7 @@
 		}
 		for _, im := range f.Imports {
 			name := strings.Trim(im.Path.Value, `"`)
-			if in, ok := strings.CutPrefix(name, "spoolswitch/internal/"); ok && layer(in) >= layer(pkg) && !(pkg == "spawn" && in == "clk") {
+			if in, ok := strings.CutPrefix(name, "spoolswitch/internal/"); ok && layer(in) >= layer(pkg) && !(pkg == "concurrency" && in == "clock") {
 				t.Errorf("%s imports %s, which is not below it", p, in)
 			}
 			if who, ok := few[name]; ok && !strings.Contains(strings.Join(who, " "), pkg) {
@@ -76,11 +76,11 @@
 			}
 			switch n.(type) {
 			case *ast.GoStmt:
-				if pkg != "spawn" {
+				if pkg != "concurrency" {
 					t.Errorf("%s starts a goroutine", set.Position(n.Pos()))
 				}
 			case *ast.ChanType, *ast.SelectStmt:
-				if pkg != "spawn" {
+				if pkg != "concurrency" {
 					t.Errorf("%s uses a channel", set.Position(n.Pos()))
 				}
 			}
--- a/internal/check/check.go
+++ b/internal/interleave/interleave.go
@@ -1,5 +1,5 @@
-// Package check runs a few threads of steps in every order that there is.
-package check
+// Package interleave runs a few threads of steps in every order that there is.
+package interleave
 
 import "testing"
 
--- a/internal/check/check_test.go
+++ b/internal/interleave/interleave_test.go
@@ -1,4 +1,4 @@
-package check
+package interleave
 
 import (
 	"fmt"
--- a/internal/kvindex/batch.go
+++ b/internal/kvindex/batch.go
@@ -4,15 +4,15 @@
 package kvindex
 
 import (
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/ids"
 )
 
 // Publisher is the stable identity of a replica, or of one data-parallel rank
 // of it.
 type Publisher struct {
-	Service word.Service
-	Addr    word.Addr
+	Service ids.Service
+	Addr    ids.Addr
 	Rank    int
 }
 
@@ -20,7 +20,7 @@
 // nothing beyond it. A rank, or a counter that starts again, is no lifetime.
 type Epoch struct {
 	Publisher
-	Life word.Replica
+	Life ids.Replica
 }
 
 // Seq is the number of a batch within its epoch. The first is 0.
@@ -68,28 +68,28 @@
 
 func (b *Batch) check() error {
 	if b.Epoch.Life == "" || b.Epoch.Addr == "" {
-		return code.New(code.BadBatch, "no epoch")
+		return codes.New(codes.BadBatch, "no epoch")
 	}
 	if len(b.Events) == 0 || len(b.Events) > eventsMost {
-		return code.New(code.BadBatch, "%d events", len(b.Events))
+		return codes.New(codes.BadBatch, "%d events", len(b.Events))
 	}
 	n := 0
 	for _, e := range b.Events {
 		switch {
 		case e.Kind < BlockStored || e.Kind > AllBlocksCleared, e.Grade < Observed || e.Grade > Inferred:
-			return code.New(code.BadBatch, "event of kind %d, grade %d", e.Kind, e.Grade)
+			return codes.New(codes.BadBatch, "event of kind %d, grade %d", e.Kind, e.Grade)
 		case e.Kind == AllBlocksCleared && len(e.Blocks) > 0, e.Kind != AllBlocksCleared && len(e.Blocks) == 0:
-			return code.New(code.BadBatch, "event of kind %d with %d blocks", e.Kind, len(e.Blocks))
+			return codes.New(codes.BadBatch, "event of kind %d with %d blocks", e.Kind, len(e.Blocks))
 		}
 		for _, k := range e.Blocks {
 			if k.Tokens < 0 {
-				return code.New(code.BadBatch, "block of %d tokens", k.Tokens)
+				return codes.New(codes.BadBatch, "block of %d tokens", k.Tokens)
 			}
 		}
 		n += len(e.Blocks)
 	}
 	if n > blocksMost {
-		return code.New(code.BadBatch, "%d blocks", n)
+		return codes.New(codes.BadBatch, "%d blocks", n)
 	}
 	return nil
 }
--- a/internal/kvindex/chain.go
+++ b/internal/kvindex/chain.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"strings"
 
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/codes"
 )
 
 // Block is one block of a prompt, named by all the blocks up to it.
@@ -66,7 +66,7 @@
 		id, num, ok := strings.Cut(strings.TrimSpace(p), ":")
 		n, err := strconv.ParseInt(num, 10, 64)
 		if !ok || err != nil || !hex(id) || n < 0 || len(ids) >= partsMost {
-			return nil, code.New(code.BadFields, "Prompt-Prefix: %.40q", p)
+			return nil, codes.New(codes.BadFields, "Prompt-Prefix: %.40q", p)
 		}
 		ids, ns = append(ids, id), append(ns, n)
 	}
--- a/internal/kvindex/index.go
+++ b/internal/kvindex/index.go
@@ -4,10 +4,10 @@
 	"slices"
 	"sync"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/note"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/telemetry"
 )
 
 // Source is the publishers' end: what may still be asked of them.
@@ -22,45 +22,45 @@
 type Index struct {
 	// SpeculativeFirst is how long a speculative entry lives before its
 	// latency has been measured.
-	SpeculativeFirst clk.Span
+	SpeculativeFirst clock.Span
 	Latency          Latency
 
 	src   Source
 	mu    sync.Mutex
 	views map[Publisher]*View
-	past  map[word.Replica]clk.Tick
+	past  map[ids.Replica]clock.Tick
 }
 
 var (
-	gaps          = note.Counter("kv.gaps")
-	replays       = note.Counter("kv.replays")
-	unrecoverable = note.Counter("kv.unrecoverable")
-	epochs        = note.Counter("kv.epochs")
-	duplicates    = note.Counter("kv.duplicates")
-	stale         = note.Counter("kv.stale")
-	malformed     = note.Counter("kv.malformed")
-	untrusted     = note.Counter("kv.untrusted")
-	unknownBlocks = note.Counter("kv.unknown-removals")
-	rebuilds      = note.Counter("kv.rebuilds")
-	confirmed     = note.Counter("kv.confirmed")
-	expired       = note.Counter("kv.expired")
+	gaps          = telemetry.Counter("kv.gaps")
+	replays       = telemetry.Counter("kv.replays")
+	unrecoverable = telemetry.Counter("kv.unrecoverable")
+	epochs        = telemetry.Counter("kv.epochs")
+	duplicates    = telemetry.Counter("kv.duplicates")
+	stale         = telemetry.Counter("kv.stale")
+	malformed     = telemetry.Counter("kv.malformed")
+	untrusted     = telemetry.Counter("kv.untrusted")
+	unknownBlocks = telemetry.Counter("kv.unknown-removals")
+	rebuilds      = telemetry.Counter("kv.rebuilds")
+	confirmed     = telemetry.Counter("kv.confirmed")
+	expired       = telemetry.Counter("kv.expired")
 )
 
 const (
-	specDefault = 2 * clk.Second
-	specLeast   = 100 * clk.Millisecond
-	specMost    = 10 * clk.Second
-	pastKept    = 10 * clk.Minute
+	specDefault = 2 * clock.Second
+	specLeast   = 100 * clock.Millisecond
+	specMost    = 10 * clock.Second
+	pastKept    = 10 * clock.Minute
 )
 
 // New makes an index over the publishers' end.
 func New(src Source) *Index {
-	return &Index{src: src, views: map[Publisher]*View{}, past: map[word.Replica]clk.Tick{}}
+	return &Index{src: src, views: map[Publisher]*View{}, past: map[ids.Replica]clock.Tick{}}
 }
 
 // lifetime of speculative entries: twice the P99 of what was measured. Loss
 // has no part in it.
-func (x *Index) lifetime() clk.Span {
+func (x *Index) lifetime() clock.Span {
 	if d, ok := x.Latency.At(0.99); ok {
 		return min(max(2*d, specLeast), specMost)
 	}
@@ -100,7 +100,7 @@
 }
 
 func (x *Index) end(v *View) {
-	now := clk.Now()
+	now := clock.Now()
 	for l, at := range x.past {
 		if now.Sub(at) > pastKept {
 			delete(x.past, l)
@@ -136,7 +136,7 @@
 	v := x.view(b.Epoch)
 	if v == nil {
 		stale.Add(1)
-		return code.New(code.OldEpoch, "%s", b.Epoch.Life)
+		return codes.New(codes.OldEpoch, "%s", b.Epoch.Life)
 	}
 	if v.take(b) {
 		return nil
@@ -196,7 +196,7 @@
 	Next        Seq
 	Gap         bool
 	Quarantined bool
-	For         clk.Span
+	For         clock.Span
 	Blocks      int
 	Tokens      int64
 	Speculative int
--- a/internal/kvindex/index_test.go
+++ b/internal/kvindex/index_test.go
@@ -6,11 +6,11 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/check"
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/note"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/interleave"
+	"spoolswitch/internal/telemetry"
 )
 
 // publisher is a stand-in for a replica that tells what it keeps: it numbers
@@ -24,7 +24,7 @@
 	snaps bool
 }
 
-func newPublisher(life word.Replica, room int) *publisher {
+func newPublisher(life ids.Replica, room int) *publisher {
 	return &publisher{e: Epoch{Publisher{"s", "10.0.0.1:80", 0}, life}, room: room}
 }
 
@@ -81,16 +81,16 @@
 
 var base = []Extra{{"model", "m"}}
 
-func tick(t *testing.T) *clk.Sim {
-	sim := &clk.Sim{}
+func tick(t *testing.T) *clock.Sim {
+	sim := &clock.Sim{}
 	t.Cleanup(sim.Use())
-	sim.Move(clk.Second)
+	sim.Move(clock.Second)
 	return sim
 }
 
 func rise(name string) func() int64 {
-	was := note.Counter(name).Get()
-	return func() int64 { return note.Counter(name).Get() - was }
+	was := telemetry.Counter(name).Get()
+	return func() int64 { return telemetry.Counter(name).Get() - was }
 }
 
 // other is a batch that has nothing to do with what is looked up.
@@ -177,8 +177,8 @@
 		is.Equal(x.Lookup(p.e, h, Unlimited).Miss, UnknownHistory)
 	}
 	is.Equal(untrusted(), int64(5))
-	sim.Move(3 * clk.Second)
-	is.Equal(x.Status()[0].For, 3*clk.Second)
+	sim.Move(3 * clock.Second)
+	is.Equal(x.Status()[0].For, 3*clock.Second)
 	quiet := rise("kv.quarantined-ms")
 	p.snaps = true // a full snapshot restores it
 	is.NoErr(x.Apply(p.other()))
@@ -224,7 +224,7 @@
 	is.Equal(x.Lookup(q.e, h, Unlimited).Miss, NoMatch)
 	is.Equal(x.Lookup(q.e, g, Unlimited).Tokens, int64(16))
 	is.Equal(x.Lookup(p.e, h, Unlimited).Miss, UnknownEpoch)
-	is.Equal(code.Of(x.Apply(late)), code.OldEpoch)
+	is.Equal(codes.Of(x.Apply(late)), codes.OldEpoch)
 	is.Equal(old(), int64(1))
 	is.Equal(x.Lookup(q.e, g, Unlimited).Tokens, int64(16))
 	r := newPublisher("44", 1000) // another rank is another stream
@@ -239,13 +239,13 @@
 // gives the same view; so does a batch of another life in between.
 func TestAnyOrder(t *testing.T) {
 	h, g := prompt(base, "h", "i"), prompt(base, "g")
-	n := check.All(t, func() ([]check.Thread, func([]int)) {
+	n := interleave.All(t, func() ([]interleave.Thread, func([]int)) {
 		p := newPublisher("42", 0) // nothing can be replayed
 		x := New(p)
 		x.Begin(p.e)
 		bs := []Batch{p.batch(stored(h...)), p.batch(removed(h[1])), p.batch(stored(g...)), p.batch(removed(g...), stored(h[1]))}
 		apply := func(i int) func() { return func() { _ = x.Apply(bs[i]) } }
-		return []check.Thread{check.Steps(apply(0), apply(2)), check.Steps(apply(1), apply(1)), check.Steps(apply(3))},
+		return []interleave.Thread{interleave.Steps(apply(0), apply(2)), interleave.Steps(apply(1), apply(1)), interleave.Steps(apply(3))},
 			func(o []int) {
 				got := x.Lookup(p.e, h, Unlimited)
 				v := x.Begin(p.e)
@@ -270,7 +270,7 @@
 	sim := tick(t)
 	p := newPublisher("42", 1)
 	x := New(p)
-	x.SpeculativeFirst = 500 * clk.Millisecond
+	x.SpeculativeFirst = 500 * clock.Millisecond
 	v := x.Begin(p.e)
 	h, g := prompt(base, "h"), prompt(base, "g")
 	exp, conf := rise("kv.expired"), rise("kv.confirmed")
@@ -278,13 +278,13 @@
 	n, _ := v.Leading(h)
 	is.Equal(n, 1)
 	is.Equal(v.Tokens(), int64(0)) // kept apart
-	sim.Move(300 * clk.Millisecond)
+	sim.Move(300 * clock.Millisecond)
 	is.NoErr(x.Apply(p.batch(stored(h...))))
 	is.Equal(conf(), int64(1))
 	is.Equal(x.Lookup(p.e, h, Unlimited), Lookup{Tokens: 16})
 	v.Speculate(g)
 	is.Equal(x.Lookup(p.e, g, Unlimited), Lookup{Speculative: 16})
-	sim.Move(501 * clk.Millisecond)
+	sim.Move(501 * clock.Millisecond)
 	n, _ = v.Leading(g)
 	is.Equal(n, 0)
 	is.Equal(x.Lookup(p.e, g, Unlimited).Miss, NoMatch)
@@ -292,13 +292,13 @@
 	is.Equal(exp(), int64(1))
 	for range 200 { // measured: stored 20 ms after routing
 		v.Speculate(g)
-		sim.Move(20 * clk.Millisecond)
+		sim.Move(20 * clock.Millisecond)
 		is.NoErr(x.Apply(p.batch(stored(g...), removed(g...))))
 	}
 	d, ok := x.Latency.At(0.99)
-	is.True(ok && d >= 20*clk.Millisecond && d < 30*clk.Millisecond)
+	is.True(ok && d >= 20*clock.Millisecond && d < 30*clock.Millisecond)
 	life := x.lifetime()
-	is.True(life < 200*clk.Millisecond)
+	is.True(life < 200*clock.Millisecond)
 	p.other()
 	p.other()
 	is.NoErr(x.Apply(p.other())) // lost
@@ -365,7 +365,7 @@
 		{Epoch: p.e, Seq: 1, Events: make([]Event, eventsMost+1)},
 	}
 	for _, b := range cases {
-		is.Equal(code.Of(x.Apply(b)), code.BadBatch)
+		is.Equal(codes.Of(x.Apply(b)), codes.BadBatch)
 	}
 	is.Equal(bad(), int64(len(cases)))
 	is.Equal(x.Lookup(p.e, h, Unlimited).Tokens, int64(16))
--- a/internal/kvindex/latency.go
+++ b/internal/kvindex/latency.go
@@ -4,7 +4,7 @@
 	"math"
 	"sync"
 
-	"spoolswitch/internal/clk"
+	"spoolswitch/internal/clock"
 )
 
 // Latency follows how long it takes from routing a request to the news that
@@ -17,14 +17,14 @@
 
 const (
 	latencyBins  = 64
-	latencyBase  = float64(clk.Millisecond)
+	latencyBase  = float64(clock.Millisecond)
 	latencyStep  = 1.25
 	latencyFirst = 30
 	latencyKeep  = 4096
 )
 
 // See takes one sighting in.
-func (l *Latency) See(d clk.Span) {
+func (l *Latency) See(d clock.Span) {
 	i := 0
 	if x := float64(d) / latencyBase; x > 1 {
 		i = min(latencyBins-1, int(math.Log(x)/math.Log(latencyStep))+1)
@@ -42,7 +42,7 @@
 }
 
 // At reads a quantile from above; false while too few were seen.
-func (l *Latency) At(q float64) (clk.Span, bool) {
+func (l *Latency) At(q float64) (clock.Span, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.n < latencyFirst {
@@ -51,8 +51,8 @@
 	sum := 0.0
 	for i, c := range l.bin {
 		if sum += c; sum >= q*l.n {
-			return clk.Span(latencyBase * math.Pow(latencyStep, float64(i))), true
+			return clock.Span(latencyBase * math.Pow(latencyStep, float64(i))), true
 		}
 	}
-	return clk.Span(latencyBase * math.Pow(latencyStep, latencyBins)), true
+	return clock.Span(latencyBase * math.Pow(latencyStep, latencyBins)), true
 }
--- a/internal/kvindex/lookup.go
+++ b/internal/kvindex/lookup.go
@@ -1,8 +1,8 @@
 package kvindex
 
 import (
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/note"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/telemetry"
 )
 
 // Miss tells why the first block of a prompt that is not kept is not.
@@ -23,9 +23,9 @@
 
 func (m Miss) String() string { return missNames[m] }
 
-var misses = func() (out [len(missNames)]*note.Count) {
+var misses = func() (out [len(missNames)]*telemetry.Count) {
 	for i, n := range missNames {
-		out[i] = note.Counter("kv.lookup." + n)
+		out[i] = telemetry.Counter("kv.lookup." + n)
 	}
 	return
 }()
@@ -69,7 +69,7 @@
 	case !v.began || v.closed:
 		return Lookup{Miss: UnknownEpoch}
 	}
-	now := clk.Now()
+	now := clock.Now()
 	pos, known := int64(0), true
 	for _, k := range c {
 		if pos += k.Tokens; pos > limit {
--- a/internal/kvindex/view.go
+++ b/internal/kvindex/view.go
@@ -3,9 +3,9 @@
 import (
 	"sync"
 
-	"spoolswitch/internal/clk"
+	"spoolswitch/internal/clock"
 	"spoolswitch/internal/lru"
-	"spoolswitch/internal/note"
+	"spoolswitch/internal/telemetry"
 )
 
 // View is what one epoch of a publisher keeps, as far as its batches told.
@@ -24,7 +24,7 @@
 	waiting  map[Seq]Batch
 	gap      bool
 	lost     bool
-	since    clk.Tick
+	since    clock.Tick
 	closed   bool
 	second   int64
 	inSecond int
@@ -33,18 +33,18 @@
 
 type resident struct {
 	tokens int64
-	used   clk.Tick
+	used   clock.Tick
 	grade  Grade
 }
 
 type hope struct {
-	routed, until clk.Tick
+	routed, until clock.Tick
 	tokens        int64
 }
 
 type hopeful struct {
 	hash  uint64
-	until clk.Tick
+	until clock.Tick
 }
 
 const (
@@ -202,7 +202,7 @@
 }
 
 func (v *View) event(e Event) {
-	now := clk.Now()
+	now := clock.Now()
 	switch e.Kind {
 	case AllBlocksCleared:
 		v.clear()
@@ -245,15 +245,15 @@
 	if v.lost {
 		return
 	}
-	v.lost, v.since = true, clk.Now()
-	note.State("cache view quarantined", "replica", v.epoch.Life, "next", v.next)
+	v.lost, v.since = true, clock.Now()
+	telemetry.State("cache view quarantined", "replica", v.epoch.Life, "next", v.next)
 }
 
-var inQuarantine = note.Counter("kv.quarantined-ms")
+var inQuarantine = telemetry.Counter("kv.quarantined-ms")
 
 func (v *View) leave() {
 	if v.lost {
-		inQuarantine.Add(int64(clk.Since(v.since) / clk.Millisecond))
+		inQuarantine.Add(int64(clock.Since(v.since) / clock.Millisecond))
 		v.lost = false
 	}
 }
@@ -261,7 +261,7 @@
 func (v *View) trust() {
 	if v.lost {
 		v.leave()
-		note.State("cache view trusted again", "replica", v.epoch.Life, "next", v.next)
+		telemetry.State("cache view trusted again", "replica", v.epoch.Life, "next", v.next)
 	}
 }
 
@@ -322,7 +322,7 @@
 	if v.closed {
 		return
 	}
-	now := clk.Now()
+	now := clock.Now()
 	v.expire(now)
 	for _, k := range c {
 		if _, ok := v.blocks.Get(k.Hash); ok || len(v.spec) >= specsMost {
@@ -338,7 +338,7 @@
 	}
 }
 
-func (v *View) expire(now clk.Tick) {
+func (v *View) expire(now clock.Tick) {
 	i := 0
 	for i < len(v.line) && now >= v.line[i].until {
 		if h, ok := v.spec[v.line[i].hash]; ok && now >= h.until {
@@ -370,7 +370,7 @@
 	if v.blocks.Len() == 0 && len(v.spec) == 0 {
 		return 0, true
 	}
-	now := clk.Now()
+	now := clock.Now()
 	for i, k := range c {
 		if _, ok := v.blocks.Get(k.Hash); ok {
 			continue
@@ -384,10 +384,10 @@
 
 // Promise is how many leading tokens of a chain are known to be kept, and when
 // the one of them unused the longest was used.
-func (v *View) Promise(c Chain) (tokens int64, used clk.Tick) {
+func (v *View) Promise(c Chain) (tokens int64, used clock.Tick) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	used = clk.Now()
+	used = clock.Now()
 	if v.lost || v.closed {
 		return 0, used
 	}
@@ -403,10 +403,10 @@
 }
 
 // Unused names the blocks that went unused for d or longer.
-func (v *View) Unused(d clk.Span) []Block {
+func (v *View) Unused(d clock.Span) []Block {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	now := clk.Now()
+	now := clock.Now()
 	var out []Block
 	v.blocks.Each(func(k uint64, r resident) bool {
 		if now.Sub(r.used) < d {
@@ -419,7 +419,7 @@
 }
 
 func (v *View) count() {
-	s := int64(clk.Now()) / int64(clk.Second)
+	s := int64(clock.Now()) / int64(clock.Second)
 	if s != v.second {
 		v.second, v.inSecond = s, 0
 	}
@@ -430,11 +430,11 @@
 func (v *View) status() Status {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.expire(clk.Now())
+	v.expire(clock.Now())
 	s := Status{Epoch: v.epoch, Next: v.next, Gap: v.gap, Quarantined: v.lost,
 		Blocks: v.blocks.Len(), Tokens: v.blocks.Weight(), Speculative: len(v.spec), PeakPerS: v.peak}
 	if v.lost {
-		s.For = clk.Since(v.since)
+		s.For = clock.Since(v.since)
 	}
 	return s
 }
--- a/internal/match/tree.go
+++ b/internal/match/tree.go
@@ -4,7 +4,7 @@
 import (
 	"strings"
 
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/codes"
 )
 
 // Any matches any one part of a path and hands it on.
@@ -49,17 +49,17 @@
 		}
 		k := n.kids[Any]
 		if k == nil || p == "" {
-			return none, nil, code.New(code.NoCall, "%s", path)
+			return none, nil, codes.New(codes.NoCall, "%s", path)
 		}
 		got = append(got, p)
 		n = k
 	}
 	if n.ends == nil {
-		return none, nil, code.New(code.NoCall, "%s", path)
+		return none, nil, codes.New(codes.NoCall, "%s", path)
 	}
 	e, ok := n.ends[method]
 	if !ok {
-		return none, nil, code.New(code.BadMethod, "%s %s", method, path)
+		return none, nil, codes.New(codes.BadMethod, "%s %s", method, path)
 	}
 	return e, got, nil
 }
--- a/internal/match/tree_test.go
+++ b/internal/match/tree_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/codes"
 )
 
 func TestTree(t *testing.T) {
@@ -16,9 +16,9 @@
 	is.Equal(e, 1)
 	is.Equal(p, []string{"z1"})
 	_, _, err = tr.Find("GET", "/-/evacuation/z1/initiate")
-	is.Equal(code.Of(err), code.BadMethod)
+	is.Equal(codes.Of(err), codes.BadMethod)
 	for _, path := range []string{"/", "/-/", "/-/evacuation/z1", "/-/evacuation//initiate", "/-/readyx", "/-/ready/x"} {
 		_, _, err = tr.Find("GET", path)
-		is.Equal(code.Of(err), code.NoCall)
+		is.Equal(codes.Of(err), codes.NoCall)
 	}
 }
--- a/internal/oper/client.go
+++ b/internal/operator/client.go
@@ -1,5 +1,5 @@
-// Package oper calls control as an operator does.
-package oper
+// Package operator calls control as an operator does.
+package operator
 
 import (
 	"encoding/json"
@@ -7,31 +7,31 @@
 
 	"github.com/valyala/fasthttp"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/ids"
 )
 
 // Client calls control daemons, one after the other until one answers clearly.
 type Client struct {
-	Addrs []word.Addr
-	Limit clk.Span
+	Addrs []ids.Addr
+	Limit clock.Span
 }
 
 const (
-	callTimeout = 2 * clk.Second
-	pause       = 100 * clk.Millisecond
+	callTimeout = 2 * clock.Second
+	pause       = 100 * clock.Millisecond
 )
 
 type result struct {
-	Code  code.Code `json:"code"`
-	Cause string    `json:"cause"`
+	Code  codes.Code `json:"code"`
+	Cause string     `json:"cause"`
 }
 
 // Call makes one call. base is left out if it is negative.
 func (c *Client) Call(method, path string, base int64, body []byte) ([]byte, error) {
-	end := clk.Now().Add(c.Limit)
-	err := code.New(code.PeerLost, "no control address")
+	end := clock.Now().Add(c.Limit)
+	err := codes.New(codes.PeerLost, "no control address")
 	for wait := pause; ; wait *= 2 {
 		for _, a := range c.Addrs {
 			b, final, e := c.once(a, method, path, base, body)
@@ -40,14 +40,14 @@
 			}
 			err = e
 		}
-		if clk.Until(end) < wait {
+		if clock.Until(end) < wait {
 			return nil, err
 		}
-		clk.Sleep(wait)
+		clock.Sleep(wait)
 	}
 }
 
-func (c *Client) once(a word.Addr, method, path string, base int64, body []byte) (out []byte, final bool, err error) {
+func (c *Client) once(a ids.Addr, method, path string, base int64, body []byte) (out []byte, final bool, err error) {
 	cl := &fasthttp.HostClient{Addr: string(a), MaxIdemponentCallAttempts: 1}
 	var q fasthttp.Request
 	var r fasthttp.Response
@@ -62,7 +62,7 @@
 		q.SetBody(body)
 	}
 	if err := cl.DoTimeout(&q, &r, callTimeout); err != nil {
-		return nil, false, code.New(code.PeerLost, "%s: %v", a, err)
+		return nil, false, codes.New(codes.PeerLost, "%s: %v", a, err)
 	}
 	st := r.StatusCode()
 	if st == 200 {
@@ -70,7 +70,7 @@
 	}
 	var n result
 	if json.Unmarshal(r.Body(), &n) != nil || n.Code == 0 {
-		n.Code, n.Cause = code.PeerLost, "status "+strconv.Itoa(st)
+		n.Code, n.Cause = codes.PeerLost, "status "+strconv.Itoa(st)
 	}
-	return nil, st < 500 && st != 408 && st != 429, code.New(n.Code, "%s: %s", a, n.Cause)
+	return nil, st < 500 && st != 408 && st != 429, codes.New(n.Code, "%s: %s", a, n.Cause)
 }
--- a/internal/pool/balance.go
+++ b/internal/pool/balance.go
@@ -6,13 +6,13 @@
 	"math"
 	"slices"
 
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
 )
 
 // Member is a replica as the balancer sees it. One whose stage is fixed stays
 // on its side.
 type Member struct {
-	ID    word.Replica
+	ID    ids.Replica
 	Stage string
 }
 
@@ -106,7 +106,7 @@
 	return o, true
 }
 
-func order(s word.Service, ms []Member) []Member {
+func order(s ids.Service, ms []Member) []Member {
 	h := func(m Member) uint64 {
 		f := fnv.New64a()
 		fmt.Fprint(f, s, "|", m.ID)
@@ -129,7 +129,7 @@
 // Next is the split that follows cur for what was counted. It tells false if
 // nothing changes. Replicas change sides in one order, so that as few as can
 // be do.
-func (r Rules) Next(s word.Service, cur Split, ms []Member, w *Work, slots int) (Split, bool) {
+func (r Rules) Next(s ids.Service, cur Split, ms []Member, w *Work, slots int) (Split, bool) {
 	n := len(ms)
 	least := max(1, int(math.Ceil(r.Floor*float64(n))))
 	if n < 2*least || n < 4 {
--- a/internal/pool/balance_test.go
+++ b/internal/pool/balance_test.go
@@ -7,14 +7,14 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
 )
 
 var rules = Rules{Hysteresis: 0.08, Floor: 0.1, Moves: 0.15, Least: 50}
 
 func members(n int) (out []Member) {
 	for i := range n {
-		out = append(out, Member{ID: word.Replica(fmt.Sprintf("i-%d", i)), Stage: "combined"})
+		out = append(out, Member{ID: ids.Replica(fmt.Sprintf("i-%d", i)), Stage: "combined"})
 	}
 	return
 }
@@ -105,7 +105,7 @@
 	is.Equal(split(members(3), 100, 500), Split{})               // too few to divide
 	is.Equal(len(split(members(20), 60, 2).Prefill) <= 18, true) // a floor for each
 	is.True(len(split(members(20), 2, 900).Prefill) >= 2)
-	next, ok := rules.Next("s", Split{Heavy: 4096, Prefill: []word.Replica{"i-1"}}, members(20), window(r, 5, 5), 24)
+	next, ok := rules.Next("s", Split{Heavy: 4096, Prefill: []ids.Replica{"i-1"}}, members(20), window(r, 5, 5), 24)
 	is.True(!ok) // too little seen
 	is.Equal(len(next.Prefill), 1)
 	_, ok = rules.Next("s", Split{Heavy: 4096}, members(20), &Work{}, 24)
@@ -148,24 +148,24 @@
 
 func TestUnreadable(t *testing.T) {
 	is := is.New(t)
-	c := &Counts{Services: map[word.Service]*Work{"s": window(rnd(), 5, 5)}}
+	c := &Counts{Services: map[ids.Service]*Work{"s": window(rnd(), 5, 5)}}
 	got, err := DecodeCounts(c.Encode())
 	is.NoErr(err)
 	is.Equal(got, c)
 	for _, b := range [][]byte{nil, []byte("x"), c.Encode()[:40], make([]byte, countsMost+1),
-		(&Counts{Services: map[word.Service]*Work{"": {}}}).Encode(),
-		(&Counts{Services: map[word.Service]*Work{"s": {Buckets: [Buckets]Bucket{{N: -1}}}}}).Encode(),
-		(&Counts{Services: map[word.Service]*Work{"s": {Read: Line{N: -3}}}}).Encode()} {
+		(&Counts{Services: map[ids.Service]*Work{"": {}}}).Encode(),
+		(&Counts{Services: map[ids.Service]*Work{"s": {Buckets: [Buckets]Bucket{{N: -1}}}}}).Encode(),
+		(&Counts{Services: map[ids.Service]*Work{"s": {Read: Line{N: -3}}}}).Encode()} {
 		_, err := DecodeCounts(b)
 		is.True(err != nil)
 	}
-	p := &Plan{Num: 1, Splits: map[word.Service]Split{"s": {Heavy: 64, Prefill: []word.Replica{"i"}}}}
+	p := &Plan{Num: 1, Splits: map[ids.Service]Split{"s": {Heavy: 64, Prefill: []ids.Replica{"i"}}}}
 	_, err = DecodePlan(p.Encode())
 	is.NoErr(err)
 	for _, b := range [][]byte{nil, []byte("x"), p.Encode()[:20], (&Plan{}).Encode(), make([]byte, planMost+1),
-		(&Plan{Num: 1, Splits: map[word.Service]Split{"s": {}}}).Encode(),
-		(&Plan{Num: 1, Splits: map[word.Service]Split{"s": {Heavy: 1, Share: 2}}}).Encode(),
-		(&Plan{Num: 1, Splits: map[word.Service]Split{"s": {Heavy: 1, Prefill: []word.Replica{""}}}}).Encode()} {
+		(&Plan{Num: 1, Splits: map[ids.Service]Split{"s": {}}}).Encode(),
+		(&Plan{Num: 1, Splits: map[ids.Service]Split{"s": {Heavy: 1, Share: 2}}}).Encode(),
+		(&Plan{Num: 1, Splits: map[ids.Service]Split{"s": {Heavy: 1, Prefill: []ids.Replica{""}}}}).Encode()} {
 		_, err := DecodePlan(b)
 		is.True(err != nil)
 	}
--- a/internal/pool/counts.go
+++ b/internal/pool/counts.go
@@ -8,8 +8,8 @@
 	"encoding/gob"
 	"math/bits"
 
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/ids"
 )
 
 // Buckets is how many classes of weight there are, each twice the one before.
@@ -30,7 +30,7 @@
 
 // Counts are what one relay, or several together, saw in a window.
 type Counts struct {
-	Services map[word.Service]*Work
+	Services map[ids.Service]*Work
 }
 
 // BucketOf is the class of a weight.
@@ -46,9 +46,9 @@
 	return 1 << (bucket - 1)
 }
 
-func (c *Counts) work(s word.Service) *Work {
+func (c *Counts) work(s ids.Service) *Work {
 	if c.Services == nil {
-		c.Services = map[word.Service]*Work{}
+		c.Services = map[ids.Service]*Work{}
 	}
 	w := c.Services[s]
 	if w == nil {
@@ -87,18 +87,18 @@
 func DecodeCounts(b []byte) (*Counts, error) {
 	c := &Counts{}
 	if len(b) > countsMost {
-		return nil, code.New(code.BadCounts, "%d bytes", len(b))
+		return nil, codes.New(codes.BadCounts, "%d bytes", len(b))
 	}
 	if err := gob.NewDecoder(bytes.NewReader(b)).Decode(c); err != nil {
-		return nil, code.New(code.BadCounts, "%v", err)
+		return nil, codes.New(codes.BadCounts, "%v", err)
 	}
 	for s, w := range c.Services {
 		if s == "" || w == nil || !w.Read.good() || !w.Write.good() {
-			return nil, code.New(code.BadCounts, "service %q", s)
+			return nil, codes.New(codes.BadCounts, "service %q", s)
 		}
 		for _, k := range w.Buckets {
 			if k.N < 0 || k.Prompt < 0 || k.Out < 0 {
-				return nil, code.New(code.BadCounts, "service %q: less than nothing", s)
+				return nil, codes.New(codes.BadCounts, "service %q: less than nothing", s)
 			}
 		}
 	}
--- a/internal/pool/duty.go
+++ b/internal/pool/duty.go
@@ -4,10 +4,10 @@
 	"maps"
 	"sync"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/keep"
-	"spoolswitch/internal/note"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/consensus"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/telemetry"
 )
 
 // Service is what the balancer has to know of a service.
@@ -20,23 +20,23 @@
 // keepers fold the counts of the relays that follow them, and hand the sum to
 // the one that has it.
 type Duty struct {
-	keep.Duty
+	consensus.Duty
 	Rules Rules
 	// Window is how long counts are gone by.
-	Window clk.Span
+	Window clock.Span
 	// Services reads the services that have engines, as the feed has them now.
-	Services func() map[word.Service]Service
+	Services func() map[ids.Service]Service
 	// Plan reads the plan in the feed.
-	Plan func() ([]byte, word.Place)
+	Plan func() ([]byte, ids.Place)
 
 	mu     sync.Mutex
-	relays map[word.Node]report
-	folds  map[word.Node]report
+	relays map[ids.Node]report
+	folds  map[ids.Node]report
 	num    uint64
-	epoch  word.Epoch
+	epoch  ids.Epoch
 	plan   *Plan
-	at     clk.Tick
-	known  word.Place
+	at     clock.Tick
+	known  ids.Place
 	moves  []string
 	last   Counts
 }
@@ -44,53 +44,53 @@
 type report struct {
 	num   uint64
 	life  uint64
-	at    clk.Tick
+	at    clock.Tick
 	of    int
 	count *Counts
 }
 
 var (
-	badCounts = note.Counter("pool.counts-unreadable")
-	oldCounts = note.Counter("pool.counts-old")
-	moved     = note.Counter("pool.moves")
-	partial   = note.Counter("pool.partial")
+	badCounts = telemetry.Counter("pool.counts-unreadable")
+	oldCounts = telemetry.Counter("pool.counts-old")
+	moved     = telemetry.Counter("pool.moves")
+	partial   = telemetry.Counter("pool.partial")
 )
 
 const (
-	lostAfter  = 3 * clk.Second
+	lostAfter  = 3 * clock.Second
 	movesKept  = 16
 	partEnough = 0.8
 )
 
 // Counted takes the counts of a relay, or the folded ones of a keeper, in.
 // Those that are doubled or late are left out.
-func (d *Duty) Counted(m keep.Msg) keep.Msg {
+func (d *Duty) Counted(m consensus.Msg) consensus.Msg {
 	c, err := DecodeCounts(m.Val)
 	if err != nil {
 		badCounts.Add(1)
-		return keep.Fail(err)
+		return consensus.Fail(err)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.relays == nil {
-		d.relays, d.folds = map[word.Node]report{}, map[word.Node]report{}
+		d.relays, d.folds = map[ids.Node]report{}, map[ids.Node]report{}
 	}
 	of := d.relays
-	if m.Kind == keep.Fold {
+	if m.Kind == consensus.Fold {
 		of = d.folds
 	}
 	if have, ok := of[m.From]; ok && have.life == m.Life && m.Num <= have.num {
 		oldCounts.Add(1)
-		return keep.Msg{OK: true}
+		return consensus.Msg{OK: true}
 	}
-	of[m.From] = report{m.Num, m.Life, clk.Now(), m.Count, c}
-	return keep.Msg{OK: true}
+	of[m.From] = report{m.Num, m.Life, clock.Now(), m.Count, c}
+	return consensus.Msg{OK: true}
 }
 
-func (d *Duty) fresh(of map[word.Node]report) (*Counts, int) {
+func (d *Duty) fresh(of map[ids.Node]report) (*Counts, int) {
 	sum, n := &Counts{}, 0
 	for who, r := range of {
-		if clk.Since(r.at) > d.Window {
+		if clock.Since(r.at) > d.Window {
 			delete(of, who)
 			continue
 		}
@@ -108,7 +108,7 @@
 	}
 	mine, at := d.Mine()
 	if !mine {
-		if d.Vacant(at, func(n word.Node) bool { return n != "" && n != k.Self && k.Heard(n, lostAfter) }) {
+		if d.Vacant(at, func(n ids.Node) bool { return n != "" && n != k.Self && k.Heard(n, lostAfter) }) {
 			d.Win()
 			mine, at = d.Mine()
 		}
@@ -120,14 +120,14 @@
 	d.mu.Unlock()
 	if !mine {
 		if to := d.Holder(); to != "" && to != k.Self && n > 0 {
-			k.Net.Ask(to, keep.Msg{Kind: keep.Fold, From: k.Self, Num: num, Life: k.Life(), Count: n, Val: sum.Encode()}, lostAfter/4)
+			k.Net.Ask(to, consensus.Msg{Kind: consensus.Fold, From: k.Self, Num: num, Life: k.Life(), Count: n, Val: sum.Encode()}, lostAfter/4)
 		}
 		return
 	}
 	d.step(at.Epoch, sum, n)
 }
 
-func (d *Duty) step(e word.Epoch, sum *Counts, n int) {
+func (d *Duty) step(e ids.Epoch, sum *Counts, n int) {
 	k := d.Keeper
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -136,7 +136,7 @@
 	d.last = *sum
 	if d.epoch != e {
 		// what was planned before stays until there is cause to change it
-		d.epoch, d.plan, d.at = e, nil, clk.Now()
+		d.epoch, d.plan, d.at = e, nil, clock.Now()
 	}
 	if b, at := d.Plan(); d.plan == nil || d.known.Less(at) {
 		d.known = at
@@ -151,12 +151,12 @@
 		partial.Add(1)
 		return
 	}
-	if clk.Since(d.at) < d.Window {
+	if clock.Since(d.at) < d.Window {
 		return
 	}
 	next := &Plan{Num: d.plan.Num + 1, Splits: maps.Clone(d.plan.Splits)}
 	if next.Splits == nil {
-		next.Splits = map[word.Service]Split{}
+		next.Splits = map[ids.Service]Split{}
 	}
 	changed := false
 	svcs := d.Services()
@@ -186,14 +186,14 @@
 		if len(d.moves) > movesKept {
 			d.moves = d.moves[1:]
 		}
-		note.State("pools", "service", s, "heavy from", x.Heavy, "prefill", len(x.Prefill), "of", len(v.Members), "why", x.Why)
+		telemetry.State("pools", "service", s, "heavy from", x.Heavy, "prefill", len(x.Prefill), "of", len(v.Members), "why", x.Why)
 	}
 	if !changed {
 		return
 	}
-	d.plan, d.at = next, clk.Now()
-	d.known = word.Place{Epoch: e, Seq: next.Num}
-	k.Share(word.Plan, d.known, next.Encode())
+	d.plan, d.at = next, clock.Now()
+	d.known = ids.Place{Epoch: e, Seq: next.Num}
+	k.Share(ids.Plan, d.known, next.Encode())
 }
 
 // Report tells the plan, what was counted last, and the last moves.
--- a/internal/pool/duty_test.go
+++ b/internal/pool/duty_test.go
@@ -6,38 +6,38 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/check"
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/keep"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/consensus"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/interleave"
 )
 
 // core is a few keepers with the duty in one process.
 type core struct {
 	mu  sync.Mutex
-	ks  map[word.Node]*keep.Keeper
-	ds  map[word.Node]*Duty
-	fs  map[word.Node]*feed
-	cut map[word.Node]bool
-	sim *clk.Sim
-	svc map[word.Service]Service
+	ks  map[ids.Node]*consensus.Keeper
+	ds  map[ids.Node]*Duty
+	fs  map[ids.Node]*feed
+	cut map[ids.Node]bool
+	sim *clock.Sim
+	svc map[ids.Service]Service
 }
 
 type end struct {
 	c    *core
-	self word.Node
+	self ids.Node
 }
 
-func (e end) Ask(to word.Node, m keep.Msg, _ clk.Span) (keep.Msg, bool) {
+func (e end) Ask(to ids.Node, m consensus.Msg, _ clock.Span) (consensus.Msg, bool) {
 	e.c.mu.Lock()
 	k, d, off := e.c.ks[to], e.c.ds[to], e.c.cut[to] || e.c.cut[e.self]
 	e.c.mu.Unlock()
 	if off || k == nil {
-		return keep.Msg{}, false
+		return consensus.Msg{}, false
 	}
-	if m.Kind == keep.Fold || m.Kind == keep.Counts {
+	if m.Kind == consensus.Fold || m.Kind == consensus.Counts {
 		return d.Counted(m), true
 	}
 	return k.Handle(m), true
@@ -46,18 +46,18 @@
 // feed is a hub and a relay that follows it.
 type feed struct {
 	mu    sync.Mutex
-	items map[word.Key]keep.Item
+	items map[ids.Key]consensus.Item
 	plans []uint64
 }
 
-func (f *feed) Publish(it keep.Item) bool {
+func (f *feed) Publish(it consensus.Item) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if have, ok := f.items[it.Key]; ok && !have.At.Less(it.At) {
 		return false
 	}
 	f.items[it.Key] = it
-	if it.Key == word.Plan {
+	if it.Key == ids.Plan {
 		p, err := DecodePlan(it.Val)
 		if err != nil {
 			panic(err)
@@ -67,19 +67,19 @@
 	return true
 }
 
-func (f *feed) Known() map[word.Key]word.Place {
+func (f *feed) Known() map[ids.Key]ids.Place {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := map[word.Key]word.Place{}
+	out := map[ids.Key]ids.Place{}
 	for k, it := range f.items {
 		out[k] = it.At
 	}
 	return out
 }
 
-func (f *feed) Followers() []word.Node { return []word.Node{"r1", "r2"} }
+func (f *feed) Followers() []ids.Node { return []ids.Node{"r1", "r2"} }
 
-func (f *feed) Value(k word.Key) ([]byte, word.Place) {
+func (f *feed) Value(k ids.Key) ([]byte, ids.Place) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.items[k].Val, f.items[k].At
@@ -91,43 +91,43 @@
 func (s *shelf) Long(int64) bool           { return false }
 func (s *shelf) Rewrite(ps [][]byte) error { s.recs = ps; return nil }
 
-var names = []word.Node{"a", "b", "c"}
+var names = []ids.Node{"a", "b", "c"}
 
 func newCore(t *testing.T) *core {
-	c := &core{ks: map[word.Node]*keep.Keeper{}, ds: map[word.Node]*Duty{}, fs: map[word.Node]*feed{}, cut: map[word.Node]bool{}, sim: &clk.Sim{},
-		svc: map[word.Service]Service{"s": {Members: members(20), Slots: 24}}}
+	c := &core{ks: map[ids.Node]*consensus.Keeper{}, ds: map[ids.Node]*Duty{}, fs: map[ids.Node]*feed{}, cut: map[ids.Node]bool{}, sim: &clock.Sim{},
+		svc: map[ids.Service]Service{"s": {Members: members(20), Slots: 24}}}
 	t.Cleanup(c.sim.Use())
-	c.sim.Move(clk.Second)
+	c.sim.Move(clock.Second)
 	for _, n := range names {
-		acc := keep.NewAcceptor()
+		acc := consensus.NewAcceptor()
 		acc.Use(&shelf{})
-		if err := acc.Found(keep.Founding(names), nil); err != nil {
+		if err := acc.Found(consensus.Founding(names), nil); err != nil {
 			t.Fatal(err)
 		}
-		f := &feed{items: map[word.Key]keep.Item{}}
-		k := keep.New(n, acc, end{c, n}, f)
+		f := &feed{items: map[ids.Key]consensus.Item{}}
+		k := consensus.New(n, acc, end{c, n}, f)
 		c.ks[n], c.fs[n] = k, f
-		c.ds[n] = &Duty{Duty: keep.Duty{Keeper: k, Key: word.PoolDuty, Value: f.Value}, Rules: rules, Window: 4 * clk.Second,
-			Services: func() map[word.Service]Service { return c.svc }, Plan: func() ([]byte, word.Place) { return f.Value(word.Plan) }}
+		c.ds[n] = &Duty{Duty: consensus.Duty{Keeper: k, Key: ids.PoolDuty, Value: f.Value}, Rules: rules, Window: 4 * clock.Second,
+			Services: func() map[ids.Service]Service { return c.svc }, Plan: func() ([]byte, ids.Place) { return f.Value(ids.Plan) }}
 	}
 	return c
 }
 
 // turn is a second of everybody's life: rounds, reports of two relays, steps.
 func (c *core) turn(num uint64, long, short int) {
-	c.sim.Move(clk.Second)
+	c.sim.Move(clock.Second)
 	for _, n := range names {
 		if !c.cut[n] {
 			c.ks[n].Round()
 		}
 	}
-	for i, r := range []word.Node{"r1", "r2"} {
+	for i, r := range []ids.Node{"r1", "r2"} {
 		to := names[1+i]
 		if c.cut[to] {
 			to = "a"
 		}
 		w := window(rnd(), long, short)
-		c.ds[to].Counted(keep.Msg{Kind: keep.Counts, From: r, Life: 7, Num: num, Count: 1, Val: (&Counts{Services: map[word.Service]*Work{"s": w}}).Encode()})
+		c.ds[to].Counted(consensus.Msg{Kind: consensus.Counts, From: r, Life: 7, Num: num, Count: 1, Val: (&Counts{Services: map[ids.Service]*Work{"s": w}}).Encode()})
 	}
 	for _, n := range names {
 		if !c.cut[n] {
@@ -136,8 +136,8 @@
 	}
 }
 
-func (c *core) holder() (word.Node, int) {
-	n, who := 0, word.Node("")
+func (c *core) holder() (ids.Node, int) {
+	n, who := 0, ids.Node("")
 	for _, k := range names {
 		if mine, _ := c.ds[k].Mine(); mine && !c.cut[k] {
 			n, who = n+1, k
@@ -146,8 +146,8 @@
 	return who, n
 }
 
-func (c *core) plan(n word.Node) *Plan {
-	b, _ := c.fs[n].Value(word.Plan)
+func (c *core) plan(n ids.Node) *Plan {
+	b, _ := c.fs[n].Value(ids.Plan)
 	p, err := DecodePlan(b)
 	if err != nil {
 		return nil
@@ -211,8 +211,8 @@
 	c.mu.Lock()
 	c.cut[old] = false
 	c.mu.Unlock()
-	stale := &Plan{Num: before.Num + 99, Splits: map[word.Service]Split{"s": {Heavy: 1}}}
-	c.ks[old].Share(word.Plan, word.Place{Epoch: at.Epoch, Seq: stale.Num}, stale.Encode())
+	stale := &Plan{Num: before.Num + 99, Splits: map[ids.Service]Split{"s": {Heavy: 1}}}
+	c.ks[old].Share(ids.Plan, ids.Place{Epoch: at.Epoch, Seq: stale.Num}, stale.Encode())
 	is.Equal(c.plan(who), after)
 	for i := range 4 {
 		c.turn(uint64(200+i), 10, 1500)
@@ -226,21 +226,21 @@
 // Two keepers hold a ballot for the duty at once, in every order of their
 // steps: one has it, and only its plans stand.
 func TestTwoHolders(t *testing.T) {
-	check.All(t, func() ([]check.Thread, func([]int)) {
+	interleave.All(t, func() ([]interleave.Thread, func([]int)) {
 		c := newCore(t)
 		for _, n := range names {
 			c.ks[n].Round()
 		}
-		share := func(n word.Node, num uint64) func() {
+		share := func(n ids.Node, num uint64) func() {
 			return func() {
 				if mine, at := c.ds[n].Mine(); mine {
-					p := &Plan{Num: num, Splits: map[word.Service]Split{"s": {Heavy: int64(num), Prefill: []word.Replica{word.Replica(n)}}}}
-					c.ks[n].Share(word.Plan, word.Place{Epoch: at.Epoch, Seq: num}, p.Encode())
+					p := &Plan{Num: num, Splits: map[ids.Service]Split{"s": {Heavy: int64(num), Prefill: []ids.Replica{ids.Replica(n)}}}}
+					c.ks[n].Share(ids.Plan, ids.Place{Epoch: at.Epoch, Seq: num}, p.Encode())
 				}
 			}
 		}
-		win := func(n word.Node) func() { return func() { c.ds[n].Win() } }
-		return []check.Thread{check.Steps(win("a"), share("a", 1), share("a", 2)), check.Steps(win("b"), share("b", 1), share("b", 2))},
+		win := func(n ids.Node) func() { return func() { c.ds[n].Win() } }
+		return []interleave.Thread{interleave.Steps(win("a"), share("a", 1), share("a", 2)), interleave.Steps(win("b"), share("b", 1), share("b", 2))},
 			func(o []int) {
 				who, n := c.holder()
 				if n != 1 {
@@ -250,7 +250,7 @@
 					w := c.plan(who)
 					for _, k := range names {
 						p := c.plan(k)
-						if p == nil || w == nil || p.Num != 2 || p.Splits["s"].Prefill[0] != word.Replica(who) {
+						if p == nil || w == nil || p.Num != 2 || p.Splits["s"].Prefill[0] != ids.Replica(who) {
 							return false
 						}
 					}
@@ -260,7 +260,7 @@
 					if same() {
 						return
 					}
-					spawn.NewMark().Wait(clk.Millisecond)
+					concurrency.NewMark().Wait(clock.Millisecond)
 				}
 				t.Errorf("order %v: %v %v %v, held by %s", o, c.plan("a"), c.plan("b"), c.plan("c"), who)
 			}
@@ -273,9 +273,9 @@
 	is := is.New(t)
 	c := newCore(t)
 	d := c.ds["a"]
-	w := &Counts{Services: map[word.Service]*Work{"s": window(rnd(), 10, 10)}}
-	put := func(num, life uint64) code.Code {
-		return d.Counted(keep.Msg{Kind: keep.Counts, From: "r1", Life: life, Num: num, Val: w.Encode()}).Code
+	w := &Counts{Services: map[ids.Service]*Work{"s": window(rnd(), 10, 10)}}
+	put := func(num, life uint64) codes.Code {
+		return d.Counted(consensus.Msg{Kind: consensus.Counts, From: "r1", Life: life, Num: num, Val: w.Encode()}).Code
 	}
 	n := func() int64 {
 		d.mu.Lock()
@@ -292,9 +292,9 @@
 	is.Equal(n(), int64(10))
 	put(1, 2) // the relay started anew
 	is.Equal(n(), int64(10))
-	is.Equal(d.Counted(keep.Msg{Kind: keep.Counts, From: "r2", Num: 9, Val: []byte("x")}).Code, code.BadCounts)
+	is.Equal(d.Counted(consensus.Msg{Kind: consensus.Counts, From: "r2", Num: 9, Val: []byte("x")}).Code, codes.BadCounts)
 	is.Equal(n(), int64(10))
-	c.sim.Move(5 * clk.Second)
+	c.sim.Move(5 * clock.Second)
 	is.Equal(n(), int64(0)) // stale
 	for i := range 12 {
 		c.turn(uint64(50+i), 120, 600)
@@ -302,12 +302,12 @@
 	before := c.plan("a")
 	is.True(before != nil)
 	for i := range 20 { // one relay of two reports no more
-		c.sim.Move(clk.Second)
+		c.sim.Move(clock.Second)
 		for _, n := range names {
 			c.ks[n].Round()
 		}
-		c.ds["b"].Counted(keep.Msg{Kind: keep.Counts, From: "r1", Life: 8, Num: uint64(clk.Now()), Count: 1,
-			Val: (&Counts{Services: map[word.Service]*Work{"s": window(rnd(), 10, 1500)}}).Encode()})
+		c.ds["b"].Counted(consensus.Msg{Kind: consensus.Counts, From: "r1", Life: 8, Num: uint64(clock.Now()), Count: 1,
+			Val: (&Counts{Services: map[ids.Service]*Work{"s": window(rnd(), 10, 1500)}}).Encode()})
 		for _, n := range names {
 			c.ds[n].Step()
 		}
--- a/internal/pool/meter.go
+++ b/internal/pool/meter.go
@@ -3,8 +3,8 @@
 import (
 	"sync"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/ids"
 )
 
 const meterCells = 4
@@ -13,19 +13,19 @@
 // that is lost or comes twice changes nothing.
 type Meter struct {
 	mu     sync.Mutex
-	window clk.Span
+	window clock.Span
 	cells  [meterCells]Counts
 	at     [meterCells]int64
 }
 
 // NewMeter makes a meter of a window.
-func NewMeter(window clk.Span) *Meter { return &Meter{window: max(window, meterCells)} }
+func NewMeter(window clock.Span) *Meter { return &Meter{window: max(window, meterCells)} }
 
 // Step is the time between two reports.
-func (m *Meter) Step() clk.Span { return m.window / meterCells }
+func (m *Meter) Step() clock.Span { return m.window / meterCells }
 
 func (m *Meter) cell() *Counts {
-	n := int64(clk.Now()) / int64(m.window/meterCells)
+	n := int64(clock.Now()) / int64(m.window/meterCells)
 	i := n % meterCells
 	if m.at[i] != n {
 		m.at[i], m.cells[i] = n, Counts{}
@@ -35,7 +35,7 @@
 
 // Read counts a request whose prompt was read: its weight, what of the prompt
 // had to be read, and how long that took.
-func (m *Meter) Read(s word.Service, weight, unread int64, took clk.Span) {
+func (m *Meter) Read(s ids.Service, weight, unread int64, took clock.Span) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	w := m.cell().work(s)
@@ -46,7 +46,7 @@
 }
 
 // Written counts output tokens as they were seen, and how long they took.
-func (m *Meter) Written(s word.Service, weight, tokens int64, took clk.Span) {
+func (m *Meter) Written(s ids.Service, weight, tokens int64, took clock.Span) {
 	if tokens <= 0 {
 		return
 	}
@@ -57,13 +57,13 @@
 	w.Write.See(float64(tokens), ms(took), 1)
 }
 
-func ms(d clk.Span) float64 { return float64(max(0, d)) / float64(clk.Millisecond) }
+func ms(d clock.Span) float64 { return float64(max(0, d)) / float64(clock.Millisecond) }
 
 // Sum is what was seen in the window.
 func (m *Meter) Sum() *Counts {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	n := int64(clk.Now()) / int64(m.window/meterCells)
+	n := int64(clock.Now()) / int64(m.window/meterCells)
 	out := &Counts{}
 	for i := range m.cells {
 		if n-m.at[i] < meterCells {
--- a/internal/pool/plan.go
+++ b/internal/pool/plan.go
@@ -5,8 +5,8 @@
 	"encoding/gob"
 	"slices"
 
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/ids"
 )
 
 // Split is how the replicas of one service are divided.
@@ -14,7 +14,7 @@
 	// Heavy is the weight from which a request belongs to the prefill pool.
 	Heavy int64
 	// Prefill names the replicas of that pool; all others are the decode pool.
-	Prefill []word.Replica
+	Prefill []ids.Replica
 	// Share is the part of the work that heavy requests were when this was planned.
 	Share float64
 	// Why tells what the last move was made for.
@@ -22,12 +22,12 @@
 }
 
 // Has tells whether a replica is in the prefill pool.
-func (s *Split) Has(r word.Replica) bool { return slices.Contains(s.Prefill, r) }
+func (s *Split) Has(r ids.Replica) bool { return slices.Contains(s.Prefill, r) }
 
 // Plan divides the replicas of services. Num rises with each plan of a duty.
 type Plan struct {
 	Num    uint64
-	Splits map[word.Service]Split
+	Splits map[ids.Service]Split
 }
 
 // Encode is the plan as bytes.
@@ -45,17 +45,17 @@
 func DecodePlan(b []byte) (*Plan, error) {
 	p := &Plan{}
 	if len(b) > planMost {
-		return nil, code.New(code.BadPlan, "%d bytes", len(b))
+		return nil, codes.New(codes.BadPlan, "%d bytes", len(b))
 	}
 	if err := gob.NewDecoder(bytes.NewReader(b)).Decode(p); err != nil {
-		return nil, code.New(code.BadPlan, "%v", err)
+		return nil, codes.New(codes.BadPlan, "%v", err)
 	}
 	if p.Num == 0 {
-		return nil, code.New(code.BadPlan, "without a number")
+		return nil, codes.New(codes.BadPlan, "without a number")
 	}
 	for s, x := range p.Splits {
 		if s == "" || x.Heavy <= 0 || !(x.Share >= 0 && x.Share <= 1) || slices.Contains(x.Prefill, "") {
-			return nil, code.New(code.BadPlan, "service %q", s)
+			return nil, codes.New(codes.BadPlan, "service %q", s)
 		}
 	}
 	return p, nil
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -9,12 +9,12 @@
 	"sync"
 	"sync/atomic"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/conf"
-	"spoolswitch/internal/head"
-	"spoolswitch/internal/note"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/configuration"
+	"spoolswitch/internal/httpmessage"
 	"spoolswitch/internal/response"
+	"spoolswitch/internal/telemetry"
 )
 
 // Client is a client's connection.
@@ -29,7 +29,7 @@
 }
 
 const (
-	writeTimeout = 10 * clk.Second
+	writeTimeout = 10 * clock.Second
 	longestHead  = 64 << 10
 	chunkedRoom  = 256 << 10
 )
@@ -53,7 +53,7 @@
 }
 
 func (k *Client) serve() {
-	lim := conf.Limits{}.Whole()
+	lim := configuration.Limits{}.Whole()
 	if t := k.r.View.Table(); t != nil {
 		lim = t.Limits
 	}
@@ -64,11 +64,11 @@
 		if t := k.r.View.Table(); t != nil {
 			lim = t.Limits
 		}
-		if !k.rest(clk.Now()) {
+		if !k.rest(clock.Now()) {
 			return
 		}
-		k.deadline(clk.Now().Add(clk.Ms(lim.HeadMs)))
-		q, err := head.ReadRequest(k.br)
+		k.deadline(clock.Now().Add(clock.Ms(lim.HeadMs)))
+		q, err := httpmessage.ReadRequest(k.br)
 		if err != nil {
 			k.refuse(err)
 			return
@@ -82,7 +82,7 @@
 // rest waits for the next request. A connection that was used at a moment is not
 // closed while any configuration since allowed it to rest, unless the relay
 // leaves; nothing of a request that comes then has been read.
-func (k *Client) rest(used clk.Tick) bool {
+func (k *Client) rest(used clock.Tick) bool {
 	for k.br.Buffered() == 0 {
 		until := used.Add(k.r.View.Rest(used))
 		k.deadline(until)
@@ -96,7 +96,7 @@
 			return true
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return false
-		case clk.Now() >= used.Add(k.r.View.Rest(used)):
+		case clock.Now() >= used.Add(k.r.View.Rest(used)):
 			return false
 		}
 	}
@@ -115,22 +115,22 @@
 	return false
 }
 
-func (k *Client) deadline(t clk.Tick) { _ = k.c.SetReadDeadline(t.Deadline()) }
+func (k *Client) deadline(t clock.Tick) { _ = k.c.SetReadDeadline(t.Deadline()) }
 
 func (k *Client) refuse(err error) {
-	var f *code.Fault
+	var f *codes.Fault
 	switch {
 	case errors.As(err, &f):
-		note.Counter("client.malformed").Add(1)
+		telemetry.Counter("client.malformed").Add(1)
 		k.write(response.Of(f.Code, f.Text).Last().Append(nil))
 		k.linger()
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		note.Counter("client.slow").Add(1)
+		telemetry.Counter("client.slow").Add(1)
 		if k.br.Buffered() > 0 {
-			k.write(response.Of(code.HeadTooSlow, "").Last().Append(nil))
+			k.write(response.Of(codes.HeadTooSlow, "").Last().Append(nil))
 		}
 	case errors.Is(err, io.ErrUnexpectedEOF):
-		note.Counter("client.cutshort").Add(1)
+		telemetry.Counter("client.cutshort").Add(1)
 	}
 }
 
@@ -138,25 +138,25 @@
 	if t, ok := k.c.(*net.TCPConn); ok {
 		_ = t.CloseWrite()
 	}
-	k.deadline(clk.Now().Add(300 * clk.Millisecond))
+	k.deadline(clock.Now().Add(300 * clock.Millisecond))
 	_, _ = io.CopyN(io.Discard, k.br, 1<<20)
 }
 
 func (k *Client) write(b []byte) bool {
-	_ = k.c.SetWriteDeadline(clk.Now().Add(writeTimeout).Deadline())
+	_ = k.c.SetWriteDeadline(clock.Now().Add(writeTimeout).Deadline())
 	_, err := k.c.Write(b)
 	return err == nil
 }
 
-func (k *Client) request(q *head.Request, lim conf.Limits) bool {
-	begun := clk.Now()
+func (k *Client) request(q *httpmessage.Request, lim configuration.Limits) bool {
+	begun := clock.Now()
 	room := q.Length
 	if q.Chunked {
 		room = int64(min(lim.BodyBytes, chunkedRoom))
 	}
 	if room <= int64(lim.BodyBytes) {
 		if !k.r.reserve(room) {
-			k.write(response.Of(code.QueueFull, "").For(q.Field(head.AttemptID)).Later(k.r.back()).Last().To(q.Method).Append(nil))
+			k.write(response.Of(codes.QueueFull, "").For(q.Field(httpmessage.AttemptID)).Later(k.r.back()).Last().To(q.Method).Append(nil))
 			k.linger()
 			return false
 		}
@@ -165,11 +165,11 @@
 	if q.Expect && !q.None {
 		k.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
-	k.deadline(begun.Add(clk.Ms(lim.HeadMs + lim.IdleMs)))
-	b := head.NewBody(k.br, q.Framing)
+	k.deadline(begun.Add(clock.Ms(lim.HeadMs + lim.IdleMs)))
+	b := httpmessage.NewBody(k.br, q.Framing)
 	body, err := b.ReadAll(lim.BodyBytes)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		k.write(response.Of(code.HeadTooSlow, "").For(q.Field(head.AttemptID)).Last().To(q.Method).Append(nil))
+		k.write(response.Of(codes.HeadTooSlow, "").For(q.Field(httpmessage.AttemptID)).Last().To(q.Method).Append(nil))
 		k.linger()
 		return false
 	}
@@ -179,7 +179,7 @@
 	}
 	n := newRequest(k, q, body, begun)
 	if !k.r.takes(begun) {
-		n.refuse(code.Leaving)
+		n.refuse(codes.Leaving)
 		return false
 	}
 	k.r.enter()
@@ -189,10 +189,10 @@
 		k.mu.Lock()
 		k.dead = true
 		k.mu.Unlock()
-		_ = k.c.SetReadDeadline(clk.Past())
+		_ = k.c.SetReadDeadline(clock.Past())
 		n.done.Set()
 	}) {
-		n.refuse(code.QueueFull)
+		n.refuse(codes.QueueFull)
 		return !n.last
 	}
 	k.watch(n)
@@ -202,7 +202,7 @@
 // watch waits for the end of a request, and abandons it if its client leaves
 // before that.
 func (k *Client) watch(n *Request) {
-	_ = k.c.SetReadDeadline(clk.NoDeadline())
+	_ = k.c.SetReadDeadline(clock.NoDeadline())
 	k.mu.Lock()
 	over := k.dead
 	k.mu.Unlock()
@@ -210,7 +210,7 @@
 		k.gone.Store(true)
 		n.abandon()
 	}
-	n.done.Wait(clk.Span(1<<62 - 1))
+	n.done.Wait(clock.Span(1<<62 - 1))
 	k.mu.Lock()
 	k.dead = false
 	k.mu.Unlock()
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -4,13 +4,13 @@
 	"errors"
 	"os"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/conf"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/configuration"
 	"spoolswitch/internal/evidence"
-	"spoolswitch/internal/head"
-	"spoolswitch/internal/link"
-	"spoolswitch/internal/pick"
+	"spoolswitch/internal/httpmessage"
+	"spoolswitch/internal/routing"
+	"spoolswitch/internal/upstream"
 )
 
 // proof is what an ending proves of the request at the replica.
@@ -53,23 +53,23 @@
 	proof   proof
 	over    bool
 	reuse   bool
-	outcome pick.Outcome
+	outcome routing.Outcome
 }
 
 var endings = [...]rule{
-	answered:     {hasRun, true, true, pick.Fine},
-	failed:       {hasRun, true, true, pick.Failed},
-	turnedAway:   {notRun, false, true, pick.Refused},
-	misdirected:  {notRun, false, true, pick.Stranger},
-	unsent:       {notRun, false, false, pick.Unreached},
-	tooLate:      {notRun, true, false, pick.CutByClient},
-	malformed:    {mayHaveRun, false, false, pick.Broke},
-	cutShort:     {mayHaveRun, false, false, pick.Broke},
-	mistaken:     {mayHaveRun, false, false, pick.Broke},
-	unbacked:     {mayHaveRun, false, false, pick.Failed},
-	unheard:      {mayHaveRun, false, false, pick.Silent},
-	pastDeadline: {mayHaveRun, true, false, pick.CutByClient},
-	deserted:     {mayHaveRun, true, false, pick.CutByClient},
+	answered:     {hasRun, true, true, routing.Fine},
+	failed:       {hasRun, true, true, routing.Failed},
+	turnedAway:   {notRun, false, true, routing.Refused},
+	misdirected:  {notRun, false, true, routing.Stranger},
+	unsent:       {notRun, false, false, routing.Unreached},
+	tooLate:      {notRun, true, false, routing.CutByClient},
+	malformed:    {mayHaveRun, false, false, routing.Broke},
+	cutShort:     {mayHaveRun, false, false, routing.Broke},
+	mistaken:     {mayHaveRun, false, false, routing.Broke},
+	unbacked:     {mayHaveRun, false, false, routing.Failed},
+	unheard:      {mayHaveRun, false, false, routing.Silent},
+	pastDeadline: {mayHaveRun, true, false, routing.CutByClient},
+	deserted:     {mayHaveRun, true, false, routing.CutByClient},
 }
 
 func (e ending) rule() rule { return endings[e] }
@@ -85,15 +85,15 @@
 
 // broke is the ending that an error of the replica's connection means.
 func (n *Request) broke(err error) ending {
-	var f *code.Fault
+	var f *codes.Fault
 	switch {
 	case n.deserted():
 		return deserted
-	case errors.Is(err, os.ErrDeadlineExceeded) || clk.Now() >= n.deadline:
+	case errors.Is(err, os.ErrDeadlineExceeded) || clock.Now() >= n.deadline:
 		return pastDeadline
-	case link.Unheard(err):
+	case upstream.Unheard(err):
 		return unheard
-	case errors.Is(err, link.ErrMistaken):
+	case errors.Is(err, upstream.ErrMistaken):
 		return mistaken
 	case errors.As(err, &f):
 		return malformed
@@ -102,16 +102,16 @@
 }
 
 // sort tells what an answer's head says; a body that must follow may change it.
-func (n *Request) sort(a *head.Response) ending {
+func (n *Request) sort(a *httpmessage.Response) ending {
 	ok := a.Status/100 == 2
 	switch {
 	case a.Status == 421:
 		return misdirected
 	case a.None && !a.UntilClose:
 		return malformed
-	case len(a.Field(head.NotExecuted)) > 0:
+	case len(a.Field(httpmessage.NotExecuted)) > 0:
 		return turnedAway
-	case ok && len(a.Field(head.Seal)) == 0:
+	case ok && len(a.Field(httpmessage.Seal)) == 0:
 		return malformed
 	case n.first && !n.streams(a):
 		return malformed
@@ -124,8 +124,8 @@
 }
 
 // streams tells whether an answer is passed on event by event.
-func (n *Request) streams(a *head.Response) bool {
-	return n.route.Class == conf.Streaming && a.Status/100 == 2 && a.Status != 204 && n.Head.Method != "HEAD"
+func (n *Request) streams(a *httpmessage.Response) bool {
+	return n.route.Class == configuration.Streaming && a.Status/100 == 2 && a.Status != 204 && n.Head.Method != "HEAD"
 }
 
 // promises tells whether a status promises a client that nothing ran.
--- a/internal/relay/ending_test.go
+++ b/internal/relay/ending_test.go
@@ -9,13 +9,13 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/head"
-	"spoolswitch/internal/link"
-	"spoolswitch/internal/pick"
-	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/httpmessage"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/routing"
 	"spoolswitch/internal/standin"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/upstream"
 )
 
 const sealed = "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nReplica-Seal: s\r\n"
@@ -123,10 +123,10 @@
 func TestHeldNoLonger(t *testing.T) {
 	for _, play := range []string{"", "HTTP/1.1 200 O", sealed + "Content-Length: 9\r\n\r\nab", "HTTP/1.1 100 Continue\r\n\r\n"} {
 		is := is.New(t)
-		over := spawn.NewMark()
+		over := concurrency.NewMark()
 		g := newRig(t, func(w net.Conn, g standin.Got) bool {
 			_, _ = w.Write([]byte(strings.ReplaceAll(play, "ID", g.ID)))
-			over.Wait(20 * clk.Second)
+			over.Wait(20 * clock.Second)
 			return false
 		})
 		g.configure(2, `{"name":"short","authority":"h.example","path-prefix":"/short/","route-class":"safe","timeout-ms":300,"target-ms":400,"service":"s","max-attempts":3}`)
@@ -144,11 +144,11 @@
 	is := is.New(t)
 	r := standin.NewReplica("i", standin.Well)
 	defer r.Close()
-	c, err := (&link.Pool{Addr: r.Addr}).Get(1, clk.Second)
+	c, err := (&upstream.Pool{Addr: r.Addr}).Get(1, clock.Second)
 	is.NoErr(err)
-	c.SetDeadline(clk.Now())
+	c.SetDeadline(clock.Now())
 	_, err = c.Response([]byte("id1"))
-	n := &Request{deadline: clk.Now().Add(clk.Minute)}
+	n := &Request{deadline: clock.Now().Add(clock.Minute)}
 	is.Equal(n.broke(err), pastDeadline)
 }
 
@@ -194,7 +194,7 @@
 		a, err := k.Head()
 		is.NoErr(err)
 		is.Equal(a.Status, 204)
-		is.True(len(a.Field(head.Seal)) > 0 && !a.Chunked)
+		is.True(len(a.Field(httpmessage.Seal)) > 0 && !a.Chunked)
 	}
 }
 
@@ -206,16 +206,16 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
 	defer l.Close()
-	pool := &link.Pool{Addr: word.Addr(l.Addr().String())}
-	c, err := pool.Get(1, clk.Second)
+	pool := &upstream.Pool{Addr: ids.Addr(l.Addr().String())}
+	c, err := pool.Get(1, clock.Second)
 	is.NoErr(err)
-	q, err := head.ReadRequest(bufio.NewReader(strings.NewReader("POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1\r\n\r\n")))
+	q, err := httpmessage.ReadRequest(bufio.NewReader(strings.NewReader("POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1\r\n\r\n")))
 	is.NoErr(err)
-	n := &Request{Head: q, Body: make([]byte, 64<<20), r: g.r, route: g.r.View.Table().Match(host, "/unsafe/"), deadline: clk.Now().Add(clk.Minute)}
+	n := &Request{Head: q, Body: make([]byte, 64<<20), r: g.r, route: g.r.View.Table().Match(host, "/unsafe/"), deadline: clock.Now().Add(clock.Minute)}
 	var e ending
-	done := spawn.NewMark()
-	spawn.Go(func() {
-		e = n.exchange(&pick.Rep{Pool: pool}, c, clk.Minute)
+	done := concurrency.NewMark()
+	concurrency.Go(func() {
+		e = n.exchange(&routing.Rep{Pool: pool}, c, clock.Minute)
 		done.Set()
 	})
 	far, err := l.Accept()
@@ -225,7 +225,7 @@
 	_, err = far.Read(b[:]) // it is on its way, and far too long to leave at once
 	is.NoErr(err)
 	n.abandon()
-	is.True(done.Wait(20 * clk.Second))
+	is.True(done.Wait(20 * clock.Second))
 	is.Equal(e, deserted)
 }
 
@@ -262,24 +262,24 @@
 // connection to the replica: what the first run still says reaches nobody.
 func TestClientAndNext(t *testing.T) {
 	is := is.New(t)
-	in, out, gone := spawn.NewMark(), spawn.NewMark(), spawn.NewMark()
+	in, out, gone := concurrency.NewMark(), concurrency.NewMark(), concurrency.NewMark()
 	g := newRig(t, func(w net.Conn, q standin.Got) bool {
 		if q.ID != "first" {
 			return standin.Well(w, q)
 		}
 		in.Set()
-		out.Wait(20 * clk.Second)
+		out.Wait(20 * clock.Second)
 		_ = standin.Say(w, "next", 200, standin.Seal, "not yours") // the worst: under the other's id
 		gone.Set()
 		return false
 	})
 	k := standin.Call(g.addr)
 	k.Put("POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: first\r\nContent-Length: 0\r\n\r\n")
-	is.True(in.Wait(20 * clk.Second))
+	is.True(in.Wait(20 * clock.Second))
 	k.Close()
 	until(t, "the end of the first", func() bool { return g.r.Active() == 0 })
 	out.Set()
-	is.True(gone.Wait(20 * clk.Second))
+	is.True(gone.Wait(20 * clock.Second))
 	r, err := g.ask("/unsafe/", "next")
 	is.NoErr(err)
 	is.Equal(r.Body, "body of next")
--- a/internal/relay/gone_test.go
+++ b/internal/relay/gone_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
 	"spoolswitch/internal/standin"
 )
 
@@ -29,7 +29,7 @@
 	})
 	t.Run("with the next one sent", func(t *testing.T) {
 		is := is.New(t)
-		in, cut := spawn.NewMark(), spawn.NewMark()
+		in, cut := concurrency.NewMark(), concurrency.NewMark()
 		g := newRig(t, func(w net.Conn, g standin.Got) bool {
 			in.Set()
 			var b [1]byte
@@ -39,10 +39,10 @@
 		})
 		k := standin.Call(g.addr)
 		k.Put(goneRequest + goneRequest[:20])
-		is.True(in.Wait(10 * clk.Second))
+		is.True(in.Wait(10 * clock.Second))
 		k.Put(goneRequest[20:])
 		k.Close()
-		is.True(cut.Wait(10 * clk.Second))
+		is.True(cut.Wait(10 * clock.Second))
 		until(t, "the end", func() bool { return g.r.Active() == 0 })
 		is.Equal(g.arrivals(), 1)
 	})
--- a/internal/relay/leave_test.go
+++ b/internal/relay/leave_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
 	"spoolswitch/internal/standin"
 )
 
@@ -18,7 +18,7 @@
 	g *rig
 	k *standin.Client
 	// reached and resume are set by the replica's end and by the test.
-	reached, resume *spawn.Mark
+	reached, resume *concurrency.Mark
 	known           bool
 }
 
@@ -63,7 +63,7 @@
 			for i := 0; i <= 3; i++ {
 				if i == events {
 					r.reached.Set()
-					r.resume.Wait(10 * clk.Second)
+					r.resume.Wait(10 * clock.Second)
 				}
 				if i == 0 {
 					write("HTTP/1.1 200 OK\r\nAttempt-Id: " + g.ID + "\r\n" + standin.Seal + "Transfer-Encoding: chunked\r\n\r\n")
@@ -76,7 +76,7 @@
 			return true
 		})
 		r.k.Put(leaveRequest + "body")
-		if !r.reached.Wait(10 * clk.Second) {
+		if !r.reached.Wait(10 * clock.Second) {
 			r.g.t.Fatal("the replica was not reached")
 		}
 		return r.resume.Set
@@ -90,15 +90,15 @@
 	to   func(r *Relay)
 }{
 	"unready": {true, func(r *Relay) {
-		spawn.Go(func() { r.Leave(40*clk.Second, 20*clk.Second) })
+		concurrency.Go(func() { r.Leave(40*clock.Second, 20*clock.Second) })
 	}},
 	"intake over": {false, func(r *Relay) {
 		r.mu.Lock()
-		r.leaving, r.intakeEnd = true, clk.Now()
+		r.leaving, r.intakeEnd = true, clock.Now()
 		r.mu.Unlock()
 	}},
 	"closing": {false, func(r *Relay) {
-		spawn.Go(func() { r.Leave(20*clk.Second, 0) })
+		concurrency.Go(func() { r.Leave(20*clock.Second, 0) })
 	}},
 }
 
@@ -117,7 +117,7 @@
 		for stage, leaving := range leavings {
 			t.Run(moment+", "+stage, func(t *testing.T) {
 				is := is.New(t)
-				r := &leaveRun{g: newRig(t, standin.Stream(3, 0)), reached: spawn.NewMark(), resume: spawn.NewMark(), known: true}
+				r := &leaveRun{g: newRig(t, standin.Stream(3, 0)), reached: concurrency.NewMark(), resume: concurrency.NewMark(), known: true}
 				r.g.r.Current = func() bool {
 					r.g.r.mu.Lock()
 					defer r.g.r.mu.Unlock()
@@ -153,20 +153,20 @@
 // ended, is refused although Leave has not gone on yet.
 func TestIntakeEndsOnTheClock(t *testing.T) {
 	is := is.New(t)
-	sim := &clk.Sim{}
+	sim := &clock.Sim{}
 	t.Cleanup(sim.Use())
 	r := NewRelay(&View{}, nil, 1, 1, 1)
-	is.True(r.takes(clk.Now()))
-	r.leaving, r.intakeEnd = true, clk.Now().Add(2*clk.Second)
-	is.True(r.takes(clk.Now()))
-	sim.Move(2 * clk.Second)
-	is.True(!r.takes(clk.Now()))
+	is.True(r.takes(clock.Now()))
+	r.leaving, r.intakeEnd = true, clock.Now().Add(2*clock.Second)
+	is.True(r.takes(clock.Now()))
+	sim.Move(2 * clock.Second)
+	is.True(!r.takes(clock.Now()))
 }
 
 // A settings change does not touch what runs, nor what rests.
 func TestSettingsChangeCutsNothing(t *testing.T) {
 	is := is.New(t)
-	r := &leaveRun{g: newRig(t, standin.Well), reached: spawn.NewMark(), resume: spawn.NewMark()}
+	r := &leaveRun{g: newRig(t, standin.Well), reached: concurrency.NewMark(), resume: concurrency.NewMark()}
 	r.k = standin.Call(r.g.addr)
 	defer r.k.Close()
 	finish := pausedAt(1)(r)
--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -13,15 +13,15 @@
 
 	"golang.org/x/sys/unix"
 
-	"spoolswitch/internal/check"
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/conf"
-	"spoolswitch/internal/head"
-	"spoolswitch/internal/list"
-	"spoolswitch/internal/note"
-	"spoolswitch/internal/pick"
-	"spoolswitch/internal/wire"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/configuration"
+	"spoolswitch/internal/discovery"
+	"spoolswitch/internal/httpmessage"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/interleave"
+	"spoolswitch/internal/routing"
+	"spoolswitch/internal/rpc"
+	"spoolswitch/internal/telemetry"
 )
 
 // play is one course of things: what a few requests of clients, one after the
@@ -32,7 +32,7 @@
 	choose func(n int) int
 	faults int
 
-	sim   *clk.Sim
+	sim   *clock.Sim
 	r     *Relay
 	conns []*far
 	asked []*asked
@@ -71,25 +71,25 @@
 	}
 	return k.got.Write(b)
 }
-func (k *near) Close() error                        { k.shut = true; return nil }
-func (k *near) SetWriteDeadline(t clk.Moment) error { return nil }
-func (k *near) SetReadDeadline(t clk.Moment) error  { return nil }
+func (k *near) Close() error                          { k.shut = true; return nil }
+func (k *near) SetWriteDeadline(t clock.Moment) error { return nil }
+func (k *near) SetReadDeadline(t clock.Moment) error  { return nil }
 
 // far is a connection to a replica, as the relay sees it.
 type far struct {
 	net.Conn
 	p      *play
-	addr   word.Addr
-	life   word.Replica
+	addr   ids.Addr
+	life   ids.Replica
 	served []string
 	due    [][]byte
 	begun  bool
 	shut   bool
 }
 
-func (c *far) Close() error                       { c.shut = true; return nil }
-func (c *far) SetDeadline(t clk.Moment) error     { return nil }
-func (c *far) SetReadDeadline(t clk.Moment) error { return nil }
+func (c *far) Close() error                         { c.shut = true; return nil }
+func (c *far) SetDeadline(t clock.Moment) error     { return nil }
+func (c *far) SetReadDeadline(t clock.Moment) error { return nil }
 
 // fault takes one of the ways that may go wrong here, 0 for none.
 func (p *play) fault(ways int) int {
@@ -142,13 +142,13 @@
 		c.life = "another"
 	}
 	br := bufio.NewReaderSize(bytes.NewReader(b), 4096)
-	q, err := head.ReadRequest(br)
+	q, err := httpmessage.ReadRequest(br)
 	if err != nil {
 		p.t.Errorf("unreadable request %q: %v", b, err)
 		return 0, err
 	}
-	body, err := head.NewBody(br, q.Framing).ReadAll(100)
-	if err != nil || q.Method != p.now.method || q.URI != p.now.path || string(body) != "body" || string(q.Field(head.AttemptID)) != p.now.id {
+	body, err := httpmessage.NewBody(br, q.Framing).ReadAll(100)
+	if err != nil || q.Method != p.now.method || q.URI != p.now.path || string(body) != "body" || string(q.Field(httpmessage.AttemptID)) != p.now.id {
 		p.t.Errorf("UNASKED %q, body %q: %v", b, body, err)
 	}
 	if c.shut {
@@ -162,10 +162,10 @@
 }
 
 // play makes the replica's answer, in the pieces in which it comes.
-func (c *far) play(q *head.Request) {
+func (c *far) play(q *httpmessage.Request) {
 	p := c.p
 	id := "HTTP/1.1 %d X\r\nAttempt-Id: " + p.now.id + "\r\n"
-	if string(q.Field(head.Expected)) != string(c.life) {
+	if string(q.Field(httpmessage.Expected)) != string(c.life) {
 		c.put(fmt.Sprintf(id+"Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", 421))
 		return
 	}
@@ -189,7 +189,7 @@
 		x.body = pieces
 		p.now.ran = append(p.now.ran, x)
 		from := 1
-		if v := q.Field(head.LastEvent); len(v) > 0 {
+		if v := q.Field(httpmessage.LastEvent); len(v) > 0 {
 			_, _ = fmt.Sscan(string(v), &from)
 			from++
 		}
@@ -235,7 +235,7 @@
 	case 3:
 		return 0, unix.ETIMEDOUT
 	case 4: // silence
-		p.sim.Move(clk.Until(p.now.req.deadline))
+		p.sim.Move(clock.Until(p.now.req.deadline))
 		return 0, os.ErrDeadlineExceeded
 	case 5:
 		p.leave()
@@ -255,7 +255,7 @@
 		c.begun = true
 	}
 	if len(c.due) == 0 {
-		p.sim.Move(clk.Until(p.now.req.deadline))
+		p.sim.Move(clock.Until(p.now.req.deadline))
 		return 0, os.ErrDeadlineExceeded
 	}
 	n := copy(b, c.due[0])
@@ -266,27 +266,27 @@
 }
 
 // Dial and Listen make a play the network of the relay.
-func (p *play) Dial(a word.Addr, _ clk.Span) (net.Conn, error) {
+func (p *play) Dial(a ids.Addr, _ clock.Span) (net.Conn, error) {
 	if p.fault(1) > 0 {
 		return nil, unix.ECONNREFUSED
 	}
-	c := &far{p: p, addr: a, life: word.Replica("i-" + string(a))}
+	c := &far{p: p, addr: a, life: ids.Replica("i-" + string(a))}
 	p.conns = append(p.conns, c)
 	return c, nil
 }
 
-func (p *play) Listen(word.Addr) (net.Listener, error) { return nil, errors.ErrUnsupported }
+func (p *play) Listen(ids.Addr) (net.Listener, error) { return nil, errors.ErrUnsupported }
 
 func (p *play) ask(method, path, id string, k *near) *near {
 	x := &asked{method: method, path: path, id: id, k: k, unsafe: strings.HasPrefix(path, "/unsafe/") || strings.HasPrefix(path, "/stream/")}
 	p.asked = append(p.asked, x)
 	p.now = x
-	q, err := head.ReadRequest(bufio.NewReader(strings.NewReader(method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + id + "\r\nContent-Length: 4\r\n\r\n")))
+	q, err := httpmessage.ReadRequest(bufio.NewReader(strings.NewReader(method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + id + "\r\nContent-Length: 4\r\n\r\n")))
 	if err != nil {
 		p.t.Fatal(err)
 	}
 	k.got.Reset()
-	x.req = newRequest(&Client{c: k, r: p.r}, q, []byte("body"), clk.Now())
+	x.req = newRequest(&Client{c: k, r: p.r}, q, []byte("body"), clock.Now())
 	x.req.run()
 	p.judge(x)
 	if k.shut || k.left || x.req.last {
@@ -311,20 +311,20 @@
 		return
 	}
 	br := bufio.NewReaderSize(bytes.NewReader(x.k.got.Bytes()), 4096)
-	a, err := head.ReadResponse(br)
+	a, err := httpmessage.ReadResponse(br)
 	if err != nil {
 		bad("MIXED", err.Error())
 		return
 	}
-	if string(a.Field(head.AttemptID)) != x.id {
+	if string(a.Field(httpmessage.AttemptID)) != x.id {
 		bad("MIXED", "another try")
 	}
-	sealed, stream := len(a.Field(head.Seal)) > 0, a.Chunked
+	sealed, stream := len(a.Field(httpmessage.Seal)) > 0, a.Chunked
 	if x.method == "HEAD" {
 		a.Bodiless()
 	}
 	var body []byte
-	b, buf := head.NewBody(br, a.Framing), make([]byte, 64)
+	b, buf := httpmessage.NewBody(br, a.Framing), make([]byte, 64)
 	for err == nil {
 		var n int
 		n, err = b.Read(buf)
@@ -356,7 +356,7 @@
 	if !sealed && a.Status >= 500 && a.Status != 503 && x.arrived == 0 {
 		bad("FALSE END", "no replica was offered it")
 	}
-	if clk.Now() > x.req.begun.Add(3250*clk.Millisecond) {
+	if clock.Now() > x.req.begun.Add(3250*clock.Millisecond) {
 		bad("HELD", "past its route's time")
 	}
 	if x.unsafe && promises(a.Status) && len(x.ran) > 0 {
@@ -368,17 +368,17 @@
 // that follow one another, each client gets the answer of its own request or a
 // failure that is true.
 func TestEveryOrder(t *testing.T) {
-	defer note.Use(func(string, []any) {})()
+	defer telemetry.Use(func(string, []any) {})()
 	var routes []string
 	for _, c := range []string{`"safe","name":"safe"`, `"unsafe","name":"unsafe"`, `"streaming","name":"stream"`, `"streaming","name":"resume","stream-resumption":true`} {
 		name := strings.Split(c, `"`)[5]
 		routes = append(routes, fmt.Sprintf(`{"authority":"h.example","path-prefix":"/%s/","timeout-ms":3000,"service":"s","max-attempts":2,"route-class":%s}`, name, c))
 	}
-	d, errs := conf.Read([]byte(`{"version":1,"route-table":[` + strings.Join(routes, ",") + `],"service-table":[{"name":"s"}],"limits":{}}`))
+	d, errs := configuration.Read([]byte(`{"version":1,"route-table":[` + strings.Join(routes, ",") + `],"service-table":[{"name":"s"}],"limits":{}}`))
 	if len(errs) > 0 {
 		t.Fatal(errs)
 	}
-	table := conf.NewTable(d)
+	table := configuration.NewTable(d)
 	for name, ask := range map[string]func(p *play){
 		"unsafe":      func(p *play) { p.ask("POST", "/unsafe/", "y", p.ask("POST", "/unsafe/", "x", &near{})) },
 		"the same id": func(p *play) { p.ask("POST", "/unsafe/", "x", p.ask("POST", "/unsafe/", "x", &near{})) },
@@ -388,20 +388,20 @@
 		"resumed":     func(p *play) { p.ask("POST", "/unsafe/", "y", p.ask("POST", "/resume/", "x", &near{})) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			n := check.Each(t, func(choose func(int) int) {
-				p := &play{t: t, choose: choose, faults: mostFaults, sim: &clk.Sim{}}
+			n := interleave.Each(t, func(choose func(int) int) {
+				p := &play{t: t, choose: choose, faults: mostFaults, sim: &clock.Sim{}}
 				defer p.sim.Use()()
-				defer wire.Use(p)()
-				f := pick.NewFleet("z1", 300*clk.Second)
+				defer rpc.Use(p)()
+				f := routing.NewFleet("z1", 300*clock.Second)
 				f.Relays(1)
 				f.Configured(table)
-				f.Listed([]list.Replica{{ID: "i-1", Service: "s", Addr: "1", Zone: "z1", Slots: 8, State: "in_service"},
+				f.Listed([]discovery.Replica{{ID: "i-1", Service: "s", Addr: "1", Zone: "z1", Slots: 8, State: "in_service"},
 					{ID: "i-2", Service: "s", Addr: "2", Zone: "z1", Slots: 8, State: "in_service"},
 					{ID: "i-3", Service: "s", Addr: "3", Zone: "z1", Slots: 8, State: "in_service"}}, 0)
 				p.r = &Relay{View: &View{Fleet: f, table: table}, Fleet: f, queue: &Queue{Most: 8}, Current: func() bool { return true },
-					Budget: &pick.Budget{Ratio: 1, Slack: 100, Window: clk.Second, Shares: f.Share}}
+					Budget: &routing.Budget{Ratio: 1, Slack: 100, Window: clock.Second, Shares: f.Share}}
 				ask(p)
-				open := map[word.Addr]int{}
+				open := map[ids.Addr]int{}
 				for _, c := range p.conns {
 					if !c.shut {
 						open[c.addr]++
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -4,9 +4,9 @@
 	"sort"
 	"sync"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/ids"
 )
 
 // Queue keeps requests that wait for a place at a replica, by service: the
@@ -15,35 +15,35 @@
 type Queue struct {
 	Most  int
 	mu    sync.Mutex
-	lines map[word.Service][]*held
+	lines map[ids.Service][]*held
 }
 
 type held struct {
-	svc      word.Service
+	svc      ids.Service
 	prio     int
-	deadline clk.Tick
-	first    *spawn.Mark
+	deadline clock.Tick
+	first    *concurrency.Mark
 }
 
 // Empty tells whether nothing waits for the service.
-func (h *Queue) Empty(s word.Service) bool {
+func (h *Queue) Empty(s ids.Service) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return len(h.lines[s]) == 0
 }
 
 // Enter takes a place in the line; nil if queue is full.
-func (h *Queue) Enter(s word.Service, prio int, deadline clk.Tick) *held {
+func (h *Queue) Enter(s ids.Service, prio int, deadline clock.Tick) *held {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.lines == nil {
-		h.lines = map[word.Service][]*held{}
+		h.lines = map[ids.Service][]*held{}
 	}
 	l := h.lines[s]
 	if len(l) >= h.Most {
 		return nil
 	}
-	w := &held{svc: s, prio: prio, deadline: deadline, first: spawn.NewMark()}
+	w := &held{svc: s, prio: prio, deadline: deadline, first: concurrency.NewMark()}
 	i := sort.Search(len(l), func(i int) bool { return w.before(l[i]) })
 	l = append(l, nil)
 	copy(l[i+1:], l[i:])
@@ -63,7 +63,7 @@
 }
 
 // First tells whether w is first now; if not it waits for at most d to be.
-func (h *Queue) First(w *held, d clk.Span) bool {
+func (h *Queue) First(w *held, d clock.Span) bool {
 	h.mu.Lock()
 	first := h.lines[w.svc][0] == w
 	h.mu.Unlock()
--- a/internal/relay/queue_test.go
+++ b/internal/relay/queue_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
+	"spoolswitch/internal/clock"
 )
 
 func TestQueueOrder(t *testing.T) {
@@ -22,7 +22,7 @@
 	is.True(h.First(other, 0)) // a line for each service
 	line := []*held{high, soon, late, low}
 	for i, w := range line {
-		is.True(h.First(w, clk.Second))
+		is.True(h.First(w, clock.Second))
 		for _, o := range line[i+1:] {
 			is.True(!h.First(o, 0))
 		}
@@ -35,7 +35,7 @@
 	is := is.New(t)
 	h := &Queue{Most: 4}
 	a, b := h.Enter("s", 0, 1), h.Enter("s", 0, 2)
-	is.True(!h.First(b, clk.Millisecond))
+	is.True(!h.First(b, clock.Millisecond))
 	h.Leave(a)
 	is.True(h.First(b, 0))
 	h.Leave(b)
