--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,23 +4,23 @@
 	"net"
 	"sync"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/note"
-	"spoolswitch/internal/pick"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
 	"spoolswitch/internal/pool"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/wire"
+	"spoolswitch/internal/routing"
+	"spoolswitch/internal/rpc"
+	"spoolswitch/internal/telemetry"
 )
 
 // Relay takes connections of clients and serves them.
 type Relay struct {
 	View   *View
-	Fleet  *pick.Fleet
-	Budget *pick.Budget
+	Fleet  *routing.Fleet
+	Budget *routing.Budget
 	// Current tells whether what the relay knows may be acted upon.
 	Current func() bool
 	// Tell has other relays told that a record has drifted.
-	Tell func(pick.Drift)
+	Tell func(routing.Drift)
 
 	// Meter counts the lengths that pass through, if pools are planned.
 	Meter *pool.Meter
@@ -28,15 +28,15 @@
 	// BodiesMost bounds the bytes of clients' bodies that are held at once.
 	BodiesMost int64
 
-	senders *spawn.Pool
+	senders *concurrency.Pool
 	queue   *Queue
 	bodies  int64
-	sizes   pick.Sizes
+	sizes   routing.Sizes
 	mu      sync.Mutex
 	leaving bool
 	closing bool
 	// intakeEnd is when a relay that leaves takes its last request.
-	intakeEnd clk.Tick
+	intakeEnd clock.Tick
 	active    int
 	idles     map[*Client]bool
 	open      int
@@ -44,8 +44,8 @@
 }
 
 // NewRelay makes a relay that holds at most most connections of clients.
-func NewRelay(v *View, b *pick.Budget, senders, queue, most int) *Relay {
-	return &Relay{View: v, Fleet: v.Fleet, Budget: b, senders: spawn.NewPool(senders, queue), queue: &Queue{Most: queue}, idles: map[*Client]bool{}, most: most,
+func NewRelay(v *View, b *routing.Budget, senders, queue, most int) *Relay {
+	return &Relay{View: v, Fleet: v.Fleet, Budget: b, senders: concurrency.NewPool(senders, queue), queue: &Queue{Most: queue}, idles: map[*Client]bool{}, most: most,
 		Current: func() bool { return true }}
 }
 
@@ -60,11 +60,11 @@
 			if over {
 				return
 			}
-			clk.Sleep(5 * clk.Millisecond)
+			clock.Sleep(5 * clock.Millisecond)
 			continue
 		}
-		note.Counter("client.connections").Add(1)
-		wire.Tune(c, 5*clk.Second)
+		telemetry.Counter("client.connections").Add(1)
+		rpc.Tune(c, 5*clock.Second)
 		r.mu.Lock()
 		if r.open >= r.most {
 			r.mu.Unlock()
@@ -73,7 +73,7 @@
 		}
 		r.open++
 		r.mu.Unlock()
-		spawn.Go(func() {
+		concurrency.Go(func() {
 			(&Client{c: c, r: r}).serve()
 			r.mu.Lock()
 			r.open--
@@ -145,7 +145,7 @@
 	return r.open
 }
 
-func (r *Relay) back() clk.Span { return 250 * clk.Millisecond }
+func (r *Relay) back() clock.Span { return 250 * clock.Millisecond }
 
 func (r *Relay) known() bool { return r.View.Table() != nil && r.Fleet.HasList() && r.Current() }
 
@@ -157,7 +157,7 @@
 // takes tells whether a request whose head was read at a moment is taken. The
 // end of the intake is a moment on the steady clock, so that it also holds for
 // what a process reads after a pause, before Leave goes on.
-func (r *Relay) takes(begun clk.Tick) bool {
+func (r *Relay) takes(begun clock.Tick) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return !r.leaving || begun < r.intakeEnd
@@ -167,21 +167,21 @@
 // for the time intake, as the platform still sends them here; later ones are
 // refused with the time to come back. Then idle connections are closed, and
 // what was taken is finished, until grace has passed since the call.
-func (r *Relay) Leave(grace, intake clk.Span) {
-	begun := clk.Now()
+func (r *Relay) Leave(grace, intake clock.Span) {
+	begun := clock.Now()
 	intake = min(intake, grace/2)
 	r.mu.Lock()
 	r.leaving = true
 	r.intakeEnd = begun.Add(intake)
 	r.mu.Unlock()
-	clk.Sleep(intake)
+	clock.Sleep(intake)
 	r.mu.Lock()
 	r.closing = true
 	for k := range r.idles { // under the lock: one that has just got a request sets its own
-		_ = k.c.SetReadDeadline(clk.Past())
+		_ = k.c.SetReadDeadline(clock.Past())
 	}
 	r.mu.Unlock()
-	for clk.Since(begun) < grace && r.held() > 0 {
-		clk.Sleep(20 * clk.Millisecond)
+	for clock.Since(begun) < grace && r.held() > 0 {
+		clock.Sleep(20 * clock.Millisecond)
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -12,18 +12,18 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/conf"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/configuration"
+	"spoolswitch/internal/consensus"
+	"spoolswitch/internal/discovery"
 	"spoolswitch/internal/evidence"
-	"spoolswitch/internal/head"
-	"spoolswitch/internal/keep"
+	"spoolswitch/internal/httpmessage"
+	"spoolswitch/internal/ids"
 	"spoolswitch/internal/kvindex"
-	"spoolswitch/internal/link"
-	"spoolswitch/internal/list"
-	"spoolswitch/internal/pick"
-	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/routing"
 	"spoolswitch/internal/standin"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/upstream"
 )
 
 const host = "h.example"
@@ -31,27 +31,27 @@
 type rig struct {
 	t     *testing.T
 	r     *Relay
-	addr  word.Addr
+	addr  ids.Addr
 	reps  []*standin.Replica
 	place uint64
 }
 
 // newRig starts a relay in front of one replica for each play.
 func newRig(t *testing.T, plays ...standin.Play) *rig {
-	f := pick.NewFleet("z1", 300*clk.Second)
+	f := routing.NewFleet("z1", 300*clock.Second)
 	f.Overrun, f.Slack = 1.5, 5
 	f.Relays(1)
 	v := &View{Fleet: f}
-	b := &pick.Budget{Ratio: 0.2, Slack: 10, Window: 10 * clk.Second, Shares: f.Share}
+	b := &routing.Budget{Ratio: 0.2, Slack: 10, Window: 10 * clock.Second, Shares: f.Share}
 	g := &rig{t: t, r: NewRelay(v, b, 64, 64, 64)}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	g.addr = word.Addr(l.Addr().String())
-	spawn.Go(func() { g.r.Serve(l) })
+	g.addr = ids.Addr(l.Addr().String())
+	concurrency.Go(func() { g.r.Serve(l) })
 	for i, p := range plays {
-		g.reps = append(g.reps, standin.NewReplica(word.Replica(fmt.Sprintf("i-%d", i)), p))
+		g.reps = append(g.reps, standin.NewReplica(ids.Replica(fmt.Sprintf("i-%d", i)), p))
 	}
 	t.Cleanup(func() {
 		_ = l.Close()
@@ -64,9 +64,9 @@
 	return g
 }
 
-func (g *rig) at() word.Place {
+func (g *rig) at() ids.Place {
 	g.place++
-	return word.Place{Epoch: word.Epoch{Round: 1}, Seq: g.place}
+	return ids.Place{Epoch: ids.Epoch{Round: 1}, Seq: g.place}
 }
 
 func (g *rig) configure(version int, more ...string) {
@@ -81,16 +81,16 @@
 	if !json.Valid([]byte(doc)) {
 		g.t.Fatal(doc)
 	}
-	st := &conf.State{Version: word.Version(version), JSON: []byte(doc)}
-	g.r.View.Take(keep.Item{Key: word.Configuration, At: g.at(), Val: st.Encode()})
+	st := &configuration.State{Version: ids.Version(version), JSON: []byte(doc)}
+	g.r.View.Take(consensus.Item{Key: ids.Configuration, At: g.at(), Val: st.Encode()})
 }
 
 func (g *rig) list(state string) {
-	var rs []list.Replica
+	var rs []discovery.Replica
 	for _, r := range g.reps {
-		rs = append(rs, list.Replica{ID: r.ID, Service: "s", Addr: r.Addr, Zone: "z1", Slots: 8, State: state})
+		rs = append(rs, discovery.Replica{ID: r.ID, Service: "s", Addr: r.Addr, Zone: "z1", Slots: 8, State: state})
 	}
-	g.r.View.Take(keep.Item{Key: word.List, At: g.at(), Val: list.Encode(rs)})
+	g.r.View.Take(consensus.Item{Key: ids.List, At: g.at(), Val: discovery.Encode(rs)})
 }
 
 func (g *rig) ask(path, id string, fields ...string) (standin.Reply, error) {
@@ -109,7 +109,7 @@
 
 func until(t *testing.T, what string, fn func() bool) {
 	t.Helper()
-	for end := clk.Now().Add(20 * clk.Second); clk.Now() < end; runtime.Gosched() {
+	for end := clock.Now().Add(20 * clock.Second); clock.Now() < end; runtime.Gosched() {
 		if fn() {
 			return
 		}
@@ -441,12 +441,12 @@
 	is.NoErr(err)
 	is.Equal(r.Status, 503)
 	g.list("in_service")
-	g.r.View.Take(keep.Item{Key: word.Evacuation("z1"), At: g.at(), Val: []byte("on")})
+	g.r.View.Take(consensus.Item{Key: ids.Evacuation("z1"), At: g.at(), Val: []byte("on")})
 	r, err = g.ask("/safe/", "id2")
 	is.NoErr(err)
 	is.Equal(r.Status, 503)
 	is.Equal(g.arrivals(), 0)
-	g.r.View.Take(keep.Item{Key: word.Evacuation("z1"), At: g.at(), Val: []byte("off")})
+	g.r.View.Take(consensus.Item{Key: ids.Evacuation("z1"), At: g.at(), Val: []byte("off")})
 	r, err = g.ask("/safe/", "id3")
 	is.NoErr(err)
 	is.Equal(r.Status, 200)
@@ -465,14 +465,14 @@
 
 func TestUnreadyWithoutNews(t *testing.T) {
 	is := is.New(t)
-	f := pick.NewFleet("z1", clk.Second)
-	r := NewRelay(&View{Fleet: f}, &pick.Budget{Shares: f.Share, Window: clk.Second}, 8, 8, 8)
+	f := routing.NewFleet("z1", clock.Second)
+	r := NewRelay(&View{Fleet: f}, &routing.Budget{Shares: f.Share, Window: clock.Second}, 8, 8, 8)
 	is.True(!r.Ready())
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
 	defer l.Close()
-	spawn.Go(func() { r.Serve(l) })
-	k := standin.Call(word.Addr(l.Addr().String()))
+	concurrency.Go(func() { r.Serve(l) })
+	k := standin.Call(ids.Addr(l.Addr().String()))
 	defer k.Close()
 	a, err := k.Ask(host, "/safe/", "id", "")
 	is.NoErr(err)
@@ -482,38 +482,38 @@
 // LOST: a relay that leaves finishes what runs and says that it closes.
 func TestLeave(t *testing.T) {
 	is := is.New(t)
-	in, out := spawn.NewMark(), spawn.NewMark()
+	in, out := concurrency.NewMark(), concurrency.NewMark()
 	g := newRig(t, func(w net.Conn, g standin.Got) bool {
 		in.Set()
-		out.Wait(10 * clk.Second)
+		out.Wait(10 * clock.Second)
 		return standin.Well(w, g)
 	})
 	var r standin.Reply
 	var err error
-	done, left := spawn.NewMark(), spawn.NewMark()
-	spawn.Go(func() {
+	done, left := concurrency.NewMark(), concurrency.NewMark()
+	concurrency.Go(func() {
 		r, err = g.ask("/unsafe/", "id1")
 		done.Set()
 	})
-	is.True(in.Wait(10 * clk.Second))
-	spawn.Go(func() {
-		g.r.Leave(10*clk.Second, 0)
+	is.True(in.Wait(10 * clock.Second))
+	concurrency.Go(func() {
+		g.r.Leave(10*clock.Second, 0)
 		left.Set()
 	})
 	until(t, "leaving", g.r.Leaving)
 	is.True(!g.r.Ready())
 	out.Set()
-	is.True(done.Wait(10 * clk.Second))
+	is.True(done.Wait(10 * clock.Second))
 	is.NoErr(err)
 	is.Equal(r.Status, 200)
 	is.True(r.Close)
-	is.True(left.Wait(10 * clk.Second))
+	is.True(left.Wait(10 * clock.Second))
 }
 
 // A client that goes away takes its run along.
 func TestDeserted(t *testing.T) {
 	is := is.New(t)
-	in, cut := spawn.NewMark(), spawn.NewMark()
+	in, cut := concurrency.NewMark(), concurrency.NewMark()
 	g := newRig(t, func(w net.Conn, g standin.Got) bool {
 		in.Set()
 		var b [1]byte
@@ -523,9 +523,9 @@
 	})
 	k := standin.Call(g.addr)
 	k.Put("POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n")
-	is.True(in.Wait(10 * clk.Second))
+	is.True(in.Wait(10 * clock.Second))
 	k.Close()
-	is.True(cut.Wait(10 * clk.Second))
+	is.True(cut.Wait(10 * clock.Second))
 	until(t, "the end", func() bool { return g.r.Active() == 0 })
 	is.Equal(g.arrivals(), 1)
 }
@@ -562,8 +562,8 @@
 		is.Equal(r.Body, events(1, 2))
 		for j := range 2 {
 			var buf bytes.Buffer
-			is.NoErr(gob.NewEncoder(&buf).Encode(pick.Drift{Replica: word.Replica(fmt.Sprintf("i-%d", j)), Horizon: clk.Span(i) * clk.Millisecond}))
-			g.r.View.Take(keep.Item{Key: word.Drift(word.Replica(fmt.Sprintf("i-%d", j))), At: g.at(), Val: buf.Bytes()})
+			is.NoErr(gob.NewEncoder(&buf).Encode(routing.Drift{Replica: ids.Replica(fmt.Sprintf("i-%d", j)), Horizon: clock.Span(i) * clock.Millisecond}))
+			g.r.View.Take(consensus.Item{Key: ids.Drift(ids.Replica(fmt.Sprintf("i-%d", j))), At: g.at(), Val: buf.Bytes()})
 		}
 	}
 	seen := map[string]int{}
@@ -624,17 +624,17 @@
 func TestGivenBackIsNotCut(t *testing.T) {
 	is := is.New(t)
 	g := newRig(t, standin.Well)
-	pool := &link.Pool{Addr: g.reps[0].Addr}
-	c, err := pool.Get(1, clk.Second)
+	pool := &upstream.Pool{Addr: g.reps[0].Addr}
+	c, err := pool.Get(1, clock.Second)
 	is.NoErr(err)
 	n := &Request{}
 	is.True(n.hold(c))
-	n.give(&pick.Rep{Pool: pool}, c, &head.Response{}, answered)
+	n.give(&routing.Rep{Pool: pool}, c, &httpmessage.Response{}, answered)
 	n.abandon()
-	again, err := pool.Get(2, clk.Second)
+	again, err := pool.Get(2, clock.Second)
 	is.NoErr(err)
 	is.True(again == c)
-	_, err = again.Put([]byte("POST / HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n"), clk.Now().Add(clk.Second))
+	_, err = again.Put([]byte("POST / HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n"), clock.Now().Add(clock.Second))
 	is.NoErr(err)
 	a, err := again.Response([]byte("a"))
 	is.NoErr(err)
@@ -647,7 +647,7 @@
 	g := newRig(t, standin.Stream(2, 0), standin.Stream(2, 0))
 	for i := range 40 {
 		for j, r := range g.reps {
-			e := kvindex.Epoch{Publisher: kvindex.Publisher{Service: "s", Addr: r.Addr}, Life: word.Replica(fmt.Sprintf("i-%d", j))}
+			e := kvindex.Epoch{Publisher: kvindex.Publisher{Service: "s", Addr: r.Addr}, Life: ids.Replica(fmt.Sprintf("i-%d", j))}
 			g.r.Fleet.Desk.Open(e).Sent().Settle(evidence.Unseen)
 		}
 		is.Equal(g.r.Fleet.Desk.Index.Quarantined(), len(g.reps))
--- a/internal/relay/rest_test.go
+++ b/internal/relay/rest_test.go
@@ -9,14 +9,14 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/conf"
-	"spoolswitch/internal/head"
-	"spoolswitch/internal/keep"
-	"spoolswitch/internal/pick"
-	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/configuration"
+	"spoolswitch/internal/consensus"
+	"spoolswitch/internal/httpmessage"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/routing"
 	"spoolswitch/internal/standin"
-	"spoolswitch/internal/word"
 )
 
 // resting is a client's connection on which nothing comes: each step is what
@@ -37,8 +37,8 @@
 	c.steps = c.steps[1:]
 	return 0, os.ErrDeadlineExceeded
 }
-func (c *resting) Close() error                       { c.shut = true; return nil }
-func (c *resting) SetReadDeadline(t clk.Moment) error { return nil }
+func (c *resting) Close() error                         { c.shut = true; return nil }
+func (c *resting) SetReadDeadline(t clock.Moment) error { return nil }
 
 // A resting connection is kept as long as the longest time that any
 // configuration in force since its last use allows, and no longer.
@@ -56,20 +56,20 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			sim := &clk.Sim{}
+			sim := &clock.Sim{}
 			defer sim.Use()()
-			sim.Move(clk.Minute)
-			v := &View{Fleet: pick.NewFleet("z1", clk.Second)}
-			n := word.Version(0)
+			sim.Move(clock.Minute)
+			v := &View{Fleet: routing.NewFleet("z1", clock.Second)}
+			n := ids.Version(0)
 			limit := func(ms float64) {
 				n++
 				b, err := json.Marshal(map[string]any{"version": n, "route-table": []any{}, "service-table": []any{}, "limits": map[string]any{"idle-timeout-ms": ms}})
 				is.NoErr(err)
-				v.Take(keep.Item{Key: word.Configuration, Val: (&conf.State{Version: n, JSON: b}).Encode()})
+				v.Take(consensus.Item{Key: ids.Configuration, Val: (&configuration.State{Version: n, JSON: b}).Encode()})
 				is.Equal(v.Table().Version, n)
 			}
 			limit(x.before)
-			sim.Move(clk.Minute)
+			sim.Move(clock.Minute)
 			r := NewRelay(v, nil, 1, 1, 1)
 			c := &resting{}
 			for i, ms := range x.moves {
@@ -77,7 +77,7 @@
 					if i == 0 && x.after != x.before {
 						limit(x.after)
 					}
-					sim.Move(clk.Ms(ms))
+					sim.Move(clock.Ms(ms))
 				})
 			}
 			(&Client{c: c, r: r}).serve()
@@ -119,19 +119,19 @@
 	defer k.Close()
 	k.Put("POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\nContent-Length: 4\r\n\r\nbo")
 	until(t, "the head", func() bool { return g.r.reading() })
-	left := spawn.NewMark()
-	spawn.Go(func() {
-		g.r.Leave(20*clk.Second, 0)
+	left := concurrency.NewMark()
+	concurrency.Go(func() {
+		g.r.Leave(20*clock.Second, 0)
 		left.Set()
 	})
 	until(t, "the closing", g.r.closed)
-	is.True(!left.Wait(100 * clk.Millisecond))
+	is.True(!left.Wait(100 * clock.Millisecond))
 	k.Put("dy")
 	r, err := k.Get()
 	is.NoErr(err)
 	is.Equal(r.Status, 200)
 	is.True(r.Close)
-	is.True(left.Wait(20 * clk.Second))
+	is.True(left.Wait(20 * clock.Second))
 }
 
 // reading tells whether a body is being read.
@@ -170,34 +170,34 @@
 // quarter of its aim.
 func TestNotHeldUntried(t *testing.T) {
 	is := is.New(t)
-	sim := &clk.Sim{}
+	sim := &clock.Sim{}
 	defer sim.Use()()
 	g := newRig(t, standin.Well)
 	g.r.Current = func() bool {
-		sim.Move(10 * clk.Millisecond) // each look takes some of the time
+		sim.Move(10 * clock.Millisecond) // each look takes some of the time
 		return false
 	}
 	r, err := g.ask("/unsafe/", "id1", "Deadline-Ms: 60000")
 	is.NoErr(err)
 	is.Equal(r.Status, 503)
-	is.True(clk.Now() < clk.Tick(100*clk.Millisecond)) // the aim is 400 ms
+	is.True(clock.Now() < clock.Tick(100*clock.Millisecond)) // the aim is 400 ms
 }
 
 // What comes before the first list is held for it beyond a quarter of its aim.
 func TestHeldForTheFirstList(t *testing.T) {
 	is := is.New(t)
 	g := newRig(t, standin.Well)
-	f := pick.NewFleet("z1", 300*clk.Second)
+	f := routing.NewFleet("z1", 300*clock.Second)
 	g.r.Fleet, g.r.View.Fleet = f, f
-	n := &Request{r: g.r, Head: &head.Request{Host: "h.example", URI: "/safe/"}, begun: clk.Now().Add(-200 * clk.Millisecond)}
-	awake, done := false, spawn.NewMark()
-	spawn.Go(func() {
+	n := &Request{r: g.r, Head: &httpmessage.Request{Host: "h.example", URI: "/safe/"}, begun: clock.Now().Add(-200 * clock.Millisecond)}
+	awake, done := false, concurrency.NewMark()
+	concurrency.Go(func() {
 		awake = n.awake()
 		done.Set()
 	})
-	is.True(!done.Wait(100 * clk.Millisecond)) // the aim is 400 ms
+	is.True(!done.Wait(100 * clock.Millisecond)) // the aim is 400 ms
 	g.list("in_service")
-	is.True(done.Wait(20 * clk.Second))
+	is.True(done.Wait(20 * clock.Second))
 	is.True(awake)
 }
 
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -4,18 +4,18 @@
 	"io"
 	"strconv"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/head"
-	"spoolswitch/internal/link"
-	"spoolswitch/internal/note"
-	"spoolswitch/internal/pick"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/httpmessage"
+	"spoolswitch/internal/routing"
+	"spoolswitch/internal/telemetry"
+	"spoolswitch/internal/upstream"
 )
 
 const (
-	dialTimeout = 300 * clk.Millisecond
-	holdStep    = 15 * clk.Millisecond
-	holdLook    = 50 * clk.Millisecond
+	dialTimeout = 300 * clock.Millisecond
+	holdStep    = 15 * clock.Millisecond
+	holdLook    = 50 * clock.Millisecond
 	plainMost   = 8 << 20
 	turnedMost  = 64 << 10
 	eventMost   = 1 << 20
@@ -34,19 +34,19 @@
 		}
 		rep, err := n.pick()
 		if err != nil {
-			n.fail(code.Of(err))
+			n.fail(codes.Of(err))
 			return
 		}
 		if n.sends > 0 && !n.r.Budget.Spend(n.ask.Service) {
-			n.r.Fleet.Done(rep, pick.CutByClient)
-			n.fail(code.NoReplica)
+			n.r.Fleet.Done(rep, routing.CutByClient)
+			n.fail(codes.NoReplica)
 			return
 		}
 		before := n.sends
 		e := n.try(rep)
 		n.r.Fleet.Settle(&n.ask, e.seen())
 		if (e == pastDeadline || e == deserted) && n.sent != 0 && n.began < n.sent {
-			n.r.Fleet.Hung(rep, &n.ask, clk.Since(n.sent))
+			n.r.Fleet.Hung(rep, &n.ask, clock.Since(n.sent))
 		}
 		x := e.rule()
 		n.r.Fleet.Done(rep, x.outcome)
@@ -61,29 +61,29 @@
 			n.last = true
 			return
 		case e == pastDeadline:
-			n.fail(code.PastDeadline)
+			n.fail(codes.PastDeadline)
 			return
 		case e == tooLate:
-			n.fail(code.QueueFull)
+			n.fail(codes.QueueFull)
 			return
 		case x.over:
 			return
 		case x.proof == mayHaveRun && !n.repeatable():
-			n.fail(code.ReplicaBroke)
+			n.fail(codes.ReplicaBroke)
 			return
 		}
 		n.not(rep.ID)
 		if n.sends == before {
 			if reach++; reach >= reachMost {
-				n.fail(code.NoReplica)
+				n.fail(codes.NoReplica)
 				return
 			}
 		}
 		if n.sends >= n.route.Attempts() {
 			if refused && !n.ran {
-				n.fail(code.QueueFull)
+				n.fail(codes.QueueFull)
 			} else {
-				n.fail(code.ReplicaBroke)
+				n.fail(codes.ReplicaBroke)
 			}
 			return
 		}
@@ -96,56 +96,56 @@
 	return n.route.Repeatable() && (!n.first || n.events.Seen)
 }
 
-func (n *Request) pick() (*pick.Rep, error) {
+func (n *Request) pick() (*routing.Rep, error) {
 	h := n.r.queue
-	var err error = code.New(code.QueueFull, "%s", n.ask.Service)
+	var err error = codes.New(codes.QueueFull, "%s", n.ask.Service)
 	if h.Empty(n.ask.Service) {
-		var rep *pick.Rep
+		var rep *routing.Rep
 		if rep, err = n.r.Fleet.Choose(&n.ask); err == nil {
 			return rep, nil
 		}
 	}
-	until := n.begun.Add(min(clk.Ms(n.route.TargetMs/5), clk.Until(n.deadline)/3))
+	until := n.begun.Add(min(clock.Ms(n.route.TargetMs/5), clock.Until(n.deadline)/3))
 	w := h.Enter(n.ask.Service, n.route.Priority, n.deadline)
 	if w == nil {
 		return nil, err
 	}
 	defer h.Leave(w)
-	for clk.Now() < until && !n.deserted() {
-		if !h.First(w, min(holdLook, clk.Until(until))) {
+	for clock.Now() < until && !n.deserted() {
+		if !h.First(w, min(holdLook, clock.Until(until))) {
 			continue
 		}
-		var rep *pick.Rep
+		var rep *routing.Rep
 		if rep, err = n.r.Fleet.Choose(&n.ask); err == nil {
 			return rep, nil
 		}
-		clk.Sleep(holdStep)
+		clock.Sleep(holdStep)
 	}
 	return nil, err
 }
 
-func (n *Request) fail(c code.Code) {
+func (n *Request) fail(c codes.Code) {
 	if n.first {
 		n.abort()
 		return
 	}
-	if clk.Now() >= n.deadline {
+	if clock.Now() >= n.deadline {
 		if n.ran {
-			c = code.PastDeadline
+			c = codes.PastDeadline
 		} else {
-			c = code.QueueFull
+			c = codes.QueueFull
 		}
 	}
-	if n.ran && c != code.PastDeadline {
-		c = code.ReplicaBroke
+	if n.ran && c != codes.PastDeadline {
+		c = codes.ReplicaBroke
 	}
 	n.refuse(c)
 }
 
-func (n *Request) try(rep *pick.Rep) ending {
+func (n *Request) try(rep *routing.Rep) ending {
 	n.sent = 0
-	left := clk.Until(n.deadline)
-	if left <= clk.Ms(n.route.TargetMs/offerLeast) {
+	left := clock.Until(n.deadline)
+	if left <= clock.Ms(n.route.TargetMs/offerLeast) {
 		return tooLate
 	}
 	c, err := rep.Pool.Get(n.ask.Draw, min(dialTimeout, left))
@@ -161,19 +161,19 @@
 
 // exchange sends the request on a connection and passes the answer on. The
 // connection has been given back if it may be used again.
-func (n *Request) exchange(rep *pick.Rep, c *link.Conn, left clk.Span) ending {
+func (n *Request) exchange(rep *routing.Rep, c *upstream.Conn, left clock.Span) ending {
 	if !n.hold(c) {
 		return deserted
 	}
-	set := []head.Set{
-		{K: head.Expected, V: string(rep.ID)},
-		{K: head.DeadlineMs, V: strconv.FormatInt(max(1, int64(left/clk.Millisecond)), 10)},
+	set := []httpmessage.Set{
+		{K: httpmessage.Expected, V: string(rep.ID)},
+		{K: httpmessage.DeadlineMs, V: strconv.FormatInt(max(1, int64(left/clock.Millisecond)), 10)},
 	}
-	if n.urgency != 0 && len(n.Head.Field(head.Urgency)) == 0 {
-		set = append(set, head.Set{K: head.Urgency, V: strconv.Itoa(n.urgency)})
+	if n.urgency != 0 && len(n.Head.Field(httpmessage.Urgency)) == 0 {
+		set = append(set, httpmessage.Set{K: httpmessage.Urgency, V: strconv.Itoa(n.urgency)})
 	}
 	if n.first && n.events.Seen {
-		set = append(set, head.Set{K: head.LastEvent, V: strconv.FormatInt(n.events.Last, 10)})
+		set = append(set, httpmessage.Set{K: httpmessage.LastEvent, V: strconv.FormatInt(n.events.Last, 10)})
 	}
 	b := n.Head.Append(make([]byte, 0, len(n.Body)+1024), len(n.Body), set...)
 	whole, err := c.Put(append(b, n.Body...), n.deadline)
@@ -184,7 +184,7 @@
 		return unsent
 	}
 	n.sends++
-	sent := clk.Now()
+	sent := clock.Now()
 	n.sent = sent
 	n.r.Fleet.Sent(rep, &n.ask)
 	if err != nil {
@@ -195,14 +195,14 @@
 		return n.broke(err)
 	}
 	n.r.Fleet.Begun(rep, n.ask.Tokens)
-	if v := a.Field(head.Load); len(v) > 0 {
+	if v := a.Field(httpmessage.Load); len(v) > 0 {
 		n.r.Fleet.Told(rep, string(v))
 	}
 	if n.Head.Method == "HEAD" {
 		c.Spend()
 		a.Bodiless()
 	}
-	if v := a.Field(head.Weights); len(v) > 0 {
+	if v := a.Field(httpmessage.Weights); len(v) > 0 {
 		n.r.Fleet.Weights(rep, &n.ask, string(v))
 	}
 	e := n.sort(a)
@@ -218,7 +218,7 @@
 	return n.pass(rep, c, a, e)
 }
 
-func (n *Request) drain(rep *pick.Rep, c *link.Conn, a *head.Response, e ending) {
+func (n *Request) drain(rep *routing.Rep, c *upstream.Conn, a *httpmessage.Response, e ending) {
 	if a.None {
 		return
 	}
@@ -227,7 +227,7 @@
 	}
 }
 
-func (n *Request) pass(rep *pick.Rep, c *link.Conn, a *head.Response, e ending) ending {
+func (n *Request) pass(rep *routing.Rep, c *upstream.Conn, a *httpmessage.Response, e ending) ending {
 	body, err := c.Body(a).ReadAll(plainMost)
 	if err != nil {
 		return n.broke(err)
@@ -241,7 +241,7 @@
 	if !n.k.write(append(b, body...)) {
 		n.last = true
 	}
-	n.began = clk.Now()
+	n.began = clock.Now()
 	return e
 }
 
@@ -251,9 +251,9 @@
 	}
 }
 
-var resumed = note.Counter("stream.resumed")
+var resumed = telemetry.Counter("stream.resumed")
 
-func (n *Request) stream(rep *pick.Rep, c *link.Conn, a *head.Response, sent clk.Tick) ending {
+func (n *Request) stream(rep *routing.Rep, c *upstream.Conn, a *httpmessage.Response, sent clock.Tick) ending {
 	body := c.Body(a)
 	skip := int64(-1)
 	if n.first {
@@ -273,8 +273,8 @@
 			ev := n.events.Add(buf[:m], skip)
 			if !judged && len(ev) > 0 {
 				judged = true
-				n.began = clk.Now()
-				n.judge(rep, clk.Since(sent))
+				n.began = clock.Now()
+				n.judge(rep, clock.Since(sent))
 			}
 			out = out[:0]
 			if n.events.Held() > eventMost {
@@ -320,11 +320,11 @@
 		return
 	}
 	if s := t.Services[n.ask.Service]; s != nil && s.Engine != nil {
-		m.Written(n.ask.Service, n.ask.Weight, (n.events.N-before-1)*int64(max(1, s.Engine.StepSize)), clk.Since(n.began))
+		m.Written(n.ask.Service, n.ask.Weight, (n.events.N-before-1)*int64(max(1, s.Engine.StepSize)), clock.Since(n.began))
 	}
 }
 
-func (n *Request) judge(rep *pick.Rep, took clk.Span) {
+func (n *Request) judge(rep *routing.Rep, took clock.Span) {
 	if m := n.r.Meter; m != nil {
 		m.Read(n.ask.Service, n.ask.Weight, n.ask.Promise.Unread, took)
 	}
@@ -334,7 +334,7 @@
 }
 
 // give hands a connection back whose answer was read to its end.
-func (n *Request) give(rep *pick.Rep, c *link.Conn, a *head.Response, e ending) {
+func (n *Request) give(rep *routing.Rep, c *upstream.Conn, a *httpmessage.Response, e ending) {
 	if e.rule().reuse && n.let(c) {
 		rep.Pool.Give(c, a)
 	}
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -8,47 +8,47 @@
 	"strconv"
 	"sync"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/conf"
-	"spoolswitch/internal/keep"
-	"spoolswitch/internal/list"
-	"spoolswitch/internal/note"
-	"spoolswitch/internal/pick"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/configuration"
+	"spoolswitch/internal/consensus"
+	"spoolswitch/internal/discovery"
+	"spoolswitch/internal/ids"
 	"spoolswitch/internal/pool"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/routing"
+	"spoolswitch/internal/telemetry"
 )
 
 // View is what a relay has taken in of the feed. It never goes back.
 type View struct {
-	Fleet *pick.Fleet
+	Fleet *routing.Fleet
 	mu    sync.Mutex
-	table *conf.Table
-	doc   *conf.Doc
-	when  map[string]clk.Tick
+	table *configuration.Table
+	doc   *configuration.Doc
+	when  map[string]clock.Tick
 	rests []rest
 }
 
 // rest is how long clients' connections may rest, from a moment on.
 type rest struct {
-	from clk.Tick
-	most clk.Span
+	from clock.Tick
+	most clock.Span
 }
 
 const (
 	restsKept = 64
 	// clients hear of a change sooner or later than the relay does
-	restNews = 10 * clk.Second
+	restNews = 10 * clock.Second
 )
 
 // Rest is how long a client's connection may rest that was used last at a
 // moment: the longest that a configuration allowed since, or shortly before.
-func (v *View) Rest(used clk.Tick) clk.Span {
+func (v *View) Rest(used clock.Tick) clock.Span {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if len(v.rests) == 0 {
-		return clk.Ms(conf.Limits{}.Whole().IdleMs)
+		return clock.Ms(configuration.Limits{}.Whole().IdleMs)
 	}
-	d := clk.Span(0)
+	d := clock.Span(0)
 	for i, r := range v.rests {
 		if i+1 == len(v.rests) || v.rests[i+1].from >= used.Add(-restNews) {
 			d = max(d, r.most)
@@ -58,7 +58,7 @@
 }
 
 // Table is the configuration in force here, nil before the first.
-func (v *View) Table() *conf.Table {
+func (v *View) Table() *configuration.Table {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.table
@@ -66,16 +66,16 @@
 
 // Take takes one item of the feed in; false if it is a change that cannot be
 // taken, so that the whole is wanted.
-func (v *View) Take(it keep.Item) bool {
+func (v *View) Take(it consensus.Item) bool {
 	if it.Base.Zero() {
 		v.takeWhole(it)
 		return true
 	}
 	switch it.Key {
-	case word.Configuration:
+	case ids.Configuration:
 		return v.reconfigure(it.Val)
-	case word.List:
-		d, ok := list.DecodeDelta(it.Val)
+	case ids.List:
+		d, ok := discovery.DecodeDelta(it.Val)
 		if ok {
 			v.Fleet.Relisted(d, it.Age)
 		}
@@ -84,26 +84,26 @@
 	return false
 }
 
-func (v *View) takeWhole(it keep.Item) {
+func (v *View) takeWhole(it consensus.Item) {
 	switch {
-	case it.Key == word.Configuration:
+	case it.Key == ids.Configuration:
 		v.configure(it.Val)
-	case it.Key == word.List:
-		if rs, ok := list.Decode(it.Val); ok {
+	case it.Key == ids.List:
+		if rs, ok := discovery.Decode(it.Val); ok {
 			v.Fleet.Listed(rs, it.Age)
 		}
-	case it.Key == word.Plan:
+	case it.Key == ids.Plan:
 		p, err := pool.DecodePlan(it.Val)
 		if err != nil {
-			note.Counter("pool.plans-unreadable").Add(1)
-			note.Trouble("plan unreadable, kept the last", "err", err)
+			telemetry.Counter("pool.plans-unreadable").Add(1)
+			telemetry.Trouble("plan unreadable, kept the last", "err", err)
 			return
 		}
 		v.Fleet.Planned(p)
-		note.State("pools planned", "plan", p.Num, "services", len(p.Splits))
+		telemetry.State("pools planned", "plan", p.Num, "services", len(p.Splits))
 	default:
 		if _, ok := it.Key.Drifted(); ok {
-			var d pick.Drift
+			var d routing.Drift
 			if gob.NewDecoder(bytes.NewReader(it.Val)).Decode(&d) == nil {
 				v.Fleet.Mend(d, it.Age)
 			}
@@ -114,19 +114,19 @@
 			v.mu.Lock()
 			v.stamp(it.Key, string(it.Val))
 			v.mu.Unlock()
-			note.State("evacuation", "zone", z, "on", string(it.Val) == "on")
+			telemetry.State("evacuation", "zone", z, "on", string(it.Val) == "on")
 		}
 	}
 }
 
 func (v *View) configure(b []byte) {
-	s, err := conf.Decode(b)
+	s, err := configuration.Decode(b)
 	if err != nil || s.Version == 0 {
 		return
 	}
-	d, errs := conf.Read(s.JSON)
+	d, errs := configuration.Read(s.JSON)
 	if len(errs) > 0 {
-		note.Trouble("configuration unreadable", "err", errs[0])
+		telemetry.Trouble("configuration unreadable", "err", errs[0])
 		return
 	}
 	v.enforce(d)
@@ -143,7 +143,7 @@
 	}
 	d, ok := doc.ApplyDelta(change)
 	if !ok {
-		note.Counter("feed.changes-unfit").Add(1)
+		telemetry.Counter("feed.changes-unfit").Add(1)
 		return false
 	}
 	v.enforce(d)
@@ -151,8 +151,8 @@
 }
 
 // enforce puts a configuration in force, unless a later one is.
-func (v *View) enforce(d *conf.Doc) {
-	t := conf.NewTable(d)
+func (v *View) enforce(d *configuration.Doc) {
+	t := configuration.NewTable(d)
 	v.mu.Lock()
 	if v.table != nil && v.table.Version >= t.Version {
 		v.mu.Unlock()
@@ -162,30 +162,30 @@
 	if n := len(v.rests) - restsKept + 1; n > 0 {
 		v.rests = v.rests[n:]
 	}
-	v.rests = append(v.rests, rest{clk.Now(), clk.Ms(t.Limits.IdleMs)})
-	v.stamp(word.Configuration, strconv.FormatInt(int64(t.Version), 10))
+	v.rests = append(v.rests, rest{clock.Now(), clock.Ms(t.Limits.IdleMs)})
+	v.stamp(ids.Configuration, strconv.FormatInt(int64(t.Version), 10))
 	v.mu.Unlock()
 	v.Fleet.Configured(t)
-	note.State("configuration in force", "version", t.Version, "routes", len(t.Routes))
+	telemetry.State("configuration in force", "version", t.Version, "routes", len(t.Routes))
 }
 
 // Applied tells how long ago each change was put in force here, by its key
 // and label.
-func (v *View) Applied() map[string]clk.Span {
+func (v *View) Applied() map[string]clock.Span {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	out := map[string]clk.Span{}
+	out := map[string]clock.Span{}
 	for e, t := range v.when {
-		out[e] = clk.Since(t)
+		out[e] = clock.Since(t)
 	}
 	return out
 }
 
 const whenKept = 256
 
-func (v *View) stamp(key word.Key, label string) {
+func (v *View) stamp(key ids.Key, label string) {
 	if v.when == nil || len(v.when) >= whenKept {
-		v.when = map[string]clk.Tick{}
+		v.when = map[string]clock.Tick{}
 	}
-	v.when[string(key)+" "+label] = clk.Now()
+	v.when[string(key)+" "+label] = clock.Now()
 }
--- a/internal/response/response.go
+++ b/internal/response/response.go
@@ -7,34 +7,34 @@
 
 	"github.com/valyala/fasthttp"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
 )
 
 // Response is an answer of the system's own.
 type Response struct {
 	Status int
-	Code   code.Code
+	Code   codes.Code
 	Cause  string
 	Body   []byte
-	Back   clk.Span
+	Back   clock.Span
 	Close  bool
 	ID     []byte
 	bare   bool
 }
 
-var statuses = map[code.Code]int{
-	code.OK: 200, code.BadHead: 400, code.HeadTooLarge: 431, code.BodyTooLarge: 413, code.HeadTooSlow: 408,
-	code.BadBody: 400, code.NoRoute: 404, code.NotReady: 503, code.NoReplica: 503, code.QueueFull: 503,
-	code.PastDeadline: 504, code.ReplicaBroke: 502, code.Leaving: 503, code.BadFields: 400, code.BadMethod: 405,
-	code.NoCall: 404, code.Unreadable: 400, code.NoService: 400, code.SamePlace: 400, code.NoWeight: 400,
-	code.NoTimeout: 400, code.OldVersion: 400, code.OtherVersion: 412, code.NoZone: 404, code.NoMajority: 503,
-	code.Nothing: 404, code.BadItem: 400, code.TooOld: 503, code.Moved: 503, code.Unvouched: 503, code.DiskRefused: 503, code.NotVoting: 503, code.PeerLost: 503,
-	code.UnknownChange: 404,
+var statuses = map[codes.Code]int{
+	codes.OK: 200, codes.BadHead: 400, codes.HeadTooLarge: 431, codes.BodyTooLarge: 413, codes.HeadTooSlow: 408,
+	codes.BadBody: 400, codes.NoRoute: 404, codes.NotReady: 503, codes.NoReplica: 503, codes.QueueFull: 503,
+	codes.PastDeadline: 504, codes.ReplicaBroke: 502, codes.Leaving: 503, codes.BadFields: 400, codes.BadMethod: 405,
+	codes.NoCall: 404, codes.Unreadable: 400, codes.NoService: 400, codes.SamePlace: 400, codes.NoWeight: 400,
+	codes.NoTimeout: 400, codes.OldVersion: 400, codes.OtherVersion: 412, codes.NoZone: 404, codes.NoMajority: 503,
+	codes.Nothing: 404, codes.BadItem: 400, codes.TooOld: 503, codes.Moved: 503, codes.Unvouched: 503, codes.DiskRefused: 503, codes.NotVoting: 503, codes.PeerLost: 503,
+	codes.UnknownChange: 404,
 }
 
 // Status is the status that goes with a code.
-func Status(c code.Code) int {
+func Status(c codes.Code) int {
 	if s, ok := statuses[c]; ok {
 		return s
 	}
@@ -42,7 +42,7 @@
 }
 
 // Of makes the result of a code.
-func Of(c code.Code, cause string) Response {
+func Of(c codes.Code, cause string) Response {
 	if cause == "" {
 		cause = c.String()
 	}
@@ -53,7 +53,7 @@
 func OK(b []byte) Response { return Response{Status: 200, Body: b} }
 
 // Later asks the client to come back after d.
-func (r Response) Later(d clk.Span) Response {
+func (r Response) Later(d clock.Span) Response {
 	r.Back = d
 	return r
 }
@@ -82,7 +82,7 @@
 }
 
 func (r Response) body() []byte {
-	if r.Body != nil || r.Code == code.OK {
+	if r.Body != nil || r.Code == codes.OK {
 		return r.Body
 	}
 	b, err := json.Marshal(cause{int(r.Code), r.Cause})
@@ -92,8 +92,8 @@
 	return b
 }
 
-func retry(d clk.Span) string {
-	return strconv.FormatFloat(float64(d)/float64(clk.Second), 'f', 3, 64)
+func retry(d clock.Span) string {
+	return strconv.FormatFloat(float64(d)/float64(clock.Second), 'f', 3, 64)
 }
 
 // Append writes the whole answer behind b.
--- a/internal/response/response_test.go
+++ b/internal/response/response_test.go
@@ -9,13 +9,13 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
 )
 
 func TestAppend(t *testing.T) {
 	is := is.New(t)
-	b := Of(code.QueueFull, "").For([]byte("id1")).Later(250 * clk.Millisecond).Last().Append(nil)
+	b := Of(codes.QueueFull, "").For([]byte("id1")).Later(250 * clock.Millisecond).Last().Append(nil)
 	var r fasthttp.Response
 	is.NoErr(r.Read(bufio.NewReader(bytes.NewReader(b))))
 	is.Equal(r.StatusCode(), 503)
@@ -28,11 +28,11 @@
 // A promise that nothing ran is made by few codes, never by one of what may have.
 func TestStatuses(t *testing.T) {
 	is := is.New(t)
-	for c := range code.All() {
+	for c := range codes.All() {
 		s := Status(c)
 		is.True(s >= 200 && s < 600)
 	}
-	for _, c := range []code.Code{code.ReplicaBroke, code.PastDeadline} {
+	for _, c := range []codes.Code{codes.ReplicaBroke, codes.PastDeadline} {
 		s := Status(c)
 		is.True(s == 502 || s == 504)
 	}
--- a/internal/pick/audit.go
+++ b/internal/routing/audit.go
@@ -1,12 +1,12 @@
-package pick
+package routing
 
 import (
-	"spoolswitch/internal/clk"
+	"spoolswitch/internal/clock"
 	"spoolswitch/internal/evidence"
+	"spoolswitch/internal/ids"
 	"spoolswitch/internal/kvindex"
-	"spoolswitch/internal/note"
 	"spoolswitch/internal/pool"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/telemetry"
 )
 
 // Promise is what the record said that a replica keeps of a prompt when it
@@ -14,22 +14,22 @@
 type Promise struct {
 	Tokens int64
 	Unread int64
-	Used   clk.Tick
-	At     clk.Tick
+	Used   clock.Tick
+	At     clock.Tick
 }
 
 // Drift says that a replica no longer keeps what went unused for Horizon.
 type Drift struct {
-	Replica word.Replica
-	Horizon clk.Span
+	Replica ids.Replica
+	Horizon clock.Span
 }
 
 type audit struct {
 	pace    pool.Line
 	proof   int
-	horizon clk.Span
+	horizon clock.Span
 	weights string
-	told    clk.Tick
+	told    clock.Tick
 }
 
 const (
@@ -40,18 +40,18 @@
 	shrinkMost = 8
 	growShare  = 64
 	paceKeep   = 0.98
-	tellPause  = 5 * clk.Second
+	tellPause  = 5 * clock.Second
 )
 
 var (
-	promiseKept   = note.Counter("promise.kept")
-	promiseBroken = note.Counter("promise.broken")
-	driftFound    = note.Counter("drift.found")
-	driftTold     = note.Counter("drift.told")
-	weightsMoved  = note.Counter("drift.weights")
+	promiseKept   = telemetry.Counter("promise.kept")
+	promiseBroken = telemetry.Counter("promise.broken")
+	driftFound    = telemetry.Counter("drift.found")
+	driftTold     = telemetry.Counter("drift.told")
+	weightsMoved  = telemetry.Counter("drift.weights")
 )
 
-func (r *Rep) promise(c kvindex.Chain, want int64, now clk.Tick) Promise {
+func (r *Rep) promise(c kvindex.Chain, want int64, now clock.Tick) Promise {
 	p := Promise{At: now}
 	p.Tokens, p.Used = r.view.Promise(c)
 	p.Unread = max(0, max(want, c.Tokens())-p.Tokens)
@@ -65,7 +65,7 @@
 // read the prompt and keeps it; took is how long that was after the sending,
 // or less than 0 if it says nothing. It returns what other relays should be
 // told, if the view turns out to have drifted.
-func (f *Fleet) Read(r *Rep, a *Ask, took clk.Span) (Drift, bool) {
+func (f *Fleet) Read(r *Rep, a *Ask, took clock.Span) (Drift, bool) {
 	t := a.attempt
 	if t == nil {
 		return Drift{}, false
@@ -97,10 +97,10 @@
 
 // judge takes in how long after the sending an answer began. It returns the
 // removals that a drift means.
-func (f *Fleet) judge(r *Rep, p Promise, took clk.Span) (Drift, []kvindex.Event, bool) {
+func (f *Fleet) judge(r *Rep, p Promise, took clock.Span) (Drift, []kvindex.Event, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	ms := float64(took) / float64(clk.Millisecond)
+	ms := float64(took) / float64(clock.Millisecond)
 	if r.load.Waiting > 0 || r.pend > 0 {
 		return Drift{}, nil, false
 	}
@@ -132,21 +132,21 @@
 	a.proof = 0
 	es := f.mend(r, d.Horizon)
 	driftFound.Add(1)
-	if a.told != 0 && clk.Since(a.told) < tellPause {
+	if a.told != 0 && clock.Since(a.told) < tellPause {
 		return d, es, false
 	}
-	a.told = clk.Now()
+	a.told = clock.Now()
 	return d, es, true
 }
 
-func (f *Fleet) mend(r *Rep, h clk.Span) []kvindex.Event {
+func (f *Fleet) mend(r *Rep, h clock.Span) []kvindex.Event {
 	old := r.view.Unused(h)
 	var n int64
 	for _, b := range old {
 		n += b.Tokens
 	}
 	r.view.Bound(max(f.capacity(r.Service)/shrinkMost, r.view.Tokens()-n))
-	note.State("view mended", "replica", r.ID, "unused for", h, "removed", len(old))
+	telemetry.State("view mended", "replica", r.ID, "unused for", h, "removed", len(old))
 	if len(old) == 0 {
 		return nil
 	}
@@ -154,7 +154,7 @@
 }
 
 // Mend takes in what another relay found, age ago.
-func (f *Fleet) Mend(d Drift, age clk.Span) {
+func (f *Fleet) Mend(d Drift, age clock.Span) {
 	f.mu.Lock()
 	r := f.reps[d.Replica]
 	if r == nil || d.Horizon < 0 || age < 0 {
@@ -162,7 +162,7 @@
 		return
 	}
 	driftTold.Add(1)
-	r.audit.told = clk.Now()
+	r.audit.told = clock.Now()
 	es := f.mend(r, d.Horizon+age)
 	f.mu.Unlock()
 	r.stream.Tell(es...)
--- a/internal/pick/audit_test.go
+++ b/internal/routing/audit_test.go
@@ -1,4 +1,4 @@
-package pick
+package routing
 
 import (
 	"fmt"
@@ -7,10 +7,10 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/ids"
 	"spoolswitch/internal/kvindex"
 	"spoolswitch/internal/lru"
-	"spoolswitch/internal/word"
 )
 
 // engine is a replica that keeps parts, with a room of its own, and tells of
@@ -25,7 +25,7 @@
 }
 
 // read reads a prompt and tells how long that takes.
-func (e *engine) read(c kvindex.Chain) clk.Span {
+func (e *engine) read(c kvindex.Chain) clock.Span {
 	var n int64
 	hit := true
 	for _, l := range c {
@@ -38,7 +38,7 @@
 		e.kept.Put(c[i].Hash, c[i].Tokens, c[i].Tokens)
 	}
 	noise := 0.9 + 0.2*e.rnd.Float64()
-	return clk.Span(float64(n) * noise * float64(clk.Millisecond) / 100)
+	return clock.Span(float64(n) * noise * float64(clock.Millisecond) / 100)
 }
 
 // stale counts the promises of a record that its engine does not hold.
@@ -53,15 +53,15 @@
 
 type world struct {
 	f    *Fleet
-	sim  *clk.Sim
-	e    map[word.Replica]*engine
+	sim  *clock.Sim
+	e    map[ids.Replica]*engine
 	told []Drift
 	n    int
 }
 
 func newWorld(t *testing.T, room int64) *world {
 	f, sim := fleet(t, 1)
-	w := &world{f: f, sim: sim, e: map[word.Replica]*engine{"i-0": newEngine(room)}}
+	w := &world{f: f, sim: sim, e: map[ids.Replica]*engine{"i-0": newEngine(room)}}
 	for i := range 60 { // as long as nothing is known of a session, the pace is learned
 		w.turn(t, 1000+i)
 	}
@@ -79,7 +79,7 @@
 	}
 	w.f.Sent(r, a)
 	took := w.e[r.ID].read(c)
-	w.sim.Move(took + 10*clk.Millisecond)
+	w.sim.Move(took + 10*clock.Millisecond)
 	w.f.Begun(r, a.Tokens)
 	if d, ok := w.f.Read(r, a, took); ok {
 		w.told = append(w.told, d)
@@ -130,17 +130,17 @@
 	is := is.New(t)
 	f, sim := fleet(t, 1)
 	turn(t, f, "a:100,b:200", "1")
-	sim.Move(10 * clk.Second)
+	sim.Move(10 * clock.Second)
 	turn(t, f, "c:100,d:200", "2")
-	sim.Move(clk.Second)
+	sim.Move(clock.Second)
 	r := f.reps["i-0"]
 	never := func(uint64) bool { return false }
-	f.Mend(Drift{"i-0", 5 * clk.Second}, 0)
+	f.Mend(Drift{"i-0", 5 * clock.Second}, 0)
 	n, _ := r.overlap(chain(t, "a:100,b:200"), never)
 	is.Equal(n, int64(0))
 	n, _ = r.overlap(chain(t, "c:100,d:200"), never)
 	is.Equal(n, int64(300))
-	f.Mend(Drift{"i-9", clk.Second}, 0) // of a replica that is not known
+	f.Mend(Drift{"i-9", clock.Second}, 0) // of a replica that is not known
 }
 
 func TestOtherWeights(t *testing.T) {
--- a/internal/pick/budget.go
+++ b/internal/routing/budget.go
@@ -1,10 +1,10 @@
-package pick
+package routing
 
 import (
 	"sync"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/ids"
 )
 
 // Budget is this relay's share of the bound on repeats. The shares of all
@@ -12,11 +12,11 @@
 type Budget struct {
 	Ratio  float64
 	Slack  float64
-	Window clk.Span
+	Window clock.Span
 	Shares func() int
 
 	mu sync.Mutex
-	of map[word.Service]*account
+	of map[ids.Service]*account
 }
 
 const cells = 20
@@ -29,12 +29,12 @@
 type account struct {
 	n       [cells]int
 	at      [cells]int64
-	repeats []clk.Tick
+	repeats []clock.Tick
 }
 
-func (b *Budget) account(s word.Service) *account {
+func (b *Budget) account(s ids.Service) *account {
 	if b.of == nil {
-		b.of = map[word.Service]*account{}
+		b.of = map[ids.Service]*account{}
 	}
 	a := b.of[s]
 	if a == nil {
@@ -45,7 +45,7 @@
 }
 
 // Bounds changes the figures of the bound.
-func (b *Budget) Bounds(ratio, slack float64, window clk.Span) {
+func (b *Budget) Bounds(ratio, slack float64, window clock.Span) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if window != b.Window {
@@ -55,11 +55,11 @@
 }
 
 // Note counts a client's request for a service.
-func (b *Budget) Note(s word.Service) {
+func (b *Budget) Note(s ids.Service) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(s)
-	c := int64(clk.Now()) / max(1, int64(b.Window)/cells)
+	c := int64(clock.Now()) / max(1, int64(b.Window)/cells)
 	i := c % cells
 	if a.at[i] != c {
 		a.at[i], a.n[i] = c, 0
@@ -68,13 +68,13 @@
 }
 
 // Spend takes one repeat out of the share; false if there is none left.
-func (b *Budget) Spend(s word.Service) bool {
+func (b *Budget) Spend(s ids.Service) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(s)
-	now := clk.Now()
+	now := clock.Now()
 	i := 0
-	for i < len(a.repeats) && now.Sub(a.repeats[i]) > b.Window+clk.Second {
+	for i < len(a.repeats) && now.Sub(a.repeats[i]) > b.Window+clock.Second {
 		i++
 	}
 	a.repeats = a.repeats[i:]
@@ -85,7 +85,7 @@
 	return true
 }
 
-func (b *Budget) left(a *account, now clk.Tick) float64 {
+func (b *Budget) left(a *account, now clock.Tick) float64 {
 	c := int64(now) / max(1, int64(b.Window)/cells)
 	n := 0
 	for i := range a.n {
@@ -97,9 +97,9 @@
 }
 
 // Left is how many repeats are left of the share.
-func (b *Budget) Left(s word.Service) float64 {
+func (b *Budget) Left(s ids.Service) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(s)
-	return b.left(a, clk.Now()) - float64(len(a.repeats))
+	return b.left(a, clock.Now()) - float64(len(a.repeats))
 }
--- a/internal/pick/choose.go
+++ b/internal/routing/choose.go
@@ -1,23 +1,23 @@
-package pick
+package routing
 
 import (
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
 	"spoolswitch/internal/evidence"
+	"spoolswitch/internal/ids"
 	"spoolswitch/internal/kvindex"
-	"spoolswitch/internal/word"
 )
 
 // Ask is what a request wants of a replica.
 type Ask struct {
-	Service word.Service
+	Service ids.Service
 	Chain   kvindex.Chain
 	Sticky  bool
 	Tokens  int64
 	// Weight is filled by Choose: what tells a heavy request from the rest.
 	Weight int64
 	Draw   uint64
-	Not    []word.Replica
+	Not    []ids.Replica
 
 	// Promise is filled by Choose.
 	Promise Promise
@@ -25,7 +25,7 @@
 	attempt *evidence.Attempt
 }
 
-func (a *Ask) not(id word.Replica) bool {
+func (a *Ask) not(id ids.Replica) bool {
 	for _, n := range a.Not {
 		if n == id {
 			return true
@@ -70,7 +70,7 @@
 func (f *Fleet) Choose(a *Ask) (*Rep, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := clk.Now()
+	now := clock.Now()
 	cold, conns := f.coldBound(a.Service), f.connShare(a.Service)
 	fit := false
 	able, spares := f.able[:0], f.spares[:0]
@@ -92,14 +92,14 @@
 		able = spares // an ejected one rather than none
 	}
 	if !fit {
-		return nil, code.New(code.NoReplica, "%s", a.Service)
+		return nil, codes.New(codes.NoReplica, "%s", a.Service)
 	}
 	var s kvindex.Chain
 	if a.Sticky {
 		s = f.session(a.Chain)
 	}
 	if len(able) == 0 {
-		return nil, code.New(code.QueueFull, "%s", a.Service)
+		return nil, codes.New(codes.QueueFull, "%s", a.Service)
 	}
 	a.Weight = a.Tokens
 	if len(s) > 0 {
@@ -155,7 +155,7 @@
 // rendezvous. A replica whose view is in quarantine
 // has no overlap, and stands behind all others while it bears more than the
 // mean load.
-func (f *Fleet) bound(a *Ask, s kvindex.Chain, able []*Rep, now clk.Tick) *Rep {
+func (f *Fleet) bound(a *Ask, s kvindex.Chain, able []*Rep, now clock.Tick) *Rep {
 	key := s.Last()
 	sum := 0
 	for _, r := range able {
@@ -218,7 +218,7 @@
 
 const poolApart = 0.5
 
-func (f *Fleet) least(a *Ask, able []*Rep, now clk.Tick) *Rep {
+func (f *Fleet) least(a *Ask, able []*Rep, now clock.Tick) *Rep {
 	heavy, pools := f.heavy(a)
 	cost := func(r *Rep) float64 {
 		c := float64(r.press(now)) / float64(max(1, r.Slots))
--- a/internal/pick/choose_test.go
+++ b/internal/routing/choose_test.go
@@ -1,4 +1,4 @@
-package pick
+package routing
 
 import (
 	"fmt"
@@ -6,30 +6,30 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/conf"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/configuration"
+	"spoolswitch/internal/discovery"
+	"spoolswitch/internal/ids"
 	"spoolswitch/internal/kvindex"
-	"spoolswitch/internal/list"
-	"spoolswitch/internal/word"
 )
 
-func replicas(n int, z word.Zone) []list.Replica {
-	var rs []list.Replica
+func replicas(n int, z ids.Zone) []discovery.Replica {
+	var rs []discovery.Replica
 	for i := range n {
-		rs = append(rs, list.Replica{ID: word.Replica(fmt.Sprintf("i-%d", i)), Service: "s", Addr: word.Addr(fmt.Sprintf("127.0.0.1:%d", i+1)), Zone: z, Slots: 100, State: "in_service"})
+		rs = append(rs, discovery.Replica{ID: ids.Replica(fmt.Sprintf("i-%d", i)), Service: "s", Addr: ids.Addr(fmt.Sprintf("127.0.0.1:%d", i+1)), Zone: z, Slots: 100, State: "in_service"})
 	}
 	return rs
 }
 
-func fleet(t *testing.T, n int) (*Fleet, *clk.Sim) {
+func fleet(t *testing.T, n int) (*Fleet, *clock.Sim) {
 	t.Helper()
-	sim := &clk.Sim{}
+	sim := &clock.Sim{}
 	t.Cleanup(sim.Use())
-	f := NewFleet("z", 300*clk.Second)
+	f := NewFleet("z", 300*clock.Second)
 	f.Overrun, f.Slack = 1.5, 5
 	f.Relays(1)
-	f.Configured(&conf.Table{Services: map[word.Service]*conf.Service{"s": {Name: "s", ColdS: 3, ColdPerS: 20, Engine: &conf.Engine{KVTokens: 10000}}}})
+	f.Configured(&configuration.Table{Services: map[ids.Service]*configuration.Service{"s": {Name: "s", ColdS: 3, ColdPerS: 20, Engine: &configuration.Engine{KVTokens: 10000}}}})
 	f.Listed(replicas(n, "z"), 0)
 	return f, sim
 }
@@ -44,7 +44,7 @@
 }
 
 // turn sends one turn of a session whose own part is named own, and ends it.
-func turn(t *testing.T, f *Fleet, prefix, own string) word.Replica {
+func turn(t *testing.T, f *Fleet, prefix, own string) ids.Replica {
 	t.Helper()
 	a := &Ask{Service: "s", Sticky: true, Chain: chain(t, prefix+","+own+":50"), Tokens: 50}
 	r, err := f.Choose(a)
@@ -62,7 +62,7 @@
 	f, sim := fleet(t, 9)
 	first := turn(t, f, "a:100,b:200", "1")
 	for i := range 50 {
-		sim.Move(10 * clk.Second) // each turn refreshes the timeout
+		sim.Move(10 * clock.Second) // each turn refreshes the timeout
 		is.Equal(turn(t, f, "a:100,b:200", fmt.Sprintf("%x", i+2)), first)
 	}
 }
@@ -71,7 +71,7 @@
 func TestRelaysAgree(t *testing.T) {
 	is := is.New(t)
 	f, _ := fleet(t, 9)
-	var want []word.Replica
+	var want []ids.Replica
 	for i := range 40 {
 		want = append(want, turn(t, f, fmt.Sprintf("a:100,%x:200", 1000+i), fmt.Sprintf("%x", i)))
 	}
@@ -79,7 +79,7 @@
 	for i := 39; i >= 0; i-- {
 		is.Equal(turn(t, g, fmt.Sprintf("a:100,%x:200", 1000+i), fmt.Sprintf("%x", 77+i)), want[i])
 	}
-	used := map[word.Replica]bool{}
+	used := map[ids.Replica]bool{}
 	for _, w := range want {
 		used[w] = true
 	}
@@ -101,10 +101,10 @@
 	turn(t, f, "a:100,b:200", "1")
 	n, _ := f.Gauges()
 	is.Equal(n, 1)
-	sim.Move(299 * clk.Second)
+	sim.Move(299 * clock.Second)
 	n, _ = f.Gauges()
 	is.Equal(n, 1)
-	sim.Move(clk.Second)
+	sim.Move(clock.Second)
 	n, _ = f.Gauges()
 	is.Equal(n, 0)
 }
@@ -113,20 +113,20 @@
 // that is full, hot, cold or down lends them to the next and gets them back.
 func TestGivesWay(t *testing.T) {
 	for name, c := range map[string]struct {
-		out   func(f *Fleet, id word.Replica)
-		back  func(f *Fleet, sim *clk.Sim)
+		out   func(f *Fleet, id ids.Replica)
+		back  func(f *Fleet, sim *clock.Sim)
 		stays bool
 	}{
-		"gone": {func(f *Fleet, id word.Replica) {
-			var rs []list.Replica
+		"gone": {func(f *Fleet, id ids.Replica) {
+			var rs []discovery.Replica
 			for _, r := range replicas(5, "z") {
 				if r.ID != id {
 					rs = append(rs, r)
 				}
 			}
 			f.Listed(rs, 0)
-		}, func(f *Fleet, _ *clk.Sim) { f.Listed(replicas(5, "z"), 0) }, false},
-		"draining": {func(f *Fleet, id word.Replica) {
+		}, func(f *Fleet, _ *clock.Sim) { f.Listed(replicas(5, "z"), 0) }, false},
+		"draining": {func(f *Fleet, id ids.Replica) {
 			rs := replicas(5, "z")
 			for i := range rs {
 				if rs[i].ID == id {
@@ -134,33 +134,33 @@
 				}
 			}
 			f.Listed(rs, 0)
-		}, func(f *Fleet, _ *clk.Sim) { f.Listed(replicas(5, "z"), 0) }, false},
-		"evacuated": {func(f *Fleet, id word.Replica) {
+		}, func(f *Fleet, _ *clock.Sim) { f.Listed(replicas(5, "z"), 0) }, false},
+		"evacuated": {func(f *Fleet, id ids.Replica) {
 			rs := replicas(5, "z")
 			for i := range rs {
 				if rs[i].ID == id {
 					rs[i].Zone = "y"
 				}
 			}
-			f.reps = map[word.Replica]*Rep{}
+			f.reps = map[ids.Replica]*Rep{}
 			f.Listed(rs, 0)
 			f.Evacuate("y", true)
-		}, func(f *Fleet, sim *clk.Sim) { f.Evacuate("y", false); sim.Move(4 * clk.Second) }, false},
-		"full": {func(f *Fleet, id word.Replica) { f.Told(f.reps[id], "100,3,100") },
-			func(f *Fleet, sim *clk.Sim) { sim.Move(2 * clk.Second) }, true},
-		"hot": {func(f *Fleet, id word.Replica) { f.Told(f.reps[id], "90,0,100") },
-			func(f *Fleet, sim *clk.Sim) { sim.Move(2 * clk.Second) }, true},
-		"down": {func(f *Fleet, id word.Replica) {
+		}, func(f *Fleet, sim *clock.Sim) { f.Evacuate("y", false); sim.Move(4 * clock.Second) }, false},
+		"full": {func(f *Fleet, id ids.Replica) { f.Told(f.reps[id], "100,3,100") },
+			func(f *Fleet, sim *clock.Sim) { sim.Move(2 * clock.Second) }, true},
+		"hot": {func(f *Fleet, id ids.Replica) { f.Told(f.reps[id], "90,0,100") },
+			func(f *Fleet, sim *clock.Sim) { sim.Move(2 * clock.Second) }, true},
+		"down": {func(f *Fleet, id ids.Replica) {
 			f.mu.Lock()
-			f.hurt(f.reps[id], clk.Now())
+			f.hurt(f.reps[id], clock.Now())
 			f.mu.Unlock()
-		}, func(f *Fleet, sim *clk.Sim) { sim.Move(4 * clk.Second) }, true},
-		"cold": {func(f *Fleet, id word.Replica) {
-			f.reps[id].cold = clk.Now().Add(clk.Second)
+		}, func(f *Fleet, sim *clock.Sim) { sim.Move(4 * clock.Second) }, true},
+		"cold": {func(f *Fleet, id ids.Replica) {
+			f.reps[id].cold = clock.Now().Add(clock.Second)
 			for range 100 {
-				f.reps[id].sent = append(f.reps[id].sent, clk.Now())
+				f.reps[id].sent = append(f.reps[id].sent, clock.Now())
 			}
-		}, func(f *Fleet, sim *clk.Sim) { sim.Move(2 * clk.Second) }, true},
+		}, func(f *Fleet, sim *clock.Sim) { sim.Move(2 * clock.Second) }, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -183,30 +183,30 @@
 	const relays = 11
 	var fs []*Fleet
 	for range relays {
-		f := NewFleet("z", clk.Second)
+		f := NewFleet("z", clock.Second)
 		f.Overrun, f.Slack = 1.5, 5
-		f.Configured(&conf.Table{Services: map[word.Service]*conf.Service{"s": {Name: "s", ColdPerS: 20}}})
+		f.Configured(&configuration.Table{Services: map[ids.Service]*configuration.Service{"s": {Name: "s", ColdPerS: 20}}})
 		f.Relays(relays)
 		rs := replicas(1, "z")
 		rs[0].ColdMs = 5000
 		f.Listed(rs, 0)
 		fs = append(fs, f)
 	}
-	var at []clk.Tick
+	var at []clock.Tick
 	for range 400 {
 		for _, f := range fs {
 			if r, err := f.Choose(&Ask{Service: "s"}); err == nil {
-				at = append(at, clk.Now())
+				at = append(at, clock.Now())
 				f.Done(r, Fine)
 			}
 		}
-		sim.Move(10 * clk.Millisecond)
+		sim.Move(10 * clock.Millisecond)
 	}
 	is.True(len(at) > 60) // it is used all the same
 	for i := range at {
 		n := 0
 		for _, u := range at[i:] {
-			if u.Sub(at[i]) < clk.Second {
+			if u.Sub(at[i]) < clock.Second {
 				n++
 			}
 		}
@@ -222,10 +222,10 @@
 	const relays, reps = 370, 60
 	got := make([]int, reps)
 	for i := range relays {
-		f := NewFleet("z", clk.Second)
-		f.Self = word.Node(fmt.Sprintf("relay-%d", i))
+		f := NewFleet("z", clock.Second)
+		f.Self = ids.Node(fmt.Sprintf("relay-%d", i))
 		f.Overrun, f.Slack = 1.5, 5
-		f.Configured(&conf.Table{Services: map[word.Service]*conf.Service{"s": {Name: "s", ColdPerS: 20}}})
+		f.Configured(&configuration.Table{Services: map[ids.Service]*configuration.Service{"s": {Name: "s", ColdPerS: 20}}})
 		f.Relays(relays)
 		rs := replicas(reps, "z")
 		for j := range rs {
@@ -252,10 +252,10 @@
 		}
 	}
 	is.True(used > reps*9/10)
-	sim.Move(clk.Second)
+	sim.Move(clock.Second)
 }
 
-func index(id word.Replica) (n int) {
+func index(id ids.Replica) (n int) {
 	_, _ = fmt.Sscanf(string(id), "i-%d", &n)
 	return
 }
@@ -264,12 +264,12 @@
 	is := is.New(t)
 	f, _ := fleet(t, 1)
 	_, err := f.Choose(&Ask{Service: "t"})
-	is.Equal(code.Of(err), code.NoReplica)
+	is.Equal(codes.Of(err), codes.NoReplica)
 	f.Told(f.reps["i-0"], "100,0,100")
 	_, err = f.Choose(&Ask{Service: "s"})
-	is.Equal(code.Of(err), code.QueueFull)
-	_, err = f.Choose(&Ask{Service: "s", Not: []word.Replica{"i-0"}})
-	is.Equal(code.Of(err), code.NoReplica)
+	is.Equal(codes.Of(err), codes.QueueFull)
+	_, err = f.Choose(&Ask{Service: "s", Not: []ids.Replica{"i-0"}})
+	is.Equal(codes.Of(err), codes.NoReplica)
 }
 
 // Without a session the least loaded is taken, near ones first.
@@ -278,16 +278,16 @@
 	f, _ := fleet(t, 3)
 	rs := replicas(3, "far")
 	rs[1].Zone = "z"
-	f.reps = map[word.Replica]*Rep{}
+	f.reps = map[ids.Replica]*Rep{}
 	f.Listed(rs, 0)
 	r, err := f.Choose(&Ask{Service: "s"})
 	is.NoErr(err)
-	is.Equal(r.ID, word.Replica("i-1"))
+	is.Equal(r.ID, ids.Replica("i-1"))
 	f.Told(f.reps["i-1"], "80,0,100")
 	f.Told(f.reps["i-0"], "5,0,100")
 	r, err = f.Choose(&Ask{Service: "s"})
 	is.NoErr(err)
-	is.Equal(r.ID, word.Replica("i-2"))
+	is.Equal(r.ID, ids.Replica("i-2"))
 }
 
 func TestKeptIsBounded(t *testing.T) {
@@ -305,7 +305,7 @@
 // Until it is told how many relays there are, a relay takes them for many.
 func TestManyUntilTold(t *testing.T) {
 	is := is.New(t)
-	f := NewFleet("z", clk.Second)
+	f := NewFleet("z", clock.Second)
 	is.True(f.Share() >= 30)
 	f.Relays(0)
 	is.True(f.Share() >= 30)
@@ -323,7 +323,7 @@
 	f.Done(r, Silent)
 	_, err = ask()
 	is.True(err != nil) // down
-	sim.Move(clk.Second)
+	sim.Move(clock.Second)
 	r, err = ask()
 	is.NoErr(err)
 	_, err = ask()
@@ -339,7 +339,7 @@
 func TestConnectionsAreShared(t *testing.T) {
 	is := is.New(t)
 	f, _ := fleet(t, 1)
-	f.Configured(&conf.Table{Services: map[word.Service]*conf.Service{"s": {Name: "s", MaxConns: 40}}})
+	f.Configured(&configuration.Table{Services: map[ids.Service]*configuration.Service{"s": {Name: "s", MaxConns: 40}}})
 	f.Relays(11)
 	n := 0
 	for range 50 {
@@ -350,7 +350,7 @@
 	is.Equal(n, 3)
 	f.Relays(100)
 	_, err := f.Choose(&Ask{Service: "s"})
-	is.Equal(code.Of(err), code.QueueFull)
+	is.Equal(codes.Of(err), codes.QueueFull)
 }
 
 // A change of the list says no more of the others: one that was cold when it
@@ -362,14 +362,14 @@
 	rs[0].ColdMs = 2000
 	f.Listed(rs, 0)
 	was := f.reps["i-0"]
-	is.True(was.isCold(clk.Now()))
-	sim.Move(3 * clk.Second)
+	is.True(was.isCold(clock.Now()))
+	sim.Move(3 * clock.Second)
 	fresh := replicas(5, "z")[4]
 	fresh.ColdMs = 1000
-	f.Relisted(list.Delta{Up: []list.Replica{fresh}, Gone: []word.Replica{"i-1", "i-9"}}, 0)
-	is.True(f.reps["i-0"] == was && !was.isCold(clk.Now()))
+	f.Relisted(discovery.Delta{Up: []discovery.Replica{fresh}, Gone: []ids.Replica{"i-1", "i-9"}}, 0)
+	is.True(f.reps["i-0"] == was && !was.isCold(clock.Now()))
 	is.True(f.reps["i-1"] == nil)
-	is.True(f.reps["i-4"].isCold(clk.Now()))
+	is.True(f.reps["i-4"].isCold(clock.Now()))
 	is.Equal(len(f.services["s"]), 3)
 }
 
@@ -383,15 +383,15 @@
 	}
 	_, err := f.Choose(&Ask{Service: "s"})
 	is.True(err != nil)
-	sim.Move(300 * clk.Millisecond)
+	sim.Move(300 * clock.Millisecond)
 	var held []*Rep
 	for range 8 {
 		r, err := f.Choose(&Ask{Service: "s"})
 		is.NoErr(err)
 		held = append(held, r)
 	}
-	is.True(held[0].press(clk.Now()) >= 100+4) // the word still orders
-	sim.Move(clk.Second)
+	is.True(held[0].press(clock.Now()) >= 100+4) // the word still orders
+	sim.Move(clock.Second)
 	for { // what is held here is known at all times
 		if _, err := f.Choose(&Ask{Service: "s"}); err != nil {
 			break
--- a/internal/pick/fleet.go
+++ b/internal/routing/fleet.go
@@ -1,39 +1,39 @@
-// Package pick chooses the replica of a request: the session design.
-package pick
+// Package routing chooses the replica of a request: the session design.
+package routing
 
 import (
 	"math"
 	"sort"
 	"sync"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/conf"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/configuration"
+	"spoolswitch/internal/discovery"
 	"spoolswitch/internal/evidence"
+	"spoolswitch/internal/ids"
 	"spoolswitch/internal/kvindex"
-	"spoolswitch/internal/link"
-	"spoolswitch/internal/list"
 	"spoolswitch/internal/lru"
-	"spoolswitch/internal/note"
 	"spoolswitch/internal/pool"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/telemetry"
+	"spoolswitch/internal/upstream"
 )
 
 // Fleet is all that a relay knows of the replicas.
 type Fleet struct {
-	Zone    word.Zone
-	Idle    clk.Span
+	Zone    ids.Zone
+	Idle    clock.Span
 	Overrun float64
 	Slack   float64
 	// Desk holds the evidence of what replicas keep, and the index over it.
 	Desk *evidence.Desk
 	// Self names this relay.
-	Self word.Node
+	Self ids.Node
 
 	mu       sync.Mutex
-	reps     map[word.Replica]*Rep
-	services map[word.Service][]*Rep
-	confs    map[word.Service]*conf.Service
-	evac     map[word.Zone]bool
+	reps     map[ids.Replica]*Rep
+	services map[ids.Service][]*Rep
+	confs    map[ids.Service]*configuration.Service
+	evac     map[ids.Zone]bool
 	relays   int
 	sessions *lru.Cache[*binding]
 	seen     *lru.Cache[struct{}]
@@ -41,13 +41,13 @@
 	listed   bool
 	able     []*Rep
 	plan     *pool.Plan
-	norms    map[word.Service]*norm
+	norms    map[ids.Service]*norm
 	spares   []*Rep
 }
 
 type binding struct {
-	rep  word.Replica
-	used clk.Tick
+	rep  ids.Replica
+	used clock.Tick
 	size int64
 }
 
@@ -64,25 +64,25 @@
 )
 
 var (
-	bound    = note.Counter("session.bound")
-	followed = note.Counter("session.followed")
-	yielded  = note.Counter("session.yielded")
-	moved    = note.Counter("session.moved")
-	reaped   = note.Counter("session.reaped")
+	bound    = telemetry.Counter("session.bound")
+	followed = telemetry.Counter("session.followed")
+	yielded  = telemetry.Counter("session.yielded")
+	moved    = telemetry.Counter("session.moved")
+	reaped   = telemetry.Counter("session.reaped")
 )
 
 // NewFleet makes an empty fleet.
-func NewFleet(z word.Zone, idle clk.Span) *Fleet {
-	return &Fleet{Zone: z, Idle: idle, relays: relaysMany, Desk: evidence.NewDesk(), reps: map[word.Replica]*Rep{}, services: map[word.Service][]*Rep{},
-		confs: map[word.Service]*conf.Service{}, evac: map[word.Zone]bool{}, sessions: lru.New[*binding](sessionsMost),
+func NewFleet(z ids.Zone, idle clock.Span) *Fleet {
+	return &Fleet{Zone: z, Idle: idle, relays: relaysMany, Desk: evidence.NewDesk(), reps: map[ids.Replica]*Rep{}, services: map[ids.Service][]*Rep{},
+		confs: map[ids.Service]*configuration.Service{}, evac: map[ids.Zone]bool{}, sessions: lru.New[*binding](sessionsMost),
 		seen: lru.New[struct{}](seenMost), trunks: lru.New[*fork](seenMost)}
 }
 
 // Listed takes a new list in, read age ago.
-func (f *Fleet) Listed(rs []list.Replica, age clk.Span) {
+func (f *Fleet) Listed(rs []discovery.Replica, age clock.Span) {
 	f.mu.Lock()
-	now := clk.Now()
-	have := map[word.Replica]bool{}
+	now := clock.Now()
+	have := map[ids.Replica]bool{}
 	var shut []*Rep
 	for _, r := range rs {
 		have[r.ID] = true
@@ -97,9 +97,9 @@
 }
 
 // Relisted takes in what changed in the list.
-func (f *Fleet) Relisted(d list.Delta, age clk.Span) {
+func (f *Fleet) Relisted(d discovery.Delta, age clock.Span) {
 	f.mu.Lock()
-	now := clk.Now()
+	now := clock.Now()
 	var shut []*Rep
 	for _, r := range d.Up {
 		shut = f.enter(r, age, now, shut)
@@ -112,20 +112,20 @@
 	f.settled(shut)
 }
 
-func (f *Fleet) enter(r list.Replica, age clk.Span, now clk.Tick, shut []*Rep) []*Rep {
+func (f *Fleet) enter(r discovery.Replica, age clock.Span, now clock.Tick, shut []*Rep) []*Rep {
 	rep := f.reps[r.ID]
 	if rep == nil || rep.Addr != r.Addr {
 		if rep != nil {
 			shut = f.leave(rep, shut)
 		}
-		rep = &Rep{Replica: r, Pool: &link.Pool{Addr: r.Addr}, hash: hashed(string(r.ID))}
+		rep = &Rep{Replica: r, Pool: &upstream.Pool{Addr: r.Addr}, hash: hashed(string(r.ID))}
 		rep.stream = f.Desk.Open(kvindex.Epoch{Publisher: kvindex.Publisher{Service: r.Service, Addr: r.Addr}, Life: r.ID})
 		rep.view = rep.stream.View
 		rep.view.Bound(f.capacity(r.Service))
 		f.reps[r.ID] = rep
 	}
 	rep.State, rep.Slots, rep.Models, rep.Version, rep.Stage = r.State, r.Slots, r.Models, r.Version, r.Stage
-	if d := clk.Ms(r.ColdMs) - age; r.ColdMs > 0 && d > 0 {
+	if d := clock.Ms(r.ColdMs) - age; r.ColdMs > 0 && d > 0 {
 		rep.cold = max(rep.cold, now.Add(d))
 	}
 	return shut
@@ -170,7 +170,7 @@
 	}
 	for s, rs := range f.services {
 		x := f.plan.Splits[s]
-		in := map[word.Replica]bool{}
+		in := map[ids.Replica]bool{}
 		for _, id := range x.Prefill {
 			in[id] = true
 		}
@@ -190,7 +190,7 @@
 }
 
 func (f *Fleet) sort() {
-	f.services = map[word.Service][]*Rep{}
+	f.services = map[ids.Service][]*Rep{}
 	for _, r := range f.reps {
 		f.services[r.Service] = append(f.services[r.Service], r)
 	}
@@ -199,7 +199,7 @@
 	}
 }
 
-func (f *Fleet) capacity(s word.Service) int64 {
+func (f *Fleet) capacity(s ids.Service) int64 {
 	if c := f.confs[s]; c != nil && c.Engine != nil && c.Engine.KVTokens > 0 {
 		return c.Engine.KVTokens
 	}
@@ -207,7 +207,7 @@
 }
 
 // Configured takes the services of a configuration in.
-func (f *Fleet) Configured(t *conf.Table) {
+func (f *Fleet) Configured(t *configuration.Table) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.confs = t.Services
@@ -218,22 +218,22 @@
 
 // Evacuate takes in whether a zone is evacuated. Replicas of one that is
 // taken back may have turned cold.
-func (f *Fleet) Evacuate(z word.Zone, on bool) {
+func (f *Fleet) Evacuate(z ids.Zone, on bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.evac[z] && !on {
 		for _, r := range f.reps {
 			if r.Zone == z {
-				f.chill(r, clk.Now())
+				f.chill(r, clock.Now())
 			}
 		}
 	}
 	f.evac[z] = on
 }
 
-func (f *Fleet) chill(r *Rep, now clk.Tick) {
+func (f *Fleet) chill(r *Rep, now clock.Tick) {
 	if c := f.confs[r.Service]; c != nil && c.ColdS > 0 {
-		r.cold = max(r.cold, now.Add(clk.Ms(c.ColdS*1000)))
+		r.cold = max(r.cold, now.Add(clock.Ms(c.ColdS*1000)))
 	}
 }
 
@@ -248,7 +248,7 @@
 }
 
 // Bounds changes the figures of the cold bound and the idle timeout.
-func (f *Fleet) Bounds(overrun, slack float64, idle clk.Span) {
+func (f *Fleet) Bounds(overrun, slack float64, idle clock.Span) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.Overrun, f.Slack, f.Idle = overrun, slack, idle
@@ -269,7 +269,7 @@
 }
 
 // coldBound is what all relays together may send to a cold replica in a second.
-func (f *Fleet) coldBound(s word.Service) float64 {
+func (f *Fleet) coldBound(s ids.Service) float64 {
 	c := f.confs[s]
 	if c == nil || c.ColdPerS <= 0 {
 		return 1 << 40
@@ -292,7 +292,7 @@
 	return 0
 }
 
-func (f *Fleet) connShare(s word.Service) int {
+func (f *Fleet) connShare(s ids.Service) int {
 	c := f.confs[s]
 	if c == nil || c.MaxConns <= 0 {
 		return 1 << 30
@@ -304,7 +304,7 @@
 func (f *Fleet) Gauges() (sessions int, tokens int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.reap(clk.Now())
+	f.reap(clock.Now())
 	for _, r := range f.reps {
 		tokens += r.view.Tokens()
 	}
@@ -315,10 +315,10 @@
 func (f *Fleet) Reap() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.reap(clk.Now())
+	f.reap(clock.Now())
 }
 
-func (f *Fleet) reap(now clk.Tick) {
+func (f *Fleet) reap(now clock.Tick) {
 	for {
 		k, b, ok := f.sessions.Oldest()
 		if !ok || now.Sub(b.used) < f.Idle {
--- a/internal/pick/health.go
+++ b/internal/routing/health.go
@@ -1,11 +1,11 @@
-package pick
+package routing
 
 import (
 	"strconv"
 	"strings"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/note"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/telemetry"
 )
 
 // Outcome is what came of sending to a replica.
@@ -23,8 +23,8 @@
 	Failed
 )
 
-var outcomes = [...]*note.Count{note.Counter("send.fine"), note.Counter("send.turned"), note.Counter("send.unreached"),
-	note.Counter("send.broke"), note.Counter("send.silent"), note.Counter("send.stranger"), note.Counter("send.cut"), note.Counter("send.failed")}
+var outcomes = [...]*telemetry.Count{telemetry.Counter("send.fine"), telemetry.Counter("send.turned"), telemetry.Counter("send.unreached"),
+	telemetry.Counter("send.broke"), telemetry.Counter("send.silent"), telemetry.Counter("send.stranger"), telemetry.Counter("send.cut"), telemetry.Counter("send.failed")}
 
 // Begun says that the first of an answer has come.
 func (f *Fleet) Begun(r *Rep, tokens int64) {
@@ -49,7 +49,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	r.load, r.loadAt, r.since = Load{n[0], n[1], n[2]}, clk.Now(), 0
+	r.load, r.loadAt, r.since = Load{n[0], n[1], n[2]}, clock.Now(), 0
 }
 
 // Done gives the place at a replica back and takes note of its health.
@@ -60,14 +60,14 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := clk.Now()
+	now := clock.Now()
 	r.running--
 	if o == Unreached || o == Silent || o == Broke || o == Failed {
 		f.fared(r, now, 1, 0)
 	}
 	switch o {
 	case Fine:
-		if r.fails > 0 && r.downAt != 0 && now.Sub(r.downAt) > clk.Second {
+		if r.fails > 0 && r.downAt != 0 && now.Sub(r.downAt) > clock.Second {
 			f.chill(r, now)
 		}
 		r.fails, r.downAt = 0, 0
@@ -83,10 +83,10 @@
 	}
 }
 
-func (f *Fleet) hurt(r *Rep, now clk.Tick) {
+func (f *Fleet) hurt(r *Rep, now clock.Tick) {
 	if r.downAt == 0 {
 		r.downAt = now
-		note.State("replica down", "replica", r.ID, "addr", r.Addr)
+		telemetry.State("replica down", "replica", r.ID, "addr", r.Addr)
 	}
 	d := min(downFirst<<min(r.fails, 4), downMost)
 	r.fails++
--- a/internal/pick/outlier.go
+++ b/internal/routing/outlier.go
@@ -1,23 +1,23 @@
-package pick
+package routing
 
 import (
 	"math"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/note"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/ids"
 	"spoolswitch/internal/pool"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/telemetry"
 )
 
 // record is how requests fared, fading.
 type record struct {
 	n, bad, slow float64
-	at           clk.Tick
+	at           clock.Tick
 }
 
-const recordFades = 8 * clk.Second
+const recordFades = 8 * clock.Second
 
-func (c *record) see(now clk.Tick, bad, slow float64) {
+func (c *record) see(now clock.Tick, bad, slow float64) {
 	if c.at != 0 {
 		k := math.Exp(-float64(now.Sub(c.at)) / float64(recordFades))
 		c.n, c.bad, c.slow = c.n*k, c.bad*k, c.slow*k
@@ -43,27 +43,27 @@
 	ejectSlow  = 0.6
 	ejectTimes = 3.0
 	ejectShare = 4
-	ejectFirst = 2 * clk.Second
-	ejectMost  = 16 * clk.Second
-	ejectForgo = 30 * clk.Second
+	ejectFirst = 2 * clock.Second
+	ejectMost  = 16 * clock.Second
+	ejectForgo = 30 * clock.Second
 	slowTimes  = 3
 	slowMore   = 100
 	normKeep   = 0.998
-	hungLeast  = clk.Second
+	hungLeast  = clock.Second
 )
 
-var ejections = note.Counter("replica.ejected")
+var ejections = telemetry.Counter("replica.ejected")
 
 type outlier struct {
 	record
-	until clk.Tick
+	until clock.Tick
 	times int
 	probe bool
 }
 
-func (f *Fleet) norm(s word.Service) *norm {
+func (f *Fleet) norm(s ids.Service) *norm {
 	if f.norms == nil {
-		f.norms = map[word.Service]*norm{}
+		f.norms = map[ids.Service]*norm{}
 	}
 	n := f.norms[s]
 	if n == nil {
@@ -74,7 +74,7 @@
 }
 
 // in tells whether a replica is not ejected, nor on trial with a request.
-func (r *Rep) in(now clk.Tick) bool {
+func (r *Rep) in(now clock.Tick) bool {
 	return now >= r.outlier.until && (!r.outlier.probe || r.running == 0)
 }
 
@@ -84,7 +84,7 @@
 	return max(0, base) + per*float64(unread), ok
 }
 
-func (f *Fleet) fared(r *Rep, now clk.Tick, bad, slow float64) {
+func (f *Fleet) fared(r *Rep, now clock.Tick, bad, slow float64) {
 	n := f.norm(r.Service)
 	n.see(now, bad, slow)
 	o := &r.outlier
@@ -114,7 +114,7 @@
 	o.times++
 	o.until, o.probe = now.Add(d), true
 	ejections.Add(1)
-	note.State("replica ejected", "replica", r.ID, "for", d, "requests", math.Round(o.n), "failed", math.Round(o.bad), "slow", math.Round(o.slow))
+	telemetry.State("replica ejected", "replica", r.ID, "for", d, "requests", math.Round(o.n), "failed", math.Round(o.bad), "slow", math.Round(o.slow))
 	o.record = record{}
 }
 
@@ -131,24 +131,24 @@
 }
 
 // Hung takes in that a request brought nothing for so long.
-func (f *Fleet) Hung(r *Rep, a *Ask, d clk.Span) {
+func (f *Fleet) Hung(r *Rep, a *Ask, d clock.Span) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	ms := float64(d) / float64(clk.Millisecond)
+	ms := float64(d) / float64(clock.Millisecond)
 	want, ok := f.norm(r.Service).expected(a.Promise.Unread)
 	if d >= hungLeast && ok && ms > slowTimes*want+slowMore {
-		f.fared(r, clk.Now(), 0, 1)
+		f.fared(r, clock.Now(), 0, 1)
 	}
 }
 
 // timed takes in how soon an answer began.
-func (f *Fleet) timed(r *Rep, p Promise, took clk.Span) {
-	n, ms := f.norm(r.Service), float64(took)/float64(clk.Millisecond)
+func (f *Fleet) timed(r *Rep, p Promise, took clock.Span) {
+	n, ms := f.norm(r.Service), float64(took)/float64(clock.Millisecond)
 	slow := 0.0
 	if want, ok := n.expected(p.Unread); ok && ms > slowTimes*want+slowMore {
 		slow = 1
 	} else {
 		n.pace.See(float64(p.Unread), ms, normKeep)
 	}
-	f.fared(r, clk.Now(), 0, slow)
+	f.fared(r, clock.Now(), 0, slow)
 }
--- a/internal/pick/outlier_test.go
+++ b/internal/routing/outlier_test.go
@@ -1,4 +1,4 @@
-package pick
+package routing
 
 import (
 	"math/rand/v2"
@@ -6,24 +6,24 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/ids"
 )
 
 // ill is how replicas fare: the part of its requests that each fails, and how
 // many times as long each takes.
 type ill struct {
-	bad  map[word.Replica]float64
-	slow map[word.Replica]float64
+	bad  map[ids.Replica]float64
+	slow map[ids.Replica]float64
 }
 
 // serve sends n requests a while apart and tells where they went and how many
 // failed.
-func (i ill) serve(t *testing.T, f *Fleet, sim *clk.Sim, n int, rnd *rand.Rand) (at map[word.Replica]int, failed int) {
+func (i ill) serve(t *testing.T, f *Fleet, sim *clock.Sim, n int, rnd *rand.Rand) (at map[ids.Replica]int, failed int) {
 	t.Helper()
-	at = map[word.Replica]int{}
+	at = map[ids.Replica]int{}
 	for range n {
-		sim.Move(20 * clk.Millisecond)
+		sim.Move(20 * clock.Millisecond)
 		a := &Ask{Service: "s", Tokens: int64(1000 + rnd.IntN(4000)), Draw: rnd.Uint64()}
 		r, err := f.Choose(a)
 		if err != nil {
@@ -41,7 +41,7 @@
 			ms *= x
 		}
 		f.Begun(r, a.Tokens)
-		f.Read(r, a, clk.Ms(ms))
+		f.Read(r, a, clock.Ms(ms))
 		f.Done(r, Fine)
 	}
 	return
@@ -52,10 +52,10 @@
 		ill     ill
 		ejected bool
 	}{
-		"partly failing": {ill{bad: map[word.Replica]float64{"i-3": 0.5}}, true},
-		"slow":           {ill{slow: map[word.Replica]float64{"i-3": 8}}, true},
-		"all alike":      {ill{bad: map[word.Replica]float64{"i-0": 0.4, "i-1": 0.4, "i-2": 0.4, "i-3": 0.4, "i-4": 0.4, "i-5": 0.4, "i-6": 0.4, "i-7": 0.4}}, false},
-		"now and then":   {ill{bad: map[word.Replica]float64{"i-0": 0.02, "i-1": 0.02, "i-3": 0.02, "i-5": 0.02}}, false},
+		"partly failing": {ill{bad: map[ids.Replica]float64{"i-3": 0.5}}, true},
+		"slow":           {ill{slow: map[ids.Replica]float64{"i-3": 8}}, true},
+		"all alike":      {ill{bad: map[ids.Replica]float64{"i-0": 0.4, "i-1": 0.4, "i-2": 0.4, "i-3": 0.4, "i-4": 0.4, "i-5": 0.4, "i-6": 0.4, "i-7": 0.4}}, false},
+		"now and then":   {ill{bad: map[ids.Replica]float64{"i-0": 0.02, "i-1": 0.02, "i-3": 0.02, "i-5": 0.02}}, false},
 		"well":           {ill{}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -77,19 +77,19 @@
 	is := is.New(t)
 	f, sim := fleet(t, 8)
 	rnd := rand.New(rand.NewPCG(3, 4))
-	i := ill{bad: map[word.Replica]float64{"i-0": 1, "i-1": 1, "i-2": 1, "i-3": 1}}
+	i := ill{bad: map[ids.Replica]float64{"i-0": 1, "i-1": 1, "i-2": 1, "i-3": 1}}
 	for range 40 {
 		i.serve(t, f, sim, 25, rnd)
 		out := 0
 		for _, r := range f.reps {
-			if clk.Now() < r.outlier.until {
+			if clock.Now() < r.outlier.until {
 				out++
 			}
 		}
 		is.True(out <= 2)
 	}
 	for _, r := range f.reps { // all ejected, as the list may have it after others went
-		r.outlier.until = clk.Now().Add(clk.Minute)
+		r.outlier.until = clock.Now().Add(clock.Minute)
 	}
 	_, err := f.Choose(&Ask{Service: "s"})
 	is.NoErr(err)
@@ -101,7 +101,7 @@
 	f, sim := fleet(t, 8)
 	rnd := rand.New(rand.NewPCG(3, 4))
 	ill{}.serve(t, f, sim, 200, rnd)
-	i := ill{bad: map[word.Replica]float64{"i-3": 1}}
+	i := ill{bad: map[ids.Replica]float64{"i-3": 1}}
 	first, _ := i.serve(t, f, sim, 500, rnd)
 	second, _ := i.serve(t, f, sim, 1500, rnd)
 	is.True(second["i-3"] < first["i-3"]+4)
@@ -117,12 +117,12 @@
 	ill{}.serve(t, f, sim, 200, rnd)
 	r := f.reps["i-3"]
 	for range 4 {
-		sim.Move(2 * clk.Second)
-		f.Hung(r, &Ask{}, 10*clk.Millisecond) // a client that left at once says nothing
+		sim.Move(2 * clock.Second)
+		f.Hung(r, &Ask{}, 10*clock.Millisecond) // a client that left at once says nothing
 	}
-	is.True(clk.Now() >= r.outlier.until)
+	is.True(clock.Now() >= r.outlier.until)
 	for range 12 {
-		f.Hung(r, &Ask{}, 3*clk.Second)
+		f.Hung(r, &Ask{}, 3*clock.Second)
 	}
-	is.True(clk.Now() < r.outlier.until)
+	is.True(clock.Now() < r.outlier.until)
 }
--- a/internal/pick/rep.go
+++ b/internal/routing/rep.go
@@ -1,14 +1,14 @@
-package pick
+package routing
 
 import (
 	"hash/fnv"
 
-	"spoolswitch/internal/clk"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/discovery"
 	"spoolswitch/internal/evidence"
+	"spoolswitch/internal/ids"
 	"spoolswitch/internal/kvindex"
-	"spoolswitch/internal/link"
-	"spoolswitch/internal/list"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/upstream"
 )
 
 // Load is what a replica last told of itself.
@@ -18,20 +18,20 @@
 
 // Rep is one life of a replica as this relay knows it.
 type Rep struct {
-	list.Replica
-	Pool *link.Pool
+	discovery.Replica
+	Pool *upstream.Pool
 
 	running int
 	pend    int64
 	load    Load
-	loadAt  clk.Tick
+	loadAt  clock.Tick
 	since   int
-	cold    clk.Tick
+	cold    clock.Tick
 	fails   int
-	down    clk.Tick
-	downAt  clk.Tick
+	down    clock.Tick
+	downAt  clock.Tick
 	gone    bool
-	sent    []clk.Tick
+	sent    []clock.Tick
 	stream  *evidence.Stream
 	view    *kvindex.View
 	hash    uint64
@@ -41,23 +41,23 @@
 }
 
 const (
-	loadFresh = 1500 * clk.Millisecond
+	loadFresh = 1500 * clock.Millisecond
 	// a place is given back within a few requests' time; a word older than that
 	// orders replicas, but refuses nobody
-	fullFresh = 250 * clk.Millisecond
-	downFirst = 400 * clk.Millisecond
-	downMost  = 3 * clk.Second
-	coldSpan  = clk.Second + 60*clk.Millisecond
+	fullFresh = 250 * clock.Millisecond
+	downFirst = 400 * clock.Millisecond
+	downMost  = 3 * clock.Second
+	coldSpan  = clock.Second + 60*clock.Millisecond
 )
 
-func (r *Rep) press(now clk.Tick) int {
+func (r *Rep) press(now clock.Tick) int {
 	if r.loadAt == 0 || now.Sub(r.loadAt) > loadFresh {
 		return r.running
 	}
 	return max(r.running, r.load.Running+r.load.Waiting+r.since)
 }
 
-func (r *Rep) full(now clk.Tick) bool {
+func (r *Rep) full(now clock.Tick) bool {
 	slots := r.Slots
 	if slots <= 0 {
 		slots = 1 << 20
@@ -68,13 +68,13 @@
 	return r.press(now) >= slots
 }
 
-func (r *Rep) up(now clk.Tick) bool {
+func (r *Rep) up(now clock.Tick) bool {
 	return r.downAt == 0 || (now >= r.down && r.running == 0)
 }
 
-func (r *Rep) isCold(now clk.Tick) bool { return now < r.cold }
+func (r *Rep) isCold(now clock.Tick) bool { return now < r.cold }
 
-func (f *Fleet) spare(r *Rep, now clk.Tick, bound float64) bool {
+func (f *Fleet) spare(r *Rep, now clock.Tick, bound float64) bool {
 	i := 0
 	for i < len(r.sent) && now.Sub(r.sent[i]) > coldSpan {
 		i++
@@ -104,4 +104,4 @@
 func (r *Rep) rank(key uint64) uint64 { return kvindex.Mix(key ^ r.hash) }
 
 // Name is the replica's id.
-func (r *Rep) Name() word.Replica { return r.ID }
+func (r *Rep) Name() ids.Replica { return r.ID }
--- a/internal/pick/tokens.go
+++ b/internal/routing/tokens.go
@@ -1,10 +1,10 @@
-package pick
+package routing
 
 import (
 	"strconv"
 	"strings"
 
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/codes"
 )
 
 // ReadTokens reads Token-Counts: those of the prompt and the most sent out.
@@ -13,7 +13,7 @@
 	in, e1 := strconv.ParseInt(strings.TrimSpace(a), 10, 64)
 	out, e2 := strconv.ParseInt(strings.TrimSpace(b), 10, 64)
 	if !ok || e1 != nil || e2 != nil || in < 0 || out < 0 {
-		return 0, 0, code.New(code.BadFields, "Token-Counts: %.40q", s)
+		return 0, 0, codes.New(codes.BadFields, "Token-Counts: %.40q", s)
 	}
 	return in, out, nil
 }
--- a/internal/pick/urgency.go
+++ b/internal/routing/urgency.go
@@ -1,9 +1,9 @@
-package pick
+package routing
 
 import (
 	"sync"
 
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
 )
 
 // Sizes follows how large the requests for each service are, so that urgency
@@ -11,7 +11,7 @@
 // beside them.
 type Sizes struct {
 	mu   sync.Mutex
-	mean map[word.Service]float64
+	mean map[ids.Service]float64
 }
 
 const (
@@ -20,11 +20,11 @@
 )
 
 // Urgency takes a size in and names the class of urgency for it.
-func (s *Sizes) Urgency(svc word.Service, tokens int64) int {
+func (s *Sizes) Urgency(svc ids.Service, tokens int64) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.mean == nil {
-		s.mean = map[word.Service]float64{}
+		s.mean = map[ids.Service]float64{}
 	}
 	m, x := s.mean[svc], float64(tokens)
 	if m == 0 {
--- a/internal/wire/call.go
+++ b/internal/rpc/call.go
@@ -1,10 +1,10 @@
-package wire
+package rpc
 
 import (
 	"sync"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
 )
 
 // call is one call that waits for its answer. The first word of the wire
@@ -15,10 +15,10 @@
 	a    M
 	got  bool
 	over bool
-	m    *spawn.Mark
+	m    *concurrency.Mark
 }
 
-func newCall[M any]() *call[M] { return &call[M]{m: spawn.NewMark()} }
+func newCall[M any]() *call[M] { return &call[M]{m: concurrency.NewMark()} }
 
 func (c *call[M]) hear(a M, ok bool) {
 	c.mu.Lock()
@@ -34,7 +34,7 @@
 }
 
 // wait waits for at most d and ends the call.
-func (c *call[M]) wait(d clk.Span) (M, bool) {
+func (c *call[M]) wait(d clock.Span) (M, bool) {
 	c.m.Wait(d)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/wire/call_test.go
+++ b/internal/rpc/call_test.go
@@ -1,4 +1,4 @@
-package wire
+package rpc
 
 import (
 	"net"
@@ -6,17 +6,17 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/check"
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/interleave"
 )
 
 // Whatever comes in whatever order, a call that was answered before its caller
 // looked has that answer, and one that was not has none.
 func TestFirstWordCounts(t *testing.T) {
 	is := is.New(t)
-	n := check.All(t, func() ([]check.Thread, func([]int)) {
+	n := interleave.All(t, func() ([]interleave.Thread, func([]int)) {
 		c := newCall[int]()
 		first, looked := "", false
 		see := func(s string) {
@@ -26,10 +26,10 @@
 		}
 		var a int
 		var got bool
-		return []check.Thread{
-				check.Steps(func() { see("answer"); c.hear(1, true) }, func() { c.hear(2, true) }),
-				check.Steps(func() { see("end"); c.hear(0, false) }),
-				check.Steps(func() { a, got = c.wait(0); looked = true }),
+		return []interleave.Thread{
+				interleave.Steps(func() { see("answer"); c.hear(1, true) }, func() { c.hear(2, true) }),
+				interleave.Steps(func() { see("end"); c.hear(0, false) }),
+				interleave.Steps(func() { a, got = c.wait(0); looked = true }),
 			}, func(order []int) {
 				is.Equal(got, first == "answer")
 				is.Equal(a == 1, got)
@@ -73,12 +73,12 @@
 type result struct {
 	a    msg
 	err  error
-	done *spawn.Mark
+	done *concurrency.Mark
 }
 
-func ask(p *Peer[msg], n int, d clk.Span) *result {
-	r := &result{done: spawn.NewMark()}
-	spawn.Go(func() {
+func ask(p *Peer[msg], n int, d clock.Span) *result {
+	r := &result{done: concurrency.NewMark()}
+	concurrency.Go(func() {
 		r.a, r.err = p.Call(msg{N: n}, d)
 		r.done.Set()
 	})
@@ -90,29 +90,29 @@
 func TestLateAnswerReachesNobody(t *testing.T) {
 	is := is.New(t)
 	s := newScript(t)
-	p := NewPeer[msg](word.Addr(s.l.Addr().String()))
-	given := ask(p, 1, 300*clk.Millisecond)
+	p := NewPeer[msg](ids.Addr(s.l.Addr().String()))
+	given := ask(p, 1, 300*clock.Millisecond)
 	old := s.next(t)
-	is.True(given.done.Wait(10 * clk.Second))
+	is.True(given.done.Wait(10 * clock.Second))
 	is.True(given.err != nil)
-	next := ask(p, 2, 20*clk.Second)
+	next := ask(p, 2, 20*clock.Second)
 	f := s.next(t)
 	is.NoErr(s.p.put(&Frame[msg]{ID: old.ID, M: msg{N: 100}}, "test", false))
 	is.NoErr(s.p.put(&Frame[msg]{ID: old.ID, M: msg{N: 101}}, "test", false))
 	is.NoErr(s.p.put(&Frame[msg]{ID: f.ID + 1, M: msg{N: 102}}, "test", false)) // the number of a call to come
 	is.NoErr(s.p.put(&Frame[msg]{ID: f.ID, M: msg{N: 2}}, "test", false))
-	is.True(next.done.Wait(10 * clk.Second))
+	is.True(next.done.Wait(10 * clock.Second))
 	is.NoErr(next.err)
 	is.Equal(next.a.N, 2)
 	wire := s.p
 	p.Close()
 	s.p = nil
-	again := ask(p, 3, 20*clk.Second)
+	again := ask(p, 3, 20*clock.Second)
 	f = s.next(t)
 	is.True(f.ID > old.ID) // a number is never used again, on the next wire neither
 	_ = wire.put(&Frame[msg]{ID: f.ID, M: msg{N: 103}}, "test", false)
 	is.NoErr(s.p.put(&Frame[msg]{ID: f.ID, M: msg{N: 3}}, "test", false))
-	is.True(again.done.Wait(10 * clk.Second))
+	is.True(again.done.Wait(10 * clock.Second))
 	is.Equal(again.a.N, 3)
 }
 
@@ -120,15 +120,15 @@
 func TestBrokenWireEndsCalls(t *testing.T) {
 	is := is.New(t)
 	s := newScript(t)
-	p := NewPeer[msg](word.Addr(s.l.Addr().String()))
+	p := NewPeer[msg](ids.Addr(s.l.Addr().String()))
 	var rs []*result
 	for i := range 8 {
-		rs = append(rs, ask(p, i, 20*clk.Second))
+		rs = append(rs, ask(p, i, 20*clock.Second))
 		s.next(t)
 	}
 	_ = s.p.c.Close()
 	for _, r := range rs {
-		is.True(r.done.Wait(10 * clk.Second))
+		is.True(r.done.Wait(10 * clock.Second))
 		is.True(r.err != nil)
 	}
 }
@@ -139,19 +139,19 @@
 	is := is.New(t)
 	for range 50 {
 		s := newScript(t)
-		p := NewPeer[msg](word.Addr(s.l.Addr().String()))
-		r := ask(p, 0, 10*clk.Second)
+		p := NewPeer[msg](ids.Addr(s.l.Addr().String()))
+		r := ask(p, 0, 10*clock.Second)
 		f := s.next(t)
 		is.NoErr(s.p.put(&Frame[msg]{ID: f.ID, M: msg{}}, "test", false))
-		is.True(r.done.Wait(10 * clk.Second))
+		is.True(r.done.Wait(10 * clock.Second))
 		var rs []*result
 		for i := range 4 {
-			rs = append(rs, ask(p, i, 200*clk.Millisecond))
+			rs = append(rs, ask(p, i, 200*clock.Millisecond))
 		}
 		_ = s.p.c.Close()
 		_ = s.l.Close()
 		for _, r := range rs {
-			is.True(r.done.Wait(10 * clk.Second))
+			is.True(r.done.Wait(10 * clock.Second))
 			is.True(r.err != nil)
 		}
 	}
--- a/internal/wire/form_test.go
+++ b/internal/rpc/form_test.go
@@ -1,12 +1,12 @@
-package wire
+package rpc
 
 import (
 	"testing"
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/ids"
 )
 
 type newer struct {
@@ -38,18 +38,18 @@
 		return m, true
 	})
 	defer s.Close()
-	at := word.Addr(l.Addr().String())
+	at := ids.Addr(l.Addr().String())
 	for _, call := range []func() error{
-		func() error { _, err := NewPeer[newer](at).Call(newer{N: 1, More: 2}, 5*clk.Second); return err },
-		func() error { _, err := NewPeer[changed](at).Call(changed{N: "x"}, 5*clk.Second); return err },
-		func() error { _, err := NewPeer[renamed](at).Call(renamed{N: 1}, 5*clk.Second); return err },
+		func() error { _, err := NewPeer[newer](at).Call(newer{N: 1, More: 2}, 5*clock.Second); return err },
+		func() error { _, err := NewPeer[changed](at).Call(changed{N: "x"}, 5*clock.Second); return err },
+		func() error { _, err := NewPeer[renamed](at).Call(renamed{N: 1}, 5*clock.Second); return err },
 	} {
 		before := otherRelease.Get()
 		is.True(call() != nil)
 		is.True(otherRelease.Get() > before)
 	}
 	is.Equal(handled, 0)
-	a, err := NewPeer[msg](at).Call(msg{N: 7}, 5*clk.Second)
+	a, err := NewPeer[msg](at).Call(msg{N: 7}, 5*clock.Second)
 	is.NoErr(err)
 	is.Equal(a.N, 7)
 }
@@ -58,13 +58,13 @@
 func TestOtherReleaseAnswers(t *testing.T) {
 	is := is.New(t)
 	s := newScript(t)
-	p := NewPeer[msg](word.Addr(s.l.Addr().String()))
-	r := ask(p, 1, 10*clk.Second)
+	p := NewPeer[msg](ids.Addr(s.l.Addr().String()))
+	r := ask(p, 1, 10*clock.Second)
 	f := s.next(t)
 	s.p.told = true // as releases before this did
 	before := otherRelease.Get()
 	is.NoErr(s.p.put(&Frame[msg]{ID: f.ID, M: msg{N: 2}}, "test", false))
-	is.True(r.done.Wait(10 * clk.Second))
+	is.True(r.done.Wait(10 * clock.Second))
 	is.True(r.err != nil)
 	is.Equal(otherRelease.Get(), before+1)
 }
@@ -73,11 +73,11 @@
 func TestHangUpIsNoRelease(t *testing.T) {
 	is := is.New(t)
 	s := newScript(t)
-	p := NewPeer[msg](word.Addr(s.l.Addr().String()))
+	p := NewPeer[msg](ids.Addr(s.l.Addr().String()))
 	before := otherRelease.Get()
-	r := ask(p, 1, 10*clk.Second)
+	r := ask(p, 1, 10*clock.Second)
 	s.next(t)
 	_ = s.p.c.Close()
-	is.True(r.done.Wait(10 * clk.Second))
+	is.True(r.done.Wait(10 * clock.Second))
 	is.Equal(otherRelease.Get(), before)
 }
--- a/internal/wire/gone_test.go
+++ b/internal/rpc/gone_test.go
@@ -1,4 +1,4 @@
-package wire
+package rpc
 
 import (
 	"net"
@@ -6,8 +6,8 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/ids"
 )
 
 func TestGone(t *testing.T) {
@@ -16,14 +16,14 @@
 	is.NoErr(err)
 	defer l.Close()
 	pair := func() (net.Conn, net.Conn) {
-		a, err := Dial(word.Addr(l.Addr().String()), clk.Second)
+		a, err := Dial(ids.Addr(l.Addr().String()), clock.Second)
 		is.NoErr(err)
 		b, err := l.Accept()
 		is.NoErr(err)
 		return a, b
 	}
 	soon := func(c net.Conn) bool {
-		for end := clk.Now().Add(5 * clk.Second); clk.Now() < end && !Gone(c); clk.Sleep(clk.Millisecond) {
+		for end := clock.Now().Add(5 * clock.Second); clock.Now() < end && !Gone(c); clock.Sleep(clock.Millisecond) {
 		}
 		return Gone(c)
 	}
--- a/internal/wire/peer.go
+++ b/internal/rpc/peer.go
@@ -1,6 +1,6 @@
-// Package wire carries gob messages between daemons: many calls at once on
+// Package rpc carries gob messages between daemons: many calls at once on
 // one connection, each with one answer or a run of them.
-package wire
+package rpc
 
 import (
 	"bufio"
@@ -12,11 +12,11 @@
 	"slices"
 	"sync"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/note"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/telemetry"
 )
 
 // Frame is a message with the number of the call that it belongs to. The first
@@ -27,11 +27,11 @@
 	Form uint64
 }
 
-const silent = 1500 * clk.Millisecond
+const silent = 1500 * clock.Millisecond
 
 type pipe[M any] struct {
 	c   net.Conn
-	mu  spawn.Mutex
+	mu  concurrency.Mutex
 	m   *metered
 	w   *bufio.Writer
 	enc *gob.Encoder
@@ -41,7 +41,7 @@
 	told, heard bool
 }
 
-var otherRelease = note.Counter("wire.other-release")
+var otherRelease = telemetry.Counter("wire.other-release")
 
 func newPipe[M any](c net.Conn) *pipe[M] {
 	m := &metered{Conn: c}
@@ -58,11 +58,11 @@
 	}
 	p.heard = true
 	if err == nil && f.Form != p.form {
-		err = code.New(code.OtherRelease, "form %x, not %x", f.Form, p.form)
+		err = codes.New(codes.OtherRelease, "form %x, not %x", f.Form, p.form)
 	}
 	if err != nil {
 		otherRelease.Add(1)
-		note.Trouble("daemon of another release refused", "from", p.c.RemoteAddr(), "err", err)
+		telemetry.Trouble("daemon of another release refused", "from", p.c.RemoteAddr(), "err", err)
 	}
 	return err
 }
@@ -78,7 +78,7 @@
 	defer p.mu.Unlock()
 	before := p.m.written
 	defer func() { countSent(subject, leavesZone, p.m.written-before) }()
-	_ = p.c.SetWriteDeadline(clk.Now().Add(silent).Deadline())
+	_ = p.c.SetWriteDeadline(clock.Now().Add(silent).Deadline())
 	sent.Add(1)
 	if !p.told {
 		p.told = true
@@ -92,10 +92,10 @@
 
 // Peer is the client's end of the wire to one daemon. It dials when needed.
 type Peer[M any] struct {
-	Addr word.Addr
+	Addr ids.Addr
 	// Far, if set, tells whether the daemon is in another zone.
 	Far  func() bool
-	turn spawn.Turn
+	turn concurrency.Turn
 	mu   sync.Mutex
 	p    *pipe[M]
 	next uint64
@@ -103,19 +103,19 @@
 }
 
 // NewPeer makes the wire to a daemon.
-func NewPeer[M any](a word.Addr) *Peer[M] {
-	return &Peer[M]{Addr: a, turn: spawn.Turn{Max: 64}, open: map[uint64]func(M, bool){}}
+func NewPeer[M any](a ids.Addr) *Peer[M] {
+	return &Peer[M]{Addr: a, turn: concurrency.Turn{Max: 64}, open: map[uint64]func(M, bool){}}
 }
 
-func (r *Peer[M]) line(deadline clk.Tick) (*pipe[M], error) {
+func (r *Peer[M]) line(deadline clock.Tick) (*pipe[M], error) {
 	r.mu.Lock()
 	p := r.p
 	r.mu.Unlock()
 	if p != nil {
 		return p, nil
 	}
-	if !r.turn.Take(clk.Until(deadline)) {
-		return nil, code.New(code.PeerLost, "%s", r.Addr)
+	if !r.turn.Take(clock.Until(deadline)) {
+		return nil, codes.New(codes.PeerLost, "%s", r.Addr)
 	}
 	defer r.turn.Give()
 	r.mu.Lock()
@@ -124,15 +124,15 @@
 	if p != nil {
 		return p, nil
 	}
-	c, err := Dial(r.Addr, min(clk.Until(deadline), silent))
+	c, err := Dial(r.Addr, min(clock.Until(deadline), silent))
 	if err != nil {
-		return nil, code.New(code.PeerLost, "%v", err)
+		return nil, codes.New(codes.PeerLost, "%v", err)
 	}
 	p = newPipe[M](c)
 	r.mu.Lock()
 	r.p = p
 	r.mu.Unlock()
-	spawn.Go(func() { r.read(p) })
+	concurrency.Go(func() { r.read(p) })
 	return p, nil
 }
 
@@ -181,8 +181,8 @@
 
 // Stream sends m and hands every answer to fn, until the wire breaks (ok is
 // false then) or the function that it returns is called.
-func (r *Peer[M]) Stream(m M, timeout clk.Span, fn func(m M, ok bool)) (func(), error) {
-	p, err := r.line(clk.Now().Add(timeout))
+func (r *Peer[M]) Stream(m M, timeout clock.Span, fn func(m M, ok bool)) (func(), error) {
+	p, err := r.line(clock.Now().Add(timeout))
 	if err != nil {
 		return nil, err
 	}
@@ -199,24 +199,24 @@
 	if err := p.put(&Frame[M]{ID: id, M: m}, subject(m), r.Far != nil && r.Far()); err != nil {
 		end()
 		r.drop(p)
-		return nil, code.New(code.PeerLost, "%v", err)
+		return nil, codes.New(codes.PeerLost, "%v", err)
 	}
 	return end, nil
 }
 
 // Call sends m and waits for the answer.
-func (r *Peer[M]) Call(m M, timeout clk.Span) (M, error) {
+func (r *Peer[M]) Call(m M, timeout clock.Span) (M, error) {
 	c := newCall[M]()
-	at := clk.Now().Add(timeout)
+	at := clock.Now().Add(timeout)
 	end, err := r.Stream(m, timeout, c.hear)
 	if err != nil {
 		var none M
 		return none, err
 	}
 	defer end()
-	a, got := c.wait(clk.Until(at))
+	a, got := c.wait(clock.Until(at))
 	if !got {
-		return a, code.New(code.PeerLost, "%s", r.Addr)
+		return a, codes.New(codes.PeerLost, "%s", r.Addr)
 	}
 	return a, nil
 }
--- a/internal/wire/serve.go
+++ b/internal/rpc/serve.go
@@ -1,4 +1,4 @@
-package wire
+package rpc
 
 import (
 	"context"
@@ -11,13 +11,13 @@
 
 	"golang.org/x/sys/unix"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/ids"
 )
 
 // Tune sets the options that let a dead peer be noticed.
-func Tune(c net.Conn, d clk.Span) {
+func Tune(c net.Conn, d clock.Span) {
 	t, ok := c.(*net.TCPConn)
 	if !ok {
 		return
@@ -27,7 +27,7 @@
 		return
 	}
 	_ = rc.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d/clk.Millisecond))
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d/clock.Millisecond))
 	})
 }
 
@@ -60,13 +60,13 @@
 	// Gone tells whether the other end has closed it.
 	Gone() bool
 	// Accepted is when it was accepted here.
-	Accepted() clk.Tick
+	Accepted() clock.Tick
 }
 
 // Fabric is a network in place of the machine's.
 type Fabric interface {
-	Dial(a word.Addr, timeout clk.Span) (net.Conn, error)
-	Listen(a word.Addr) (net.Listener, error)
+	Dial(a ids.Addr, timeout clock.Span) (net.Conn, error)
+	Listen(a ids.Addr) (net.Listener, error)
 }
 
 var other atomic.Pointer[Fabric]
@@ -78,11 +78,11 @@
 }
 
 // Dial connects to an address given by numbers.
-func Dial(a word.Addr, timeout clk.Span) (net.Conn, error) {
+func Dial(a ids.Addr, timeout clock.Span) (net.Conn, error) {
 	if f := other.Load(); f != nil {
 		return (*f).Dial(a, timeout)
 	}
-	d := net.Dialer{Timeout: max(timeout, clk.Millisecond), KeepAlive: -1}
+	d := net.Dialer{Timeout: max(timeout, clock.Millisecond), KeepAlive: -1}
 	c, err := d.DialContext(context.Background(), "tcp4", string(a))
 	if err != nil {
 		return nil, err
@@ -92,7 +92,7 @@
 }
 
 // Listen listens on an address.
-func Listen(a word.Addr) (net.Listener, error) {
+func Listen(a ids.Addr) (net.Listener, error) {
 	if f := other.Load(); f != nil {
 		return (*f).Listen(a)
 	}
@@ -127,7 +127,7 @@
 // message is in another zone, for the counters of bytes.
 func ServeZoned[M any](l net.Listener, far func(m M) bool, h Handler[M]) *Server[M] {
 	s := &Server[M]{far: far, l: l, h: h}
-	spawn.Go(s.accept)
+	concurrency.Go(s.accept)
 	return s
 }
 
@@ -138,11 +138,11 @@
 			if isClosed(err) {
 				return
 			}
-			clk.Sleep(10 * clk.Millisecond)
+			clock.Sleep(10 * clock.Millisecond)
 			continue
 		}
 		Tune(c, silent)
-		spawn.Go(func() { s.serve(c) })
+		concurrency.Go(func() { s.serve(c) })
 	}
 }
 
@@ -182,7 +182,7 @@
 		if err := p.get(&f); err != nil {
 			return
 		}
-		spawn.Go(func() {
+		concurrency.Go(func() {
 			name, leaves := subject(f.M)+answer, s.far != nil && s.far(f.M)
 			reply := func(m M) error { return p.put(&Frame[M]{ID: f.ID, M: m}, name, leaves) }
 			if a, ok := s.h(f.M, reply); ok && reply(a) != nil {
--- a/internal/wire/traffic.go
+++ b/internal/rpc/traffic.go
@@ -1,9 +1,9 @@
-package wire
+package rpc
 
 import (
 	"net"
 
-	"spoolswitch/internal/note"
+	"spoolswitch/internal/telemetry"
 )
 
 // Subject is implemented by messages whose bytes are counted by what they are
@@ -30,16 +30,16 @@
 // countSent counts the bytes of one message under wire.out.SUBJECT, and again
 // under wire.out.SUBJECT.far if they go to another zone.
 func countSent(subject string, leavesZone bool, bytes int64) {
-	note.Counter("wire.out." + subject).Add(bytes)
+	telemetry.Counter("wire.out." + subject).Add(bytes)
 	if leavesZone {
-		note.Counter("wire.out." + subject + far).Add(bytes)
+		telemetry.Counter("wire.out." + subject + far).Add(bytes)
 	}
 }
 
 var (
-	bytesIn  = note.Counter("wire.bytes-in")
-	bytesOut = note.Counter("wire.bytes-out")
-	sent     = note.Counter("wire.sent")
+	bytesIn  = telemetry.Counter("wire.bytes-in")
+	bytesOut = telemetry.Counter("wire.bytes-out")
+	sent     = telemetry.Counter("wire.sent")
 )
 
 // metered counts what a connection between daemons carries. Writers take turns.
--- a/internal/wire/traffic_test.go
+++ b/internal/rpc/traffic_test.go
@@ -1,4 +1,4 @@
-package wire
+package rpc
 
 import (
 	"bytes"
@@ -7,9 +7,9 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/note"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/telemetry"
 )
 
 type named struct{ Name, Text string }
@@ -26,20 +26,20 @@
 		return named{Text: string(bytes.Repeat([]byte("a"), 300))}, true
 	})
 	defer s.Close()
-	p := NewPeer[named](word.Addr(l.Addr().String()))
+	p := NewPeer[named](ids.Addr(l.Addr().String()))
 	defer p.Close()
-	counts := func(name string) int64 { return note.Counter("wire.out." + name).Get() }
+	counts := func(name string) int64 { return telemetry.Counter("wire.out." + name).Get() }
 	total := bytesOut.Get()
 	far := false
 	p.Far = func() bool { return far }
-	_, err = p.Call(named{"near", "x"}, clk.Minute)
+	_, err = p.Call(named{"near", "x"}, clock.Minute)
 	is.NoErr(err)
 	is.True(counts("near") > 0)
 	is.Equal(counts("near.far"), int64(0))
 	is.True(counts("near.answer") > 300)
 	is.Equal(counts("near.answer.far"), int64(0))
 	far = true
-	_, err = p.Call(named{"away", ""}, clk.Minute)
+	_, err = p.Call(named{"away", ""}, clock.Minute)
 	is.NoErr(err)
 	is.Equal(counts("away"), counts("away.far"))
 	is.True(counts("away.answer.far") > 300)
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -13,15 +13,15 @@
 
 	"github.com/valyala/fasthttp"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/consensus"
+	"spoolswitch/internal/discovery"
 	"spoolswitch/internal/feed"
-	"spoolswitch/internal/keep"
-	"spoolswitch/internal/list"
-	"spoolswitch/internal/note"
+	"spoolswitch/internal/ids"
 	"spoolswitch/internal/standin"
+	"spoolswitch/internal/telemetry"
 	"spoolswitch/internal/trace"
-	"spoolswitch/internal/word"
 )
 
 // Size is the size of one run.
@@ -31,14 +31,14 @@
 	// the list.
 	Changes int
 	// Idle is how long the fleet is watched while nothing changes.
-	Idle clk.Span
+	Idle clock.Span
 }
 
 // Daemon is one started daemon. CPU and Memory are 0 if it has no process of
 // its own.
 type Daemon interface {
 	Stop()
-	CPU() clk.Span
+	CPU() clock.Span
 	Memory() int64
 }
 
@@ -57,7 +57,7 @@
 	// configuration, ChangeIn the bytes, ChangeMs the slowest relay's time from
 	// the order on, ChangeCPU what a keeper spent on one.
 	ChangeItems, ChangeIn, ChangeMs float64
-	ChangeCPU                       clk.Span
+	ChangeCPU                       clock.Span
 	// ListItems and ListIn are the same for a change of the list, of one replica.
 	ListItems, ListIn float64
 	// Snapshot is the bytes that a relay got to begin with, and Listed how many
@@ -70,19 +70,19 @@
 
 type hollow struct {
 	mu    sync.Mutex
-	items map[word.Key]int
-	at    map[word.Key]word.Place
+	items map[ids.Key]int
+	at    map[ids.Key]ids.Place
 	// listed is how many replicas the last whole list had.
 	listed int
 }
 
-func (h *hollow) take(it keep.Item) bool {
+func (h *hollow) take(it consensus.Item) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.items[it.Key]++
 	h.at[it.Key] = it.At
-	if it.Key == word.List && it.Base.Zero() {
-		replicas, ok := list.Decode(it.Val)
+	if it.Key == ids.List && it.Base.Zero() {
+		replicas, ok := discovery.Decode(it.Val)
 		h.listed = len(replicas)
 		return ok
 	}
@@ -95,22 +95,22 @@
 	plat    *standin.Platform
 	keepers []Daemon
 	relays  []*hollow
-	reps    []list.Replica
+	reps    []discovery.Replica
 }
 
 const (
-	settleMost = 60 * clk.Second
+	settleMost = 60 * clock.Second
 	portsTaken = 20
-	homeMost   = 3 * clk.Second
+	homeMost   = 3 * clock.Second
 )
 
 func (r *run) ip(i int) string { return fmt.Sprintf("127.0.1.%d", i+1) }
 
-func (r *run) control(i int) word.Addr {
-	return word.Addr(fmt.Sprintf("%s:%d", r.ip(i), r.base+10))
+func (r *run) control(i int) ids.Addr {
+	return ids.Addr(fmt.Sprintf("%s:%d", r.ip(i), r.base+10))
 }
 
-func (r *run) keeper(i int) word.Addr { return word.Addr(fmt.Sprintf("%s:%d", r.ip(i), r.base)) }
+func (r *run) keeper(i int) ids.Addr { return ids.Addr(fmt.Sprintf("%s:%d", r.ip(i), r.base)) }
 
 func (r *run) settings(i int, dir string) string {
 	var seeds []string
@@ -160,8 +160,8 @@
 func Run(s Size, start Starter, dir func(i int) string) (*Report, error) {
 	r := &run{size: s, base: ports(), plat: standin.NewPlatform(1 << 20)}
 	for i := range s.Replicas {
-		r.reps = append(r.reps, list.Replica{ID: word.Replica(fmt.Sprintf("i-%08x", i)), Service: "pool", Addr: word.Addr(fmt.Sprintf("10.%d.%d.%d:8080", i>>16, i>>8&255, i&255)),
-			Zone: word.Zone(fmt.Sprintf("z%d", i%3)), Version: "v1", Slots: 24, State: "in_service", Stage: "combined", Models: []list.Model{{Name: "m", Version: 1}}})
+		r.reps = append(r.reps, discovery.Replica{ID: ids.Replica(fmt.Sprintf("i-%08x", i)), Service: "pool", Addr: ids.Addr(fmt.Sprintf("10.%d.%d.%d:8080", i>>16, i>>8&255, i&255)),
+			Zone: ids.Zone(fmt.Sprintf("z%d", i%3)), Version: "v1", Slots: 24, State: "in_service", Stage: "combined", Models: []discovery.Model{{Name: "m", Version: 1}}})
 	}
 	r.plat.Set(r.reps...)
 	defer func() {
@@ -181,14 +181,14 @@
 		return nil, err
 	}
 	if !until(func() bool { return r.read(r.keeper(0)) != nil && r.listed() }) {
-		return nil, code.New(code.PeerLost, "no list at the keepers")
+		return nil, codes.New(codes.PeerLost, "no list at the keepers")
 	}
 	in0 := bytesIn()
 	for i := range s.Relays {
 		r.follow(i)
 	}
-	if !r.all(func(h *hollow) bool { return h.items[word.Configuration] > 0 && h.items[word.List] > 0 }) {
-		return nil, code.New(code.PeerLost, "relays without a snapshot")
+	if !r.all(func(h *hollow) bool { return h.items[ids.Configuration] > 0 && h.items[ids.List] > 0 }) {
+		return nil, codes.New(codes.PeerLost, "relays without a snapshot")
 	}
 	out.Snapshot = per(bytesIn()-in0, s.Relays)
 	out.Listed = r.fewestListed()
@@ -218,7 +218,7 @@
 func per(n float64, of int) float64 { return n / float64(max(1, of)) }
 
 func until(fn func() bool) bool {
-	for end := clk.Now().Add(settleMost); clk.Now() < end; clk.Sleep(5 * clk.Millisecond) {
+	for end := clock.Now().Add(settleMost); clock.Now() < end; clock.Sleep(5 * clock.Millisecond) {
 		if fn() {
 			return true
 		}
@@ -226,14 +226,14 @@
 	return false
 }
 
-func bytesIn() float64 { return float64(note.Counter("wire.bytes-in").Get()) }
+func bytesIn() float64 { return float64(telemetry.Counter("wire.bytes-in").Get()) }
 
 func (r *run) follow(i int) {
-	h := &hollow{items: map[word.Key]int{}, at: map[word.Key]word.Place{}}
+	h := &hollow{items: map[ids.Key]int{}, at: map[ids.Key]ids.Place{}}
 	r.relays = append(r.relays, h)
-	t := &feed.Tail{Self: word.Node(fmt.Sprintf("relay-%d", i)), IP: "127.0.0.1", Zone: word.Zone(fmt.Sprintf("z%d", i%3)),
-		Take: h.take, Heard: func(int, clk.Span) {}, Seeds: func() []word.Addr {
-			var out []word.Addr
+	t := &feed.Tail{Self: ids.Node(fmt.Sprintf("relay-%d", i)), IP: "127.0.0.1", Zone: ids.Zone(fmt.Sprintf("z%d", i%3)),
+		Take: h.take, Heard: func(int, clock.Span) {}, Seeds: func() []ids.Addr {
+			var out []ids.Addr
 			for k := range min(3, r.size.Keepers) {
 				out = append(out, r.keeper(k))
 			}
@@ -256,7 +256,7 @@
 	})
 }
 
-func (r *run) items(key word.Key) (n float64) {
+func (r *run) items(key ids.Key) (n float64) {
 	for _, h := range r.relays {
 		h.mu.Lock()
 		n += float64(h.items[key])
@@ -265,8 +265,8 @@
 	return n
 }
 
-func (r *run) read(a word.Addr) *keep.Report {
-	rep, err := trace.Wire(a, word.Configuration, clk.Second)
+func (r *run) read(a ids.Addr) *consensus.Report {
+	rep, err := trace.Wire(a, ids.Configuration, clock.Second)
 	if err != nil {
 		return nil
 	}
@@ -275,7 +275,7 @@
 
 func (r *run) listed() bool {
 	for i := range r.size.Keepers {
-		if rep := r.read(r.keeper(i)); rep == nil || rep.Feed < 2 || rep.Owners[word.List].Zero() {
+		if rep := r.read(r.keeper(i)); rep == nil || rep.Feed < 2 || rep.Owners[ids.List].Zero() {
 			return false
 		}
 	}
@@ -297,7 +297,7 @@
 	return
 }
 
-func (r *run) cpu() (d clk.Span) {
+func (r *run) cpu() (d clock.Span) {
 	for _, k := range r.keepers {
 		d += k.CPU()
 	}
@@ -308,11 +308,11 @@
 	if r.size.Idle <= 0 {
 		return
 	}
-	clk.Sleep(homeMost) // relays go over to keepers of their own zone
+	clock.Sleep(homeMost) // relays go over to keepers of their own zone
 	names := []string{"wire.bytes-out", "wire.bytes-in", "wire.sent"}
-	a, cpu, in, at := r.sums(names...), r.cpu(), bytesIn(), clk.Now()
-	clk.Sleep(r.size.Idle)
-	s := clk.Since(at).Seconds()
+	a, cpu, in, at := r.sums(names...), r.cpu(), bytesIn(), clock.Now()
+	clock.Sleep(r.size.Idle)
+	s := clock.Since(at).Seconds()
 	out.RelayIdleIn = per(bytesIn()-in, r.size.Relays) / s
 	out.IdleCPU = per((r.cpu()-cpu).Seconds(), r.size.Keepers) / s
 	b := r.sums(names...)
@@ -343,7 +343,7 @@
 		q.Header.SetMethod("POST")
 		q.Header.Set("Base-Version", fmt.Sprint(base))
 		q.SetBody(r.doc(version))
-		if fasthttp.DoTimeout(&q, &a, 3*clk.Second) != nil {
+		if fasthttp.DoTimeout(&q, &a, 3*clock.Second) != nil {
 			return false
 		}
 		last = a.StatusCode()
@@ -351,41 +351,41 @@
 	}) {
 		return nil
 	}
-	return code.New(code.NoMajority, "version %d: status %d", version, last)
+	return codes.New(codes.NoMajority, "version %d: status %d", version, last)
 }
 
 func (r *run) change(out *Report) error {
-	n, in, cpu := r.items(word.Configuration), bytesIn(), r.cpu()
+	n, in, cpu := r.items(ids.Configuration), bytesIn(), r.cpu()
 	for i := range r.size.Changes {
-		at := clk.Now()
-		want := r.items(word.Configuration) + float64(r.size.Relays)
+		at := clock.Now()
+		want := r.items(ids.Configuration) + float64(r.size.Relays)
 		if err := r.replace(i+1, i+2); err != nil {
 			return err
 		}
-		if !until(func() bool { return r.items(word.Configuration) >= want }) {
-			return code.New(code.PeerLost, "version %d is not everywhere", i+2)
+		if !until(func() bool { return r.items(ids.Configuration) >= want }) {
+			return codes.New(codes.PeerLost, "version %d is not everywhere", i+2)
 		}
-		out.ChangeMs = max(out.ChangeMs, float64(clk.Since(at))/float64(clk.Millisecond))
+		out.ChangeMs = max(out.ChangeMs, float64(clock.Since(at))/float64(clock.Millisecond))
 	}
 	d := r.size.Relays * r.size.Changes
-	out.ChangeItems, out.ChangeIn = per(r.items(word.Configuration)-n, d), per(bytesIn()-in, d)
-	out.ChangeCPU = (r.cpu() - cpu) / clk.Span(max(1, r.size.Changes*r.size.Keepers))
+	out.ChangeItems, out.ChangeIn = per(r.items(ids.Configuration)-n, d), per(bytesIn()-in, d)
+	out.ChangeCPU = (r.cpu() - cpu) / clock.Span(max(1, r.size.Changes*r.size.Keepers))
 	return nil
 }
 
 func (r *run) relist(out *Report) error {
-	n, in := r.items(word.List), bytesIn()
+	n, in := r.items(ids.List), bytesIn()
 	for i := range r.size.Changes {
-		want := r.items(word.List) + float64(r.size.Relays)
-		rs := append([]list.Replica(nil), r.reps...)
-		rs[i%len(rs)].ID = word.Replica(fmt.Sprintf("i-new-%d", i))
+		want := r.items(ids.List) + float64(r.size.Relays)
+		rs := append([]discovery.Replica(nil), r.reps...)
+		rs[i%len(rs)].ID = ids.Replica(fmt.Sprintf("i-new-%d", i))
 		r.reps = rs
 		r.plat.Set(rs...)
-		if !until(func() bool { return r.items(word.List) >= want }) {
-			return code.New(code.PeerLost, "list %d is not everywhere", i)
+		if !until(func() bool { return r.items(ids.List) >= want }) {
+			return codes.New(codes.PeerLost, "list %d is not everywhere", i)
 		}
 	}
 	d := r.size.Relays * r.size.Changes
-	out.ListItems, out.ListIn = per(r.items(word.List)-n, d), per(bytesIn()-in, d)
+	out.ListItems, out.ListIn = per(r.items(ids.List)-n, d), per(bytesIn()-in, d)
 	return nil
 }
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -5,23 +5,23 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/boot"
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/ctl"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/control"
+	"spoolswitch/internal/settings"
 )
 
-type inside struct{ *ctl.Daemon }
+type inside struct{ *control.Daemon }
 
-func (inside) CPU() clk.Span { return 0 }
-func (inside) Memory() int64 { return 0 }
+func (inside) CPU() clock.Span { return 0 }
+func (inside) Memory() int64   { return 0 }
 
-func start(_, settings string) (Daemon, error) {
-	s, errs := boot.Parse([]byte(settings))
+func start(_, text string) (Daemon, error) {
+	s, errs := settings.Parse([]byte(text))
 	if len(errs) > 0 {
-		return nil, code.New(code.BadSettings, "%v", errs[0])
+		return nil, codes.New(codes.BadSettings, "%v", errs[0])
 	}
-	d, err := ctl.Start(s)
+	d, err := control.Start(s)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/scale/state.go
+++ b/internal/scale/state.go
@@ -4,12 +4,12 @@
 	"fmt"
 	"runtime"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/conf"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/configuration"
+	"spoolswitch/internal/discovery"
+	"spoolswitch/internal/ids"
 	"spoolswitch/internal/kvindex"
-	"spoolswitch/internal/list"
-	"spoolswitch/internal/pick"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/routing"
 )
 
 // State is what a relay holds, and how long choosing takes it.
@@ -19,7 +19,7 @@
 	Base, PerSession float64
 	// Choose is the time of one choice, of a session that is bound and of one
 	// that is new.
-	Bound, Fresh clk.Span
+	Bound, Fresh clock.Span
 }
 
 func heap() float64 {
@@ -35,13 +35,13 @@
 func Measure(replicas, sessions int) State {
 	s := State{Replicas: replicas, Sessions: sessions}
 	before := heap()
-	f := pick.NewFleet("z", 300*clk.Second)
+	f := routing.NewFleet("z", 300*clock.Second)
 	f.Overrun, f.Slack = 1.5, 5
 	f.Relays(1)
-	f.Configured(&conf.Table{Services: map[word.Service]*conf.Service{"s": {Name: "s", ColdS: 3, ColdPerS: 20, Engine: &conf.Engine{KVTokens: 1 << 40}}}})
-	var rs []list.Replica
+	f.Configured(&configuration.Table{Services: map[ids.Service]*configuration.Service{"s": {Name: "s", ColdS: 3, ColdPerS: 20, Engine: &configuration.Engine{KVTokens: 1 << 40}}}})
+	var rs []discovery.Replica
 	for i := range replicas {
-		rs = append(rs, list.Replica{ID: word.Replica(fmt.Sprint("i-", i)), Service: "s", Addr: word.Addr(fmt.Sprintf("10.0.%d.%d:80", i>>8, i&255)), Zone: "z", Slots: 1 << 20, State: "in_service"})
+		rs = append(rs, discovery.Replica{ID: ids.Replica(fmt.Sprint("i-", i)), Service: "s", Addr: ids.Addr(fmt.Sprintf("10.0.%d.%d:80", i>>8, i&255)), Zone: "z", Slots: 1 << 20, State: "in_service"})
 	}
 	f.Listed(rs, 0)
 	s.Base = heap() - before
@@ -50,7 +50,7 @@
 		if err != nil {
 			return
 		}
-		a := &pick.Ask{Service: "s", Sticky: true, Chain: c, Tokens: 11992}
+		a := &routing.Ask{Service: "s", Sticky: true, Chain: c, Tokens: 11992}
 		r, err := f.Choose(a)
 		if err != nil {
 			return
@@ -58,19 +58,19 @@
 		f.Sent(r, a)
 		f.Begun(r, a.Tokens)
 		f.Read(r, a, -1)
-		f.Done(r, pick.Fine)
+		f.Done(r, routing.Fine)
 	}
-	at := clk.Now()
+	at := clock.Now()
 	for i := range sessions {
 		turn(i, i)
 	}
-	s.Fresh = clk.Since(at) / clk.Span(max(1, sessions))
+	s.Fresh = clock.Since(at) / clock.Span(max(1, sessions))
 	s.PerSession = (heap() - before - s.Base) / float64(max(1, sessions))
-	at = clk.Now()
+	at = clock.Now()
 	for i := range sessions {
 		turn(i, sessions+i)
 	}
-	s.Bound = clk.Since(at) / clk.Span(max(1, sessions))
+	s.Bound = clock.Since(at) / clock.Span(max(1, sessions))
 	runtime.KeepAlive(f)
 	return s
 }
--- a/internal/cal/calendar.go
+++ b/internal/schedule/calendar.go
@@ -1,22 +1,22 @@
-// Package cal runs tasks by cron-like calendars. The time of day is all that a
+// Package schedule runs tasks by cron-like calendars. The time of day is all that a
 // calendar can go by, so nothing that has to hold may hang on one.
-package cal
+package schedule
 
 import (
 	"github.com/robfig/cron/v3"
 
-	"spoolswitch/internal/clk"
+	"spoolswitch/internal/clock"
 )
 
 // Calendar says when a task is due.
 type Calendar struct {
 	s    cron.Schedule
-	next clk.Moment
-	day  clk.Moment
-	at   clk.Tick
+	next clock.Moment
+	day  clock.Moment
+	at   clock.Tick
 }
 
-const stepped = clk.Minute
+const stepped = clock.Minute
 
 // Parse reads a calendar of five fields, or one like @daily.
 func Parse(s string) (*Calendar, error) {
@@ -29,8 +29,8 @@
 
 // Due tells whether the task is due now. After a step of the time of day the
 // next time is reckoned anew, so that a step makes it early or late once.
-func (c *Calendar) Due(day clk.Moment) bool {
-	now := clk.Now()
+func (c *Calendar) Due(day clock.Moment) bool {
+	now := clock.Now()
 	first := c.next.IsZero()
 	if !first {
 		off := day.Sub(c.day) - now.Sub(c.at)
--- a/internal/boot/settings.go
+++ b/internal/settings/settings.go
@@ -1,5 +1,5 @@
-// Package boot reads and checks the settings file of a daemon.
-package boot
+// Package settings reads and checks the settings file of a daemon.
+package settings
 
 import (
 	"errors"
@@ -12,10 +12,10 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/pelletier/go-toml/v2"
 
-	"spoolswitch/internal/cal"
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/schedule"
 )
 
 // Env names the variable that holds the path of the settings file.
@@ -61,11 +61,11 @@
 
 // Settings are all that a daemon is told.
 type Settings struct {
-	Node      word.Node         `toml:"node-name" validate:"required"`
+	Node      ids.Node          `toml:"node-name" validate:"required"`
 	IP        string            `toml:"ip" validate:"required,ipv4"`
-	Zone      word.Zone         `toml:"zone" validate:"required"`
+	Zone      ids.Zone          `toml:"zone" validate:"required"`
 	Ports     []int             `toml:"internal-ports" validate:"len=2,dive,gte=1,lte=65535"`
-	Seeds     []word.Addr       `toml:"seed-nodes" validate:"min=1,dive,hostport4"`
+	Seeds     []ids.Addr        `toml:"seed-nodes" validate:"min=1,dive,hostport4"`
 	Initial   bool              `toml:"initial-start"`
 	DataDir   string            `toml:"data-dir"`
 	Zones     map[string]string `toml:"zones"`
@@ -140,28 +140,28 @@
 	s := &Settings{Index: Index{PerS: 50, OutageS: 12, CatchUpS: 3, Safety: 2, SpeculativeMs: 2000, Proofs: 3},
 		Pool: Pool{WindowS: 30, Hysteresis: 0.08, Floor: 0.1, Moves: 0.15, Least: 50}}
 	if err := toml.Unmarshal(b, s); err != nil {
-		return nil, []error{code.New(code.BadSettings, "%v", err)}
+		return nil, []error{codes.New(codes.BadSettings, "%v", err)}
 	}
 	var out []error
 	if err := check.Struct(s); err != nil {
 		var ve validator.ValidationErrors
 		if !errors.As(err, &ve) {
-			return nil, []error{code.New(code.BadSettings, "%v", err)}
+			return nil, []error{codes.New(codes.BadSettings, "%v", err)}
 		}
 		for _, f := range ve {
-			out = append(out, code.New(code.BadSettings, "%s does not hold %s", strings.TrimPrefix(f.Namespace(), "Settings."), f.ActualTag()))
+			out = append(out, codes.New(codes.BadSettings, "%s does not hold %s", strings.TrimPrefix(f.Namespace(), "Settings."), f.ActualTag()))
 		}
 	}
 	if len(s.Ports) == 2 && s.Ports[1] < s.Ports[0]+2 {
-		out = append(out, code.New(code.BadSettings, "internal-ports hold fewer than three"))
+		out = append(out, codes.New(codes.BadSettings, "internal-ports hold fewer than three"))
 	}
 	if s.Calendar.Rewrite != "" {
-		if _, err := cal.Parse(s.Calendar.Rewrite); err != nil {
-			out = append(out, code.New(code.BadSettings, "calendar.rewrite: %v", err))
+		if _, err := schedule.Parse(s.Calendar.Rewrite); err != nil {
+			out = append(out, codes.New(codes.BadSettings, "calendar.rewrite: %v", err))
 		}
 	}
 	if n := s.Index.Steps(); n > s.ReplayMost() {
-		out = append(out, code.New(code.BadSettings, "kv-index asks for %d batches to be kept for replays, limits.memory-mb has room for %d", n, s.ReplayMost()))
+		out = append(out, codes.New(codes.BadSettings, "kv-index asks for %d batches to be kept for replays, limits.memory-mb has room for %d", n, s.ReplayMost()))
 	}
 	if s.Bounds.DrainMs == 0 {
 		s.Bounds.DrainMs = 3000
@@ -179,7 +179,7 @@
 func Load() (*Settings, []error) {
 	p := os.Getenv(Env)
 	if p == "" {
-		return nil, []error{code.New(code.NoSettings, "%s is not set", Env)}
+		return nil, []error{codes.New(codes.NoSettings, "%s is not set", Env)}
 	}
 	return LoadFile(p)
 }
@@ -188,18 +188,18 @@
 func LoadFile(p string) (*Settings, []error) {
 	b, err := os.ReadFile(p)
 	if err != nil {
-		return nil, []error{code.New(code.NoSettings, "%v", err)}
+		return nil, []error{codes.New(codes.NoSettings, "%v", err)}
 	}
 	return Parse(b)
 }
 
 // Inner is the internal address of the n-th internal port of a machine.
-func (s *Settings) Inner(ip string, n int) word.Addr {
-	return word.Addr(fmt.Sprintf("%s:%d", ip, s.Ports[0]+n))
+func (s *Settings) Inner(ip string, n int) ids.Addr {
+	return ids.Addr(fmt.Sprintf("%s:%d", ip, s.Ports[0]+n))
 }
 
 // Keeper is the internal address of the keeper behind a control address.
-func (s *Settings) Keeper(control word.Addr) word.Addr {
+func (s *Settings) Keeper(control ids.Addr) ids.Addr {
 	ap, err := netip.ParseAddrPort(string(control))
 	if err != nil {
 		return ""
@@ -208,4 +208,4 @@
 }
 
 // Grace is the time a process has from SIGTERM on.
-func (s *Settings) Grace() clk.Span { return clk.Ms(s.Bounds.GraceS * 1000) }
+func (s *Settings) Grace() clock.Span { return clock.Ms(s.Bounds.GraceS * 1000) }
--- a/internal/boot/watch.go
+++ b/internal/settings/watch.go
@@ -1,13 +1,13 @@
-package boot
+package settings
 
 import (
 	"bytes"
 	"os"
 	"sync"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/note"
-	"spoolswitch/internal/spawn"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/telemetry"
 )
 
 // Watch notices changes of the settings file, told by a signal or silent.
@@ -19,14 +19,14 @@
 	last []byte
 }
 
-const lookEach = 2 * clk.Second
+const lookEach = 2 * clock.Second
 
 // Run looks at the file from time to time, for good.
 func (w *Watch) Run() {
 	if b, err := os.ReadFile(w.Path); err == nil {
 		w.last = b
 	}
-	spawn.Every(lookEach, func() bool {
+	concurrency.Every(lookEach, func() bool {
 		w.Look()
 		return true
 	})
@@ -46,9 +46,9 @@
 	w.last = b
 	s, errs := Parse(b)
 	if len(errs) > 0 {
-		note.Trouble("changed settings at fault, kept the old", "err", errs[0])
+		telemetry.Trouble("changed settings at fault, kept the old", "err", errs[0])
 		return
 	}
-	note.State("settings changed")
+	telemetry.State("settings changed")
 	w.Take(s)
 }
--- a/internal/boot/watch_test.go
+++ b/internal/settings/watch_test.go
@@ -1,4 +1,4 @@
-package boot
+package settings
 
 import (
 	"fmt"
--- a/internal/sim/day.go
+++ b/internal/sim/day.go
@@ -14,24 +14,24 @@
 
 	"github.com/valyala/fasthttp"
 
-	"spoolswitch/internal/boot"
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/conf"
-	"spoolswitch/internal/ctl"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/configuration"
+	"spoolswitch/internal/consensus"
+	"spoolswitch/internal/control"
+	"spoolswitch/internal/discovery"
 	"spoolswitch/internal/disk"
 	"spoolswitch/internal/feed"
 	"spoolswitch/internal/guards"
-	"spoolswitch/internal/keep"
-	"spoolswitch/internal/list"
-	"spoolswitch/internal/note"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/wire"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/rpc"
+	"spoolswitch/internal/settings"
+	"spoolswitch/internal/telemetry"
 )
 
 // Break is something that a judge found.
 type Break struct {
-	At    clk.Span
+	At    clock.Span
 	Judge string
 	Text  string
 }
@@ -43,7 +43,7 @@
 	Broken []Break
 	// Digest sums up the history.
 	Digest  string
-	Virtual clk.Span
+	Virtual clock.Span
 	Steps   uint64
 	Calls   int
 	Acked   int
@@ -55,7 +55,7 @@
 
 type day struct {
 	p     *Plan
-	w     *spawn.World
+	w     *concurrency.World
 	net   *Net
 	sum   hash.Hash
 	Log   func(line string)
@@ -63,27 +63,27 @@
 	slots []*machine
 	rest  []*relay
 	seeds []int
-	ops   *spawn.Process
+	ops   *concurrency.Process
 	opsAt *host
 	ips   int
 
 	hist    []*pursuit
 	runs    map[int]*pursuit
-	known   [operator]word.Version
+	known   [operator]ids.Version
 	acked   []ack
 	under   int
-	events  []clk.Span
+	events  []clock.Span
 	slow    []span
 	judged  map[string]bool
-	touched map[int][]clk.Span
-	roster  keep.Roster
+	touched map[int][]clock.Span
+	roster  consensus.Roster
 	before  int64
 	resting []*pursuit
 }
 
 type ack struct {
-	at clk.Span
-	v  word.Version
+	at clock.Span
+	v  ids.Version
 }
 
 // machine is what stands in one slot of the fleet.
@@ -93,10 +93,10 @@
 	zone  string
 	disk  *Disk
 	host  *host
-	proc  *spawn.Process
-	d     *ctl.Daemon
+	proc  *concurrency.Process
+	d     *control.Daemon
 	lives int
-	born  clk.Span
+	born  clock.Span
 	seeds []int
 	gone  bool
 	// stopping says that it was told to end.
@@ -108,31 +108,31 @@
 type relay struct {
 	n     int
 	host  *host
-	proc  *spawn.Process
+	proc  *concurrency.Process
 	tail  *feed.Tail
-	conf  word.Version
-	doc   *conf.Doc
+	conf  ids.Version
+	doc   *configuration.Doc
 	evac  map[string]string
-	place map[word.Key]word.Place
-	born  clk.Span
+	place map[ids.Key]ids.Place
+	born  clock.Span
 }
 
 // Play plays the plan; each line of the history goes to log, if it is set.
 func Play(p *Plan, log func(line string)) *Result {
-	d := &day{p: p, w: spawn.NewWorld(p.Seed*2654435761 + uint64(p.Point)), sum: sha256.New(), Log: log,
-		res: &Result{Seed: p.Seed, Point: p.Point}, runs: map[int]*pursuit{}, judged: map[string]bool{}, touched: map[int][]clk.Span{}}
+	d := &day{p: p, w: concurrency.NewWorld(p.Seed*2654435761 + uint64(p.Point)), sum: sha256.New(), Log: log,
+		res: &Result{Seed: p.Seed, Point: p.Point}, runs: map[int]*pursuit{}, judged: map[string]bool{}, touched: map[int][]clock.Span{}}
 	d.net = NewNet(d.w, d.say)
 	d.net.Patient = p.Patient
 	d.w.MostThreads, d.w.MostSteps = 4*threadsMost, stepsMost
-	d.w.Died = func(q *spawn.Process, v any, stack string) {
+	d.w.Died = func(q *concurrency.Process, v any, stack string) {
 		judge := "alive"
 		if strings.HasPrefix(fmt.Sprint(v), "too many") {
 			judge = "bounded"
 		}
 		d.broke(judge, fmt.Sprintf("%s: %v\n%s", q.Name, v, stack))
 	}
-	defer note.Use(func(what string, kv []any) { d.say(what, kv...) })()
-	defer wire.Use(d.net)()
+	defer telemetry.Use(func(what string, kv []any) { d.say(what, kv...) })()
+	defer rpc.Use(d.net)()
 	defer guards.Without(p.Without)()
 	d.w.Run(d.play)
 	d.judge()
@@ -146,7 +146,7 @@
 		return
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "%10.6f %s %s", float64(d.w.Time())/float64(clk.Second), d.w.Seen().Name, what)
+	fmt.Fprintf(&b, "%10.6f %s %s", float64(d.w.Time())/float64(clock.Second), d.w.Seen().Name, what)
 	for i := 0; i+1 < len(kv); i += 2 {
 		fmt.Fprintf(&b, " %v=%v", kv[i], kv[i+1])
 	}
@@ -179,40 +179,40 @@
 		d.rest = append(d.rest, r)
 	}
 	for _, m := range d.slots {
-		d.w.After(clk.Span(spawn.Int64N(int64(300*clk.Millisecond))), func() { d.boot(m, true) })
+		d.w.After(clock.Span(concurrency.Int64N(int64(300*clock.Millisecond))), func() { d.boot(m, true) })
 	}
 	for _, r := range d.rest {
-		d.w.After(clk.Span(spawn.Int64N(int64(300*clk.Millisecond))), func() { d.bootRelay(r) })
+		d.w.After(clock.Span(concurrency.Int64N(int64(300*clock.Millisecond))), func() { d.bootRelay(r) })
 	}
 	for _, f := range d.p.Faults {
-		spawn.Go(func() {
-			clk.Sleep(f.At)
+		concurrency.Go(func() {
+			clock.Sleep(f.At)
 			d.strike(f)
 		})
 	}
 	d.ops.Go(func() {
-		clk.Sleep(clk.Second)
+		clock.Sleep(clock.Second)
 		d.first()
 	})
 	for _, o := range d.p.Orders {
 		d.ops.Go(func() {
-			clk.Sleep(o.At)
+			clock.Sleep(o.At)
 			d.order(o)
 		})
 	}
-	spawn.Go(func() {
+	concurrency.Go(func() {
 		for {
-			clk.Sleep(watchEach)
+			clock.Sleep(watchEach)
 			d.watch()
 		}
 	})
-	clk.Sleep(d.p.End + calmEnd)
-	done := spawn.NewMark()
+	clock.Sleep(d.p.End + calmEnd)
+	done := concurrency.NewMark()
 	d.ops.Go(func() {
 		d.atRest()
 		done.Set()
 	})
-	done.Wait(clk.Minute)
+	done.Wait(clock.Minute)
 }
 
 func (d *day) newMachine(slot int) *machine {
@@ -220,7 +220,7 @@
 	m := &machine{slot: slot, ip: fmt.Sprintf("10.0.%d.%d", d.ips/200, d.ips%200+1), zone: zones[slot%len(zones)], seeds: slices.Clone(d.seeds), born: d.w.Time()}
 	if slot < d.p.Core || slot >= d.p.Core+d.p.Diskless {
 		m.disk = NewDisk(d.w)
-		m.disk.Forgetful = spawn.IntN(2) == 0
+		m.disk.Forgetful = concurrency.IntN(2) == 0
 	}
 	m.host = d.net.host(m.ip)
 	return m
@@ -231,15 +231,15 @@
 	controlPort = 7809
 )
 
-func (m *machine) inner() word.Addr   { return word.Addr(fmt.Sprintf("%s:%d", m.ip, innerPort)) }
-func (m *machine) control() word.Addr { return word.Addr(fmt.Sprintf("%s:%d", m.ip, controlPort)) }
+func (m *machine) inner() ids.Addr   { return ids.Addr(fmt.Sprintf("%s:%d", m.ip, innerPort)) }
+func (m *machine) control() ids.Addr { return ids.Addr(fmt.Sprintf("%s:%d", m.ip, controlPort)) }
 
-func (d *day) settings(m *machine, initial bool) *boot.Settings {
-	s := &boot.Settings{Node: word.Node(m.ip), IP: m.ip, Zone: word.Zone(m.zone), Ports: []int{innerPort, innerPort + 8}, Initial: initial,
-		Zones: map[string]string{}, Bindings: boot.Bindings{Control: string(m.control())},
-		Limits:    boot.Limits{MemoryMB: 256, Descriptors: 4096},
-		Bounds:    boot.Bounds{DrainMs: 3000, ConfigApplyMs: float64(apply / clk.Millisecond)},
-		Tolerance: boot.Tolerance{Machines: d.p.Losses, Zones: 1},
+func (d *day) settings(m *machine, initial bool) *settings.Settings {
+	s := &settings.Settings{Node: ids.Node(m.ip), IP: m.ip, Zone: ids.Zone(m.zone), Ports: []int{innerPort, innerPort + 8}, Initial: initial,
+		Zones: map[string]string{}, Bindings: settings.Bindings{Control: string(m.control())},
+		Limits:    settings.Limits{MemoryMB: 256, Descriptors: 4096},
+		Bounds:    settings.Bounds{DrainMs: 3000, ConfigApplyMs: float64(apply / clock.Millisecond)},
+		Tolerance: settings.Tolerance{Machines: d.p.Losses, Zones: 1},
 	}
 	if m.disk != nil {
 		s.DataDir = "disk"
@@ -264,17 +264,17 @@
 	m.stopping = false
 	m.born = d.w.Time()
 	p := d.w.Process(fmt.Sprintf("k%d.%d", m.slot, m.lives))
-	p.PPM = spawn.Int64N(401) - 200
+	p.PPM = concurrency.Int64N(401) - 200
 	m.proc, m.d = p, nil
 	d.net.by[p] = m.host
 	s := d.settings(m, initial)
-	on := ctl.Machine{List: d.list, Serve: d.serve}
+	on := control.Machine{List: d.list, Serve: d.serve}
 	if m.disk != nil {
 		on.Disk = m.disk
 	}
 	d.say("start", "slot", m.slot, "ip", m.ip, "life", m.lives, "disk", m.disk != nil, "seeds", s.Seeds)
 	p.Go(func() {
-		k, err := ctl.StartOn(s, on)
+		k, err := control.StartOn(s, on)
 		if err != nil {
 			d.broke("alive", "a keeper did not start: "+err.Error())
 			return
@@ -285,22 +285,22 @@
 	})
 }
 
-func (d *day) list() ([]list.Replica, error) {
-	clk.Sleep(clk.Span(spawn.Int64N(int64(20 * clk.Millisecond))))
-	return []list.Replica{{ID: "i-1", Service: "s", Addr: "10.7.0.1:80", Zone: "za", State: "in_service", Slots: 8}}, nil
+func (d *day) list() ([]discovery.Replica, error) {
+	clock.Sleep(clock.Span(concurrency.Int64N(int64(20 * clock.Millisecond))))
+	return []discovery.Replica{{ID: "i-1", Service: "s", Addr: "10.7.0.1:80", Zone: "za", State: "in_service", Slots: 8}}, nil
 }
 
 // serve answers the calls of operators, one thread a connection.
-func (d *day) serve(s *ctl.Server, l net.Listener) {
-	spawn.Go(func() {
+func (d *day) serve(s *control.Server, l net.Listener) {
+	concurrency.Go(func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			spawn.Go(func() {
+			concurrency.Go(func() {
 				defer c.Close()
-				_ = c.SetDeadline(clk.Now().Add(10 * clk.Second).Deadline())
+				_ = c.SetDeadline(clock.Now().Add(10 * clock.Second).Deadline())
 				var q fasthttp.Request
 				if q.ReadLimitBody(bufio.NewReader(c), 16<<20) != nil {
 					return
@@ -324,24 +324,24 @@
 
 func (d *day) bootRelay(r *relay) {
 	p := d.w.Process(fmt.Sprintf("r%d", r.n))
-	p.PPM = spawn.Int64N(401) - 200
-	r.proc, r.born, r.doc, r.conf, r.evac, r.place = p, d.w.Time(), nil, 0, map[string]string{}, map[word.Key]word.Place{}
+	p.PPM = concurrency.Int64N(401) - 200
+	r.proc, r.born, r.doc, r.conf, r.evac, r.place = p, d.w.Time(), nil, 0, map[string]string{}, map[ids.Key]ids.Place{}
 	d.net.by[p] = r.host
-	seeds := func() []word.Addr {
-		var out []word.Addr
+	seeds := func() []ids.Addr {
+		var out []ids.Addr
 		for _, i := range d.seeds {
 			out = append(out, d.slots[i].inner())
 		}
 		return out
 	}
-	r.tail = &feed.Tail{Self: word.Node(p.Name), Addr: word.Addr(r.host.ip + ":7801"), IP: r.host.ip, Zone: word.Zone(zones[r.n%len(zones)]), Seeds: seeds, Apply: apply,
-		Heard: func(int, clk.Span) {}, Take: func(it keep.Item) bool { return d.took(r, p, it) }}
+	r.tail = &feed.Tail{Self: ids.Node(p.Name), Addr: ids.Addr(r.host.ip + ":7801"), IP: r.host.ip, Zone: ids.Zone(zones[r.n%len(zones)]), Seeds: seeds, Apply: apply,
+		Heard: func(int, clock.Span) {}, Take: func(it consensus.Item) bool { return d.took(r, p, it) }}
 	p.Go(func() { r.tail.Run() })
 }
 
 // took takes in what a relay was fed; false if it is a change that does not lead
 // on from what the relay has.
-func (d *day) took(r *relay, p *spawn.Process, it keep.Item) bool {
+func (d *day) took(r *relay, p *concurrency.Process, it consensus.Item) bool {
 	if r.proc != p || p.Dead() {
 		return true
 	}
@@ -349,7 +349,7 @@
 		d.broke("feed", fmt.Sprintf("relay %d went back from %v to %v of %s", r.n, at, it.At, it.Key))
 	}
 	r.place[it.Key] = it.At
-	if it.Key == word.Configuration {
+	if it.Key == ids.Configuration {
 		doc, ok := configured(r.doc, it)
 		if !ok {
 			return false
@@ -368,9 +368,9 @@
 }
 
 // configured is the configuration that an item brings to one who has doc.
-func configured(doc *conf.Doc, it keep.Item) (*conf.Doc, bool) {
+func configured(doc *configuration.Doc, it consensus.Item) (*configuration.Doc, bool) {
 	if it.Base.Zero() {
-		doc = conf.DocOf(it.Val)
+		doc = configuration.DocOf(it.Val)
 		return doc, doc != nil
 	}
 	if doc == nil {
@@ -383,7 +383,7 @@
 func (d *day) event() { d.events = append(d.events, d.w.Time()) }
 
 // settled tells whether the core was settled throughout the last span.
-func (d *day) settled(t clk.Span, length clk.Span) bool {
+func (d *day) settled(t clock.Span, length clock.Span) bool {
 	for _, e := range d.events {
 		if e > t-length-contact && e <= t {
 			return false
@@ -394,11 +394,11 @@
 			return false
 		}
 	}
-	return t-length > 6*clk.Second
+	return t-length > 6*clock.Second
 }
 
 // touch tells whether a relay had no trouble of its own for a while.
-func (d *day) touch(r *relay, length clk.Span) bool {
+func (d *day) touch(r *relay, length clock.Span) bool {
 	for _, t := range d.touched[r.n] {
 		if t > d.w.Time()-length-contact {
 			return false
@@ -497,25 +497,25 @@
 		b := d.others(f, ms)
 		d.cut(a, b, f.Way, 1)
 		if f.Kind == "cut-freeze" {
-			clk.Sleep(f.For / 4)
+			clock.Sleep(f.For / 4)
 			d.freeze(ms, true)
-			clk.Sleep(f.For / 4)
+			clock.Sleep(f.For / 4)
 			d.freeze(ms, false)
-			clk.Sleep(f.For / 2)
+			clock.Sleep(f.For / 2)
 		} else {
-			clk.Sleep(f.For)
+			clock.Sleep(f.For)
 		}
 		d.cut(a, b, f.Way, -1)
 	case "freeze":
 		d.freeze(ms, true)
-		clk.Sleep(f.For)
+		clock.Sleep(f.For)
 		d.freeze(ms, false)
 	case "slow-node":
 		d.slow = append(d.slow, span{d.w.Time(), d.w.Time() + f.For, 0})
 		for _, m := range ms {
-			m.proc.Lag = 150 * clk.Millisecond
+			m.proc.Lag = 150 * clock.Millisecond
 		}
-		clk.Sleep(f.For)
+		clock.Sleep(f.For)
 		for _, m := range ms {
 			m.proc.Lag = 0
 		}
@@ -523,13 +523,13 @@
 		for _, m := range ms {
 			d.kill(m)
 		}
-		clk.Sleep(f.For)
+		clock.Sleep(f.For)
 		for _, m := range ms {
 			d.boot(m, false)
 		}
 	case "restart":
 		d.stop(ms)
-		clk.Sleep(f.For)
+		clock.Sleep(f.For)
 		for _, m := range ms {
 			d.kill(m)
 			d.boot(m, false)
@@ -542,7 +542,7 @@
 				m.has = holding{}
 			}
 		}
-		clk.Sleep(f.For)
+		clock.Sleep(f.For)
 		for _, m := range ms {
 			m.host.on()
 			d.boot(m, false)
@@ -552,18 +552,18 @@
 			d.power(m)
 			m.gone, m.has = true, holding{}
 		}
-		clk.Sleep(f.For)
+		clock.Sleep(f.For)
 		for _, m := range ms {
 			d.succeed(m.slot)
 		}
 	case "leave":
 		d.stop(ms)
-		clk.Sleep(clk.Second)
+		clock.Sleep(clock.Second)
 		for _, m := range ms {
 			d.kill(m)
 			m.gone, m.has = true, holding{}
 		}
-		clk.Sleep(f.For)
+		clock.Sleep(f.For)
 		d.event()
 		for _, m := range ms {
 			d.succeed(m.slot)
@@ -573,7 +573,7 @@
 		for _, m := range ms {
 			d.kill(m)
 		}
-		clk.Sleep(f.For)
+		clock.Sleep(f.For)
 		for _, m := range ms {
 			d.boot(m, false)
 		}
@@ -587,7 +587,7 @@
 				m.has = holding{}
 			}
 		}
-		clk.Sleep(f.For)
+		clock.Sleep(f.For)
 		for _, m := range ms {
 			m.host.on()
 			d.boot(m, false)
@@ -617,8 +617,8 @@
 		d.touched[r.n] = append(d.touched[r.n], d.w.Time(), d.w.Time()+f.For)
 		d.slow = append(d.slow, span{})
 		d.cut([]*host{r.host}, b, f.Way, 1)
-		for left := f.For; left > 0; left -= clk.Second {
-			clk.Sleep(min(left, clk.Second))
+		for left := f.For; left > 0; left -= clock.Second {
+			clock.Sleep(min(left, clock.Second))
 			d.touched[r.n] = append(d.touched[r.n], d.w.Time())
 		}
 		d.cut([]*host{r.host}, b, f.Way, -1)
@@ -630,7 +630,7 @@
 			case "slow-disk":
 				m.disk.Slow = 0
 				if on {
-					m.disk.Slow = 300 * clk.Millisecond
+					m.disk.Slow = 300 * clock.Millisecond
 				}
 			case "stall-disk":
 				m.disk.Stalled = on
@@ -641,7 +641,7 @@
 		for _, m := range ms {
 			set(m, true)
 		}
-		clk.Sleep(f.For)
+		clock.Sleep(f.For)
 		for _, m := range ms {
 			set(m, false)
 		}
@@ -650,7 +650,7 @@
 		for _, m := range ms {
 			m.disk.Refuse[f.Call] = f.N
 		}
-		clk.Sleep(f.For)
+		clock.Sleep(f.For)
 		for _, m := range ms {
 			delete(m.disk.Refuse, f.Call)
 		}
@@ -663,14 +663,14 @@
 				m.proc.Go(func() { _ = k.Keeper.Acceptor().Rewrite() })
 			}
 		}
-		clk.Sleep(f.For)
+		clock.Sleep(f.For)
 		for _, m := range ms {
 			if f.Call == "" {
 				d.power(m)
 			}
 		}
 		if f.Call == "" {
-			clk.Sleep(clk.Second / 2)
+			clock.Sleep(clock.Second / 2)
 		}
 		for _, m := range ms {
 			delete(m.disk.Refuse, f.Call)
@@ -682,14 +682,14 @@
 	case "answers-lost":
 		d.slow = append(d.slow, span{d.w.Time(), d.w.Time() + f.For, 0})
 		d.opsAt.lost = f.Rate
-		clk.Sleep(f.For)
+		clock.Sleep(f.For)
 		d.opsAt.lost = 0
 	case "slow-link":
 		d.slow = append(d.slow, span{d.w.Time(), d.w.Time() + f.For, 0})
 		for _, m := range ms {
-			m.host.slow = 200 * clk.Millisecond
+			m.host.slow = 200 * clock.Millisecond
 		}
-		clk.Sleep(f.For)
+		clock.Sleep(f.For)
 		for _, m := range ms {
 			m.host.slow = 0
 		}
--- a/internal/sim/disk.go
+++ b/internal/sim/disk.go
@@ -5,9 +5,9 @@
 	"io/fs"
 	"slices"
 
-	"spoolswitch/internal/clk"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
 	"spoolswitch/internal/disk"
-	"spoolswitch/internal/spawn"
 )
 
 var (
@@ -18,9 +18,9 @@
 // Disk is a disk whose unsynced state a loss of power keeps, loses or tears one
 // by one.
 type Disk struct {
-	w *spawn.World
+	w *concurrency.World
 	// Slow bounds how long a call takes beyond a little.
-	Slow clk.Span
+	Slow clock.Span
 	// Full refuses every write.
 	Full bool
 	// Stalled has calls wait until it ends.
@@ -53,17 +53,17 @@
 }
 
 // NewDisk makes an empty disk.
-func NewDisk(w *spawn.World) *Disk {
+func NewDisk(w *concurrency.World) *Disk {
 	return &Disk{w: w, names: map[string]*inode{}, synced: map[string]*inode{}, Refuse: map[string]int{}}
 }
 
 func (d *Disk) call(kind string) error {
-	clk.Sleep(clk.Span(spawn.Int64N(int64(400 * clk.Millisecond / 1000))))
+	clock.Sleep(clock.Span(concurrency.Int64N(int64(400 * clock.Millisecond / 1000))))
 	if d.Slow > 0 {
-		clk.Sleep(d.Slow/4 + clk.Span(spawn.Int64N(int64(d.Slow))))
+		clock.Sleep(d.Slow/4 + clock.Span(concurrency.Int64N(int64(d.Slow))))
 	}
 	for d.Stalled {
-		clk.Sleep(20 * clk.Millisecond)
+		clock.Sleep(20 * clock.Millisecond)
 	}
 	if n, ok := d.Refuse[kind]; ok {
 		if d.Refuse[kind] = n - 1; n <= 1 {
@@ -187,7 +187,7 @@
 	}
 	b = slices.Clone(b)
 	if err != nil {
-		k := spawn.IntN(len(b) + 1)
+		k := concurrency.IntN(len(b) + 1)
 		f.do(write{at: at, b: b[:k]})
 		return k, err
 	}
@@ -226,7 +226,7 @@
 // Off is a loss of power: what was not synced is kept, lost or torn one by one.
 func (d *Disk) Off() {
 	for _, m := range d.moves {
-		if spawn.IntN(2) == 0 {
+		if concurrency.IntN(2) == 0 {
 			m.apply(d.synced)
 		}
 	}
@@ -246,12 +246,12 @@
 		}
 		done[f] = true
 		for _, w := range f.writes {
-			switch spawn.IntN(3) {
+			switch concurrency.IntN(3) {
 			case 0:
 				f.kept = w.apply(f.kept)
 			case 1:
 				if !w.cut && len(w.b) > 0 {
-					w.b = w.b[:spawn.IntN(len(w.b))]
+					w.b = w.b[:concurrency.IntN(len(w.b))]
 					f.kept = w.apply(f.kept)
 				}
 			}
--- a/internal/sim/judge.go
+++ b/internal/sim/judge.go
@@ -9,10 +9,10 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/conf"
-	"spoolswitch/internal/keep"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/configuration"
+	"spoolswitch/internal/consensus"
+	"spoolswitch/internal/ids"
 )
 
 // Judges names what a day is judged by.
@@ -38,8 +38,8 @@
 	threadsMost = 1500
 	stepsMost   = 4_000_000
 	endsMost    = 4000
-	lateFor     = 2 * clk.Second
-	watchEach   = 200 * clk.Millisecond
+	lateFor     = 2 * clock.Second
+	watchEach   = 200 * clock.Millisecond
 	chunksMost  = 2000
 )
 
@@ -69,7 +69,7 @@
 	if !d.settled(now, apply) {
 		return
 	}
-	var need word.Version
+	var need ids.Version
 	for _, a := range d.acked {
 		if a.at < now-apply {
 			need = max(need, a.v)
@@ -88,8 +88,8 @@
 // holding is what the disk of a keeper is known to hold.
 type holding struct {
 	votes   bool
-	at      word.Place
-	version word.Version
+	at      ids.Place
+	version ids.Version
 }
 
 // holds notes what the disk of a keeper that runs holds.
@@ -98,7 +98,7 @@
 		return
 	}
 	a := m.d.Keeper.Acceptor()
-	c := a.Cell(word.Configuration)
+	c := a.Cell(ids.Configuration)
 	if r := a.Roster(); r.Num > d.roster.Num {
 		d.roster = r
 	}
@@ -109,7 +109,7 @@
 	if c.At == m.has.at {
 		return
 	}
-	s, err := conf.Decode(c.Val)
+	s, err := configuration.Decode(c.Val)
 	if err != nil {
 		d.broke("kept", err.Error())
 		return
@@ -121,13 +121,13 @@
 	for _, m := range d.slots {
 		d.holds(m)
 	}
-	var need word.Version
+	var need ids.Version
 	for _, a := range d.acked {
 		need = max(need, a.v)
 	}
-	without := func(n word.Node) bool {
+	without := func(n ids.Node) bool {
 		for _, m := range d.slots {
-			if word.Node(m.inner()) == n {
+			if ids.Node(m.inner()) == n {
 				return m.has.votes && m.has.version < need
 			}
 		}
@@ -151,7 +151,7 @@
 	if last.got != acknowledged {
 		d.broke("answers", "at rest the configuration cannot be read")
 	}
-	var roster keep.Roster
+	var roster consensus.Roster
 	for _, m := range d.slots {
 		if m.d == nil {
 			continue
@@ -163,7 +163,7 @@
 	if len(roster.Next) > 0 {
 		d.broke("seats", fmt.Sprintf("roster %d is half done: %v to %v", roster.Num, roster.Seat, roster.Next))
 	}
-	cells := map[word.Key]keep.Cell{}
+	cells := map[ids.Key]consensus.Cell{}
 	for _, m := range d.slots {
 		if m.d == nil {
 			continue
@@ -172,7 +172,7 @@
 		if n := a.Roster().Num; n != roster.Num {
 			d.broke("seats", fmt.Sprintf("keeper %d goes by roster %d, not %d", m.slot, n, roster.Num))
 		}
-		if !roster.Has(word.Node(m.inner())) {
+		if !roster.Has(ids.Node(m.inner())) {
 			continue
 		}
 		if !a.Voting() {
@@ -193,9 +193,9 @@
 	}
 	slices.Sort(keys)
 	for _, k := range keys {
-		key := word.Key(k)
+		key := ids.Key(k)
 		for _, m := range d.slots {
-			if m.d == nil || !roster.Has(word.Node(m.inner())) || !m.d.Keeper.Acceptor().Voting() {
+			if m.d == nil || !roster.Has(ids.Node(m.inner())) || !m.d.Keeper.Acceptor().Voting() {
 				continue
 			}
 			c := m.d.Keeper.Acceptor().Cell(key)
@@ -219,8 +219,8 @@
 	if d.res.Acked < 5 || len(d.p.Faults) > 0 && d.res.Struck == 0 {
 		d.broke("explored", fmt.Sprintf("%d acknowledged, %d faults", d.res.Acked, d.res.Struck))
 	}
-	bases := map[word.Version]*pursuit{}
-	taken := map[string]clk.Span{}
+	bases := map[ids.Version]*pursuit{}
+	taken := map[string]clock.Span{}
 	for _, p := range d.hist {
 		if p.who == "" || p.got != acknowledged {
 			continue
@@ -250,7 +250,7 @@
 // confState is the base version, the mark of its order and the orders taken, in
 // one line.
 type confState struct {
-	v     word.Version
+	v     ids.Version
 	mark  int
 	taken string
 }
@@ -303,7 +303,7 @@
 		return
 	}
 	model := m.ToModel()
-	switch porcupine.CheckOperationsTimeout(model, ops, 20*clk.Second) {
+	switch porcupine.CheckOperationsTimeout(model, ops, 20*clock.Second) {
 	case porcupine.Illegal:
 		d.broke("linear", "the history of "+what+" cannot be put in an order")
 	case porcupine.Unknown:
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -7,17 +7,17 @@
 	"net/netip"
 	"os"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/wire"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/rpc"
 )
 
 const (
 	window    = 64 << 10
 	backlog   = 64
 	unackedMs = 1500
-	dialAgain = 400 * clk.Millisecond
+	dialAgain = 400 * clock.Millisecond
 )
 
 var (
@@ -29,14 +29,14 @@
 // Net is the network of a world: hosts, and connections between them that
 // carry bytes in order, late, or not at all.
 type Net struct {
-	w     *spawn.World
+	w     *concurrency.World
 	log   func(what string, kv ...any)
 	hosts map[string]*host
-	by    map[*spawn.Process]*host
+	by    map[*concurrency.Process]*host
 	cuts  map[[2]*host]int
 	ends  []*end
 	// Base and Jitter make the delay of one way.
-	Base, Jitter clk.Span
+	Base, Jitter clock.Span
 	// Patient connections hold bytes for good, others are given up when
 	// nothing is acknowledged for a while.
 	Patient bool
@@ -48,9 +48,9 @@
 	n     *Net
 	ip    string
 	up    bool
-	slow  clk.Span
+	slow  clock.Span
 	lost  float64
-	open  map[word.Addr]*listener
+	open  map[ids.Addr]*listener
 	boots int
 }
 
@@ -58,7 +58,7 @@
 	b   []byte
 	fin bool
 	rst bool
-	at  clk.Span
+	at  clock.Span
 }
 
 // end is one end of a connection, with what is under way from it.
@@ -66,7 +66,7 @@
 	n      *Net
 	h      *host
 	boot   int
-	addr   word.Addr
+	addr   ids.Addr
 	to     *end
 	served bool
 
@@ -80,22 +80,22 @@
 	eof    bool
 	err    error
 	closed bool
-	when   clk.Tick
-	rmark  *spawn.Mark
-	wmark  *spawn.Mark
-	rd, wd clk.Moment
+	when   clock.Tick
+	rmark  *concurrency.Mark
+	wmark  *concurrency.Mark
+	rd, wd clock.Moment
 }
 
 // NewNet makes an empty network.
-func NewNet(w *spawn.World, log func(string, ...any)) *Net {
-	return &Net{w: w, log: log, hosts: map[string]*host{}, by: map[*spawn.Process]*host{}, cuts: map[[2]*host]int{},
-		Base: clk.Millisecond / 2, Jitter: clk.Millisecond}
+func NewNet(w *concurrency.World, log func(string, ...any)) *Net {
+	return &Net{w: w, log: log, hosts: map[string]*host{}, by: map[*concurrency.Process]*host{}, cuts: map[[2]*host]int{},
+		Base: clock.Millisecond / 2, Jitter: clock.Millisecond}
 }
 
 func (n *Net) host(ip string) *host {
 	h := n.hosts[ip]
 	if h == nil {
-		h = &host{n: n, ip: ip, up: true, open: map[word.Addr]*listener{}}
+		h = &host{n: n, ip: ip, up: true, open: map[ids.Addr]*listener{}}
 		n.hosts[ip] = h
 	}
 	return h
@@ -113,23 +113,23 @@
 	for _, e := range n.ends {
 		if e.stalled && n.through(e.h, e.to.h) {
 			e.stalled = false
-			n.w.After(clk.Span(spawn.Int64N(int64(300*clk.Millisecond))), e.pump)
+			n.w.After(clock.Span(concurrency.Int64N(int64(300*clock.Millisecond))), e.pump)
 		}
 	}
 }
 
-func (n *Net) delay(a, b *host) clk.Span {
-	d := n.Base + clk.Span(spawn.Int64N(int64(n.Jitter)+1))
+func (n *Net) delay(a, b *host) clock.Span {
+	d := n.Base + clock.Span(concurrency.Int64N(int64(n.Jitter)+1))
 	for _, h := range []*host{a, b} {
 		if h.slow > 0 {
-			d += h.slow/2 + clk.Span(spawn.Int64N(int64(h.slow)))
+			d += h.slow/2 + clock.Span(concurrency.Int64N(int64(h.slow)))
 		}
 	}
 	return d
 }
 
 // Dial connects the host of the process that runs.
-func (n *Net) Dial(a word.Addr, timeout clk.Span) (net.Conn, error) {
+func (n *Net) Dial(a ids.Addr, timeout clock.Span) (net.Conn, error) {
 	me := n.by[n.w.Seen()]
 	ap, err := netip.ParseAddrPort(string(a))
 	if err != nil || me == nil {
@@ -140,21 +140,21 @@
 	for {
 		d := n.delay(me, h) + n.delay(h, me)
 		if left := till - n.w.Time(); left <= d {
-			clk.Sleep(left)
+			clock.Sleep(left)
 			return nil, os.ErrDeadlineExceeded
 		}
 		ok := n.through(me, h) && n.through(h, me)
 		if !ok {
-			clk.Sleep(min(dialAgain, till-n.w.Time()))
+			clock.Sleep(min(dialAgain, till-n.w.Time()))
 			continue
 		}
-		clk.Sleep(d)
+		clock.Sleep(d)
 		l := h.open[a]
 		if l == nil || len(l.line) >= backlog {
 			if l == nil && n.through(h, me) {
 				return nil, errRefused
 			}
-			clk.Sleep(min(dialAgain, till-n.w.Time()))
+			clock.Sleep(min(dialAgain, till-n.w.Time()))
 			continue
 		}
 		c := n.newEnd(me, a)
@@ -166,8 +166,8 @@
 	}
 }
 
-func (n *Net) newEnd(h *host, a word.Addr) *end {
-	e := &end{n: n, h: h, boot: h.boots, addr: a, rmark: spawn.NewMark(), wmark: spawn.NewMark()}
+func (n *Net) newEnd(h *host, a ids.Addr) *end {
+	e := &end{n: n, h: h, boot: h.boots, addr: a, rmark: concurrency.NewMark(), wmark: concurrency.NewMark()}
 	n.ends = append(n.ends, e)
 	return e
 }
@@ -187,7 +187,7 @@
 func (e *end) gone() bool { return e.closed || e.err != nil || e.boot != e.h.boots }
 
 func (e *end) send(c chunk) {
-	last := clk.Span(0)
+	last := clock.Span(0)
 	if len(e.q) > 0 {
 		last = e.q[len(e.q)-1].at
 	}
@@ -242,7 +242,7 @@
 		return
 	}
 	acks := e.acks
-	e.n.w.After(unackedMs*clk.Millisecond, func() {
+	e.n.w.After(unackedMs*clock.Millisecond, func() {
 		if e.acks == acks && !e.gone() && !(e.n.through(e.h, e.to.h) && e.n.through(e.to.h, e.h)) {
 			e.fail(errSilent)
 		}
@@ -262,7 +262,7 @@
 	}
 	e.n.chunks++
 	e.n.bytes += int64(len(c.b))
-	if !e.served && e.to.h.lost > 0 && float64(spawn.IntN(1000))/1000 < e.to.h.lost {
+	if !e.served && e.to.h.lost > 0 && float64(concurrency.IntN(1000))/1000 < e.to.h.lost {
 		e.n.log("answer lost", "from", e.to.h.ip, "to", e.h.ip)
 		e.to.fail(errReset)
 		e.fail(errReset)
@@ -282,7 +282,7 @@
 	e.wmark.Set()
 }
 
-func timeLeft(w *spawn.World, m clk.Moment) clk.Span {
+func timeLeft(w *concurrency.World, m clock.Moment) clock.Span {
 	if d, ok := w.Left(m); ok {
 		return d
 	}
@@ -365,7 +365,7 @@
 func (e *end) Gone() bool { return e.closed || e.err != nil || e.eof && len(e.in) == 0 }
 
 // Accepted is when the connection was accepted here.
-func (e *end) Accepted() clk.Tick { return e.when }
+func (e *end) Accepted() clock.Tick { return e.when }
 
 type hostAddr string
 
@@ -379,20 +379,20 @@
 func (e *end) RemoteAddr() net.Addr { return hostAddr(e.to.h.ip + ":0") }
 
 // SetDeadline bounds reads and writes.
-func (e *end) SetDeadline(t clk.Moment) error {
+func (e *end) SetDeadline(t clock.Moment) error {
 	_ = e.SetReadDeadline(t)
 	return e.SetWriteDeadline(t)
 }
 
 // SetReadDeadline bounds reads.
-func (e *end) SetReadDeadline(t clk.Moment) error {
+func (e *end) SetReadDeadline(t clock.Moment) error {
 	e.rd = t
 	e.rmark.Set()
 	return nil
 }
 
 // SetWriteDeadline bounds writes.
-func (e *end) SetWriteDeadline(t clk.Moment) error {
+func (e *end) SetWriteDeadline(t clock.Moment) error {
 	e.wd = t
 	e.wmark.Set()
 	return nil
@@ -400,19 +400,19 @@
 
 type listener struct {
 	h    *host
-	a    word.Addr
+	a    ids.Addr
 	line []*end
-	mark *spawn.Mark
+	mark *concurrency.Mark
 	over bool
 }
 
 // Listen listens on the host of the process that runs.
-func (n *Net) Listen(a word.Addr) (net.Listener, error) {
+func (n *Net) Listen(a ids.Addr) (net.Listener, error) {
 	h := n.by[n.w.Seen()]
 	if h == nil || h.open[a] != nil {
 		return nil, errRefused
 	}
-	l := &listener{h: h, a: a, mark: spawn.NewMark()}
+	l := &listener{h: h, a: a, mark: concurrency.NewMark()}
 	h.open[a] = l
 	return l, nil
 }
@@ -426,10 +426,10 @@
 		if len(l.line) > 0 {
 			e := l.line[0]
 			l.line = l.line[1:]
-			e.when = clk.Now()
+			e.when = clock.Now()
 			return e, nil
 		}
-		l.mark.Wait(clk.Minute)
+		l.mark.Wait(clock.Minute)
 	}
 }
 
@@ -455,7 +455,7 @@
 			e.closed, e.in = true, nil
 		}
 	}
-	h.open = map[word.Addr]*listener{}
+	h.open = map[ids.Addr]*listener{}
 	h.n.sweep()
 }
 
@@ -468,7 +468,7 @@
 			e.rmark.Set() // what is on its way goes on
 		}
 	}
-	h.open = map[word.Addr]*listener{}
+	h.open = map[ids.Addr]*listener{}
 	h.n.sweep()
 }
 
@@ -488,6 +488,6 @@
 }
 
 var (
-	_ wire.Fabric = (*Net)(nil)
-	_ wire.Other  = (*end)(nil)
+	_ rpc.Fabric = (*Net)(nil)
+	_ rpc.Other  = (*end)(nil)
 )
--- a/internal/sim/operator.go
+++ b/internal/sim/operator.go
@@ -9,18 +9,18 @@
 
 	"github.com/valyala/fasthttp"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/wire"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/rpc"
 )
 
 const (
 	underMost  = 8
-	callFor    = clk.Second
-	pauseFirst = 60 * clk.Millisecond
-	pauseMost  = clk.Second
-	confFor    = 25 * clk.Second
+	callFor    = clock.Second
+	pauseFirst = 60 * clock.Millisecond
+	pauseMost  = clock.Second
+	confFor    = 25 * clock.Second
 )
 
 // verdict is how an order ended.
@@ -36,17 +36,17 @@
 // same, so it takes effect once or not at all.
 type pursuit struct {
 	o       Order
-	base    word.Version
-	version word.Version
+	base    ids.Version
+	version ids.Version
 	body    []byte
 	modify  bool
-	begun   clk.Span
-	ended   clk.Span
+	begun   clock.Span
+	ended   clock.Span
 	got     verdict
 	status  int
 	calls   int
 	// read is the version that a reading told.
-	read word.Version
+	read ids.Version
 	mark int
 	// who is the identity of the order: those that share it are the same.
 	who string
@@ -61,8 +61,8 @@
 	}
 }
 
-func (d *day) body(o Order, base word.Version) (word.Version, []byte) {
-	v := base + 1 + word.Version(o.Num%3)
+func (d *day) body(o Order, base ids.Version) (ids.Version, []byte) {
+	v := base + 1 + ids.Version(o.Num%3)
 	mark := map[string]any{"name": "mark", "authority": "a.example", "path-prefix": "/mark/", "route-class": "safe", "timeout-ms": 1000 + o.Num, "service": "s"}
 	routes := []any{mark}
 	doc := map[string]any{"version": v}
@@ -93,7 +93,7 @@
 		if p == nil || p.o.Kind == "read" || p.o.Zone != "" || p.ended == 0 || p.got != acknowledged {
 			return
 		}
-		d.send(&pursuit{o: Order{Operator: o.Operator, Kind: "again", Num: p.o.Num}, base: p.base, version: p.version, body: p.body, modify: p.modify, mark: p.mark, who: p.who}, 6*clk.Second)
+		d.send(&pursuit{o: Order{Operator: o.Operator, Kind: "again", Num: p.o.Num}, base: p.base, version: p.version, body: p.body, modify: p.modify, mark: p.mark, who: p.who}, 6*clock.Second)
 		return
 	case "on", "off":
 		d.send(&pursuit{o: o}, ackBound)
@@ -113,7 +113,7 @@
 	}
 }
 
-func (d *day) pursue(o Order, base word.Version, limit clk.Span) *pursuit {
+func (d *day) pursue(o Order, base ids.Version, limit clock.Span) *pursuit {
 	p := &pursuit{o: o, base: base, modify: o.Kind == "modify"}
 	p.version, p.body = d.body(o, base)
 	p.mark = 1000 + o.Num
@@ -124,7 +124,7 @@
 }
 
 // send pursues an order as an operator does.
-func (d *day) send(p *pursuit, limit clk.Span) {
+func (d *day) send(p *pursuit, limit clock.Span) {
 	d.under++
 	defer func() { d.under-- }()
 	p.begun = d.w.Time()
@@ -156,7 +156,7 @@
 			p.ended, p.got = d.w.Time(), unclear
 			return
 		}
-		clk.Sleep(pause/2 + clk.Span(spawn.Int64N(int64(pause))))
+		clock.Sleep(pause/2 + clock.Span(concurrency.Int64N(int64(pause))))
 		pause = min(pause*3/2, pauseMost)
 		if (i+1)%len(line) == 0 {
 			line = d.control()
@@ -175,7 +175,7 @@
 		out = append(out, m)
 	}
 	for i := range out {
-		j := i + spawn.IntN(len(out)-i)
+		j := i + concurrency.IntN(len(out)-i)
 		out[i], out[j] = out[j], out[i]
 	}
 	return out
@@ -187,7 +187,7 @@
 	switch p.o.Kind {
 	case "read":
 		r := struct {
-			Version word.Version `json:"version"`
+			Version ids.Version `json:"version"`
 			Routes  []struct {
 				Name    string  `json:"name"`
 				Timeout float64 `json:"timeout-ms"`
@@ -217,9 +217,9 @@
 }
 
 // call makes one call; status 0 is no clear answer.
-func (d *day) call(a word.Addr, p *pursuit) (int, []byte) {
-	till := clk.Now().Add(callFor)
-	c, err := wire.Dial(a, callFor)
+func (d *day) call(a ids.Addr, p *pursuit) (int, []byte) {
+	till := clock.Now().Add(callFor)
+	c, err := rpc.Dial(a, callFor)
 	if err != nil {
 		return 0, nil
 	}
--- a/internal/sim/plan.go
+++ b/internal/sim/plan.go
@@ -5,8 +5,8 @@
 	"math/rand/v2"
 	"slices"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
 	"spoolswitch/internal/guards"
 )
 
@@ -27,12 +27,12 @@
 	Faults  []Fault
 	Orders  []Order
 	// End is when the last fault is over, and the last order is sent.
-	End clk.Span
+	End clock.Span
 }
 
 // Fault is one trouble.
 type Fault struct {
-	At, For clk.Span
+	At, For clock.Span
 	Kind    string
 	// Nodes are the slots that it strikes, of keepers or of relays.
 	Nodes []int `json:",omitempty"`
@@ -53,7 +53,7 @@
 
 // Order is something that an operator sends.
 type Order struct {
-	At       clk.Span
+	At       clock.Span
 	Operator int
 	// Kind is replace, modify, invalid, again, on, off or read.
 	Kind string
@@ -63,14 +63,14 @@
 }
 
 const (
-	contact  = 3 * clk.Second
-	catchUp  = 4 * clk.Second
-	apply    = 2 * clk.Second
-	ackBound = 4 * clk.Second
-	recovery = 12 * clk.Second
-	seedLag  = 3 * clk.Second
-	calmEnd  = 14 * clk.Second
-	firstAt  = 10 * clk.Second
+	contact  = 3 * clock.Second
+	catchUp  = 4 * clock.Second
+	apply    = 2 * clock.Second
+	ackBound = 4 * clock.Second
+	recovery = 12 * clock.Second
+	seedLag  = 3 * clock.Second
+	calmEnd  = 14 * clock.Second
+	firstAt  = 10 * clock.Second
 	operator = 2
 )
 
@@ -113,11 +113,13 @@
 }
 
 type span struct {
-	from, to clk.Span
+	from, to clock.Span
 	slot     int
 }
 
-func (m *maker) span(lo, hi clk.Span) clk.Span { return lo + clk.Span(m.r.Int64N(int64(hi-lo)+1)) }
+func (m *maker) span(lo, hi clock.Span) clock.Span {
+	return lo + clock.Span(m.r.Int64N(int64(hi-lo)+1))
+}
 
 func (m *maker) pick(kinds map[string]int) string {
 	names := []string{}
@@ -137,13 +139,13 @@
 }
 
 // lost counts the slots that count as lost at some moment of a span.
-func (m *maker) fits(from, to clk.Span, slots []int) bool {
+func (m *maker) fits(from, to clock.Span, slots []int) bool {
 	for _, s := range m.all {
 		if from < s.to && s.from < to {
 			return false
 		}
 	}
-	times := []clk.Span{from}
+	times := []clock.Span{from}
 	for _, s := range m.busy {
 		if s.from > from && s.from < to {
 			times = append(times, s.from)
@@ -188,22 +190,22 @@
 	return 0
 }
 
-func (m *maker) fault(at clk.Span, kind string) (Fault, bool) {
+func (m *maker) fault(at clock.Span, kind string) (Fault, bool) {
 	f := Fault{At: at, Kind: kind}
 	switch kind {
 	case "cut", "cut-freeze":
-		f.Nodes, f.For = m.some(m.p.Losses), m.span(clk.Second, 24*clk.Second)
+		f.Nodes, f.For = m.some(m.p.Losses), m.span(clock.Second, 24*clock.Second)
 		f.Way, f.All = []string{"both", "both", "out", "in"}[m.r.IntN(4)], m.r.IntN(2) == 0
 	case "freeze", "slow-node":
-		f.Nodes, f.For = m.some(m.p.Losses), m.span(clk.Second/2, 6*clk.Second)
+		f.Nodes, f.For = m.some(m.p.Losses), m.span(clock.Second/2, 6*clock.Second)
 	case "kill", "power", "restart", "wipe", "replace":
-		f.Nodes, f.For = m.some(m.p.Losses), m.span(clk.Second/5, 5*clk.Second)
+		f.Nodes, f.For = m.some(m.p.Losses), m.span(clock.Second/5, 5*clock.Second)
 	case "away":
-		f.Nodes, f.For = m.some(m.p.Losses), m.span(8*clk.Second, 20*clk.Second)
+		f.Nodes, f.For = m.some(m.p.Losses), m.span(8*clock.Second, 20*clock.Second)
 	case "leave":
-		f.Nodes, f.For = m.some(1), m.span(6*clk.Second, 14*clk.Second)
+		f.Nodes, f.For = m.some(1), m.span(6*clock.Second, 14*clock.Second)
 	case "kill-all", "blackout":
-		f.For = m.span(clk.Second/5, 2*clk.Second)
+		f.For = m.span(clock.Second/5, 2*clock.Second)
 		for i := range m.keepers() {
 			f.Nodes = append(f.Nodes, i)
 		}
@@ -215,30 +217,30 @@
 		f.Nodes = m.r.Perm(m.keepers())[:1+m.r.IntN(m.keepers())]
 	case "reset":
 		f.Nodes = m.r.Perm(m.keepers())[:1]
-		f.Nodes, f.For = m.some(m.p.Losses), clk.Millisecond
+		f.Nodes, f.For = m.some(m.p.Losses), clock.Millisecond
 	case "relay-cut":
-		f.Nodes, f.For = []int{m.r.IntN(m.p.Relays)}, m.span(clk.Second, 8*clk.Second)
+		f.Nodes, f.For = []int{m.r.IntN(m.p.Relays)}, m.span(clock.Second, 8*clock.Second)
 	case "slow-disk", "stall-disk", "full-disk":
-		f.Nodes, f.For = m.some(m.p.Losses), m.span(clk.Second/2, 5*clk.Second)
+		f.Nodes, f.For = m.some(m.p.Losses), m.span(clock.Second/2, 5*clock.Second)
 	case "refuse":
-		f.Nodes, f.For, f.N = m.some(m.p.Losses), clk.Second*2, 1+m.r.IntN(4)
+		f.Nodes, f.For, f.N = m.some(m.p.Losses), clock.Second*2, 1+m.r.IntN(4)
 		f.Call = []string{"write", "sync", "truncate", "rename", "sync-dir", "open"}[m.r.IntN(6)]
 	case "rewrite":
-		f.Nodes, f.For = m.some(m.p.Losses), m.span(0, 30*clk.Millisecond)
+		f.Nodes, f.For = m.some(m.p.Losses), m.span(0, 30*clock.Millisecond)
 		if m.r.IntN(2) == 0 {
 			f.Call, f.N = []string{"write", "sync", "truncate", "rename", "sync-dir", "open"}[m.r.IntN(6)], 1+m.r.IntN(2)
 		}
 	case "answers-lost":
-		f.For, f.Rate = m.span(2*clk.Second, 8*clk.Second), 0.9
+		f.For, f.Rate = m.span(2*clock.Second, 8*clock.Second), 0.9
 	case "slow-link":
-		f.Nodes, f.For = m.some(m.p.Losses), m.span(clk.Second, 4*clk.Second)
+		f.Nodes, f.For = m.some(m.p.Losses), m.span(clock.Second, 4*clock.Second)
 	case "grow":
 		f.N = 1
 	}
 	till := at + f.For + catchUp
 	switch kind {
 	case "kill-all", "blackout":
-		if !m.fits(at-catchUp/2, till+2*clk.Second, nil) {
+		if !m.fits(at-catchUp/2, till+2*clock.Second, nil) {
 			return f, false
 		}
 		for _, s := range m.busy {
@@ -246,7 +248,7 @@
 				return f, false
 			}
 		}
-		m.all = append(m.all, span{at, till + 2*clk.Second, 0})
+		m.all = append(m.all, span{at, till + 2*clock.Second, 0})
 	case "seeds", "grow", "relay-cut", "answers-lost":
 	default:
 		if !m.fits(at, till, f.Nodes) {
@@ -274,7 +276,7 @@
 		p.Seeds[0] = 0
 	}
 	mix := Mixes()[point]
-	till := firstAt + m.span(15*clk.Second, 30*clk.Second)
+	till := firstAt + m.span(15*clock.Second, 30*clock.Second)
 	n := 3 + r.IntN(6)
 	for tries := 0; len(p.Faults) < n && tries < 60; tries++ {
 		at := m.span(firstAt, till)
@@ -284,14 +286,14 @@
 		}
 	}
 	if r.IntN(3) == 0 {
-		at := p.End + catchUp + m.span(clk.Second, 4*clk.Second)
+		at := p.End + catchUp + m.span(clock.Second, 4*clock.Second)
 		if f, ok := m.fault(at, []string{"kill-all", "blackout"}[r.IntN(2)]); ok {
 			p.Faults = append(p.Faults, f)
 			p.End = f.At + f.For
 		}
 	}
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
-	p.End = max(p.End, till) + clk.Second
+	p.End = max(p.End, till) + clock.Second
 	m.orders()
 	return p
 }
@@ -300,19 +302,19 @@
 
 func (m *maker) orders() {
 	p, r := m.p, m.r
-	pause := 700 * clk.Millisecond
+	pause := 700 * clock.Millisecond
 	if p.Point == 4 {
-		pause = 120 * clk.Millisecond
+		pause = 120 * clock.Millisecond
 		if r.IntN(3) == 0 {
 			p.Routes = 120
 		}
 	}
 	num := 1
-	var times []clk.Span
+	var times []clock.Span
 	for _, f := range p.Faults {
-		times = append(times, f.At-m.span(0, 40*clk.Millisecond), f.At+m.span(0, clk.Second), f.At+f.For+m.span(0, clk.Second/2))
+		times = append(times, f.At-m.span(0, 40*clock.Millisecond), f.At+m.span(0, clock.Second), f.At+f.For+m.span(0, clock.Second/2))
 	}
-	for at := 4 * clk.Second; at < p.End; at += m.span(pause/4, pause*2) {
+	for at := 4 * clock.Second; at < p.End; at += m.span(pause/4, pause*2) {
 		times = append(times, at)
 	}
 	slices.Sort(times)
@@ -337,7 +339,7 @@
 		p.Orders = append(p.Orders, o)
 		if (o.Kind == "replace" || o.Kind == "modify") && r.IntN(5) == 0 {
 			t := o
-			t.At += m.span(0, 2*clk.Millisecond)
+			t.At += m.span(0, 2*clock.Millisecond)
 			t.Operator = 1 - t.Operator
 			if r.IntN(3) > 0 {
 				num++
@@ -352,10 +354,10 @@
 func ReadPlan(b []byte) (*Plan, error) {
 	p := &Plan{}
 	if err := json.Unmarshal(b, p); err != nil {
-		return nil, code.New(code.BadSimPlan, "%v", err)
+		return nil, codes.New(codes.BadSimPlan, "%v", err)
 	}
 	if p.Core < 1 || p.Core > 99 || p.Diskless < 0 || p.Diskless > 99 || p.Relays < 1 || p.Relays > 99 || len(p.Seeds) == 0 || p.Point < 0 || p.Point >= Points {
-		return nil, code.New(code.BadSimPlan, "sizes")
+		return nil, codes.New(codes.BadSimPlan, "sizes")
 	}
 	return fits(p)
 }
@@ -363,16 +365,16 @@
 func fits(p *Plan) (*Plan, error) {
 	for _, n := range p.Seeds {
 		if n < 0 || n >= p.Core+p.Diskless {
-			return nil, code.New(code.BadSimPlan, "seed %d", n)
+			return nil, codes.New(codes.BadSimPlan, "seed %d", n)
 		}
 	}
 	for _, f := range p.Faults {
 		if Mixes()[0].Kinds[f.Kind] == 0 {
-			return nil, code.New(code.BadSimPlan, "there is no fault %q", f.Kind)
+			return nil, codes.New(codes.BadSimPlan, "there is no fault %q", f.Kind)
 		}
 		for _, n := range slices.Concat(f.Nodes, f.Seeds, f.Wiped) {
 			if n < 0 || n >= p.Core+p.Diskless {
-				return nil, code.New(code.BadSimPlan, "%s strikes %d", f.Kind, n)
+				return nil, codes.New(codes.BadSimPlan, "%s strikes %d", f.Kind, n)
 			}
 		}
 	}
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -8,9 +8,9 @@
 	"net"
 	"strings"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/head"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/httpmessage"
+	"spoolswitch/internal/ids"
 )
 
 // Reply is an answer as a client got it. Whole tells whether its body was.
@@ -31,12 +31,12 @@
 }
 
 // Call opens a connection.
-func Call(a word.Addr) *Client {
+func Call(a ids.Addr) *Client {
 	c, err := net.Dial("tcp4", string(a))
 	if err != nil {
 		panic(err)
 	}
-	_ = c.SetDeadline(clk.Now().Add(15 * clk.Second).Deadline())
+	_ = c.SetDeadline(clock.Now().Add(15 * clock.Second).Deadline())
 	return &Client{c: c, br: bufio.NewReader(c)}
 }
 
@@ -49,17 +49,17 @@
 }
 
 // Head reads the head of an answer that has no body.
-func (k *Client) Head() (*head.Response, error) { return head.ReadResponse(k.br) }
+func (k *Client) Head() (*httpmessage.Response, error) { return httpmessage.ReadResponse(k.br) }
 
 // Get reads one answer.
 func (k *Client) Get() (Reply, error) {
-	a, err := head.ReadResponse(k.br)
+	a, err := httpmessage.ReadResponse(k.br)
 	if err != nil {
 		return Reply{}, err
 	}
-	r := Reply{Status: a.Status, Seal: string(a.Field(head.Seal)), ID: string(a.Field(head.AttemptID)),
-		Back: string(a.Field(head.RetryAfter)), Close: a.Close}
-	b := head.NewBody(k.br, a.Framing)
+	r := Reply{Status: a.Status, Seal: string(a.Field(httpmessage.Seal)), ID: string(a.Field(httpmessage.AttemptID)),
+		Back: string(a.Field(httpmessage.RetryAfter)), Close: a.Close}
+	b := httpmessage.NewBody(k.br, a.Framing)
 	buf := make([]byte, 4096)
 	for {
 		n, err := b.Read(buf)
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -8,16 +8,16 @@
 
 	"github.com/valyala/fasthttp"
 
-	"spoolswitch/internal/list"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/discovery"
+	"spoolswitch/internal/ids"
 )
 
 // Platform is a stand-in for the platform's list.
 type Platform struct {
-	Addr word.Addr
+	Addr ids.Addr
 	mu   sync.Mutex
-	rs   []list.Replica
+	rs   []discovery.Replica
 	page int
 	n    int
 }
@@ -28,13 +28,13 @@
 	if err != nil {
 		panic(err)
 	}
-	p := &Platform{Addr: word.Addr(l.Addr().String()), page: page}
-	spawn.Go(func() { _ = fasthttp.Serve(l, p.handle) })
+	p := &Platform{Addr: ids.Addr(l.Addr().String()), page: page}
+	concurrency.Go(func() { _ = fasthttp.Serve(l, p.handle) })
 	return p
 }
 
 // Set changes the list.
-func (p *Platform) Set(rs ...list.Replica) {
+func (p *Platform) Set(rs ...discovery.Replica) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.rs = rs
@@ -53,7 +53,7 @@
 	p.n++
 	from, _ := strconv.Atoi(string(x.QueryArgs().Peek("page-token")))
 	to := min(from+p.page, len(p.rs))
-	out := map[string]any{"replicas": append([]list.Replica{}, p.rs[min(from, to):to]...), "next-token": nil}
+	out := map[string]any{"replicas": append([]discovery.Replica{}, p.rs[min(from, to):to]...), "next-token": nil}
 	if to < len(p.rs) {
 		out["next-token"] = strconv.Itoa(to)
 	}
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -9,9 +9,9 @@
 	"strings"
 	"sync"
 
-	"spoolswitch/internal/head"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/httpmessage"
+	"spoolswitch/internal/ids"
 )
 
 // Got is a request as a replica received it.
@@ -25,8 +25,8 @@
 
 // Replica is a stand-in for a replica.
 type Replica struct {
-	ID   word.Replica
-	Addr word.Addr
+	ID   ids.Replica
+	Addr ids.Addr
 
 	mu   sync.Mutex
 	play Play
@@ -36,13 +36,13 @@
 }
 
 // NewReplica starts a replica that answers with play.
-func NewReplica(id word.Replica, play Play) *Replica {
+func NewReplica(id ids.Replica, play Play) *Replica {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
 	}
-	r := &Replica{ID: id, Addr: word.Addr(l.Addr().String()), play: play, l: l}
-	spawn.Go(func() {
+	r := &Replica{ID: id, Addr: ids.Addr(l.Addr().String()), play: play, l: l}
+	concurrency.Go(func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
@@ -51,7 +51,7 @@
 			r.mu.Lock()
 			r.cs = append(r.cs, c)
 			r.mu.Unlock()
-			spawn.Go(func() { r.serve(c) })
+			concurrency.Go(func() { r.serve(c) })
 		}
 	})
 	return r
@@ -92,18 +92,18 @@
 	defer c.Close()
 	br := bufio.NewReaderSize(c, 64<<10)
 	for {
-		q, err := head.ReadRequest(br)
+		q, err := httpmessage.ReadRequest(br)
 		if err != nil {
 			return
 		}
-		b, err := head.NewBody(br, q.Framing).ReadAll(1 << 24)
+		b, err := httpmessage.NewBody(br, q.Framing).ReadAll(1 << 24)
 		if err != nil {
 			return
 		}
 		f := func(k string) string { return string(q.Field(k)) }
-		g := Got{ID: f(head.AttemptID), Method: q.Method, URI: q.URI, Host: q.Host, Expect: f(head.Expected),
-			LastEvent: f(head.LastEvent), Deadline: f(head.DeadlineMs), Body: string(b),
-			Model: f(head.Model), Tokens: f(head.Tokens), Prefix: f(head.Prefix)}
+		g := Got{ID: f(httpmessage.AttemptID), Method: q.Method, URI: q.URI, Host: q.Host, Expect: f(httpmessage.Expected),
+			LastEvent: f(httpmessage.LastEvent), Deadline: f(httpmessage.DeadlineMs), Body: string(b),
+			Model: f(httpmessage.Model), Tokens: f(httpmessage.Tokens), Prefix: f(httpmessage.Prefix)}
 		r.mu.Lock()
 		r.got = append(r.got, g)
 		p := r.play
--- a/internal/note/note.go
+++ b/internal/telemetry/telemetry.go
@@ -1,6 +1,6 @@
-// Package note keeps the counters and writes the log: counters first, lines
+// Package telemetry keeps the counters and writes the log: counters first, lines
 // only for changes of state.
-package note
+package telemetry
 
 import (
 	"os"
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -8,73 +8,73 @@
 	"strings"
 	"sync"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/code"
-	"spoolswitch/internal/keep"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/wire"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/consensus"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/rpc"
 )
 
 // Ask asks one daemon for its report on a key.
-type Ask func(a word.Addr, key word.Key, timeout clk.Span) (*keep.Report, error)
+type Ask func(a ids.Addr, key ids.Key, timeout clock.Span) (*consensus.Report, error)
 
 // Wire asks over the wire.
-func Wire(a word.Addr, key word.Key, timeout clk.Span) (*keep.Report, error) {
-	p := wire.NewPeer[keep.Msg](a)
+func Wire(a ids.Addr, key ids.Key, timeout clock.Span) (*consensus.Report, error) {
+	p := rpc.NewPeer[consensus.Msg](a)
 	defer p.Close()
-	m, err := p.Call(keep.Msg{Kind: keep.Trace, Key: key}, timeout)
+	m, err := p.Call(consensus.Msg{Kind: consensus.Trace, Key: key}, timeout)
 	if err != nil {
 		return nil, err
 	}
 	if m.Report == nil {
-		return nil, code.New(code.NoCall, "%s tells no trace", a)
+		return nil, codes.New(codes.NoCall, "%s tells no trace", a)
 	}
 	return m.Report, nil
 }
 
 // Relay is where a relay stands with the change.
 type Relay struct {
-	Node    word.Node
-	Keeper  word.Addr
+	Node    ids.Node
+	Keeper  ids.Addr
 	Feed    uint64
 	Applied bool
-	Ago     clk.Span
-	Version word.Version
+	Ago     clock.Span
+	Version ids.Version
 }
 
 // Trace is all that is known of one change.
 type Trace struct {
-	Key     word.Key
+	Key     ids.Key
 	Label   string
-	Owner   word.Node
-	At      word.Place
-	Voted   []word.Node
-	Synced  []word.Node
-	InFeed  map[word.Node]clk.Span
-	Feeds   map[word.Node]uint64
+	Owner   ids.Node
+	At      ids.Place
+	Voted   []ids.Node
+	Synced  []ids.Node
+	InFeed  map[ids.Node]clock.Span
+	Feeds   map[ids.Node]uint64
 	Relays  []Relay
 	Silent  []string
-	Reports []*keep.Report `json:"-"`
+	Reports []*consensus.Report `json:"-"`
 }
 
 // Fleet asks all daemons that a keeper knows of, within timeout.
-func Fleet(ask Ask, first word.Addr, key word.Key, timeout clk.Span) ([]*keep.Report, []string, error) {
+func Fleet(ask Ask, first ids.Addr, key ids.Key, timeout clock.Span) ([]*consensus.Report, []string, error) {
 	r, err := ask(first, key, timeout)
 	if err != nil {
-		return nil, nil, code.New(code.PeerLost, "%s: %v", first, err)
+		return nil, nil, codes.New(codes.PeerLost, "%s: %v", first, err)
 	}
 	var mu sync.Mutex
-	out := []*keep.Report{r}
+	out := []*consensus.Report{r}
 	var silent []string
-	gather := func(who map[string]word.Addr) {
-		done := spawn.NewMark()
+	gather := func(who map[string]ids.Addr) {
+		done := concurrency.NewMark()
 		left := len(who)
 		if left == 0 {
 			return
 		}
 		for n, a := range who {
-			spawn.Go(func() {
+			concurrency.Go(func() {
 				r, err := ask(a, key, timeout)
 				mu.Lock()
 				defer mu.Unlock()
@@ -90,10 +90,10 @@
 		}
 		done.Wait(2 * timeout)
 	}
-	keepers, relays := map[string]word.Addr{}, map[string]word.Addr{}
+	keepers, relays := map[string]ids.Addr{}, map[string]ids.Addr{}
 	for _, n := range slices.Concat(r.Roster.All(), r.Others) {
 		if n != r.Node {
-			keepers[string(n)] = word.Addr(n)
+			keepers[string(n)] = ids.Addr(n)
 		}
 	}
 	gather(keepers)
@@ -113,12 +113,12 @@
 }
 
 // Change traces the change of a key that carries a label.
-func Change(ask Ask, first word.Addr, key word.Key, label string, timeout clk.Span) (*Trace, error) {
+func Change(ask Ask, first ids.Addr, key ids.Key, label string, timeout clock.Span) (*Trace, error) {
 	rs, silent, err := Fleet(ask, first, key, timeout)
 	if err != nil {
 		return nil, err
 	}
-	t := &Trace{Key: key, Label: label, InFeed: map[word.Node]clk.Span{}, Feeds: map[word.Node]uint64{}, Silent: silent, Reports: rs}
+	t := &Trace{Key: key, Label: label, InFeed: map[ids.Node]clock.Span{}, Feeds: map[ids.Node]uint64{}, Silent: silent, Reports: rs}
 	for _, r := range rs {
 		for _, s := range r.Steps {
 			if s.Label == label && (t.At.Zero() || t.At.Less(s.At)) {
@@ -128,7 +128,7 @@
 	}
 	known := !t.At.Zero()
 	t.Owner = t.At.Epoch.Node
-	voted, synced := map[word.Node]bool{}, map[word.Node]bool{}
+	voted, synced := map[ids.Node]bool{}, map[ids.Node]bool{}
 	for _, r := range rs {
 		for _, s := range r.Steps {
 			switch {
@@ -152,13 +152,13 @@
 	}
 	t.Voted, t.Synced = names(voted), names(synced)
 	if !known {
-		return nil, code.New(code.UnknownChange, "%s %s", key, label)
+		return nil, codes.New(codes.UnknownChange, "%s %s", key, label)
 	}
 	return t, nil
 }
 
-func names(m map[word.Node]bool) []word.Node {
-	var out []word.Node
+func names(m map[ids.Node]bool) []ids.Node {
+	var out []ids.Node
 	for n := range m {
 		out = append(out, n)
 	}
@@ -166,7 +166,7 @@
 	return out
 }
 
-func ms(d clk.Span) string { return fmt.Sprintf("%d ms ago", d/clk.Millisecond) }
+func ms(d clock.Span) string { return fmt.Sprintf("%d ms ago", d/clock.Millisecond) }
 
 // Text is the trace for people.
 func (t *Trace) Text() string {
@@ -198,8 +198,8 @@
 	return b.String()
 }
 
-func sortedKeys(m map[word.Node]uint64) []word.Node {
-	b := map[word.Node]bool{}
+func sortedKeys(m map[ids.Node]uint64) []ids.Node {
+	b := map[ids.Node]bool{}
 	for n := range m {
 		b[n] = true
 	}
--- a/internal/link/conn.go
+++ b/internal/upstream/conn.go
@@ -1,6 +1,6 @@
-// Package link keeps connections to replicas and carries one request at a
+// Package upstream keeps connections to replicas and carries one request at a
 // time over each.
-package link
+package upstream
 
 import (
 	"bufio"
@@ -10,27 +10,27 @@
 
 	"golang.org/x/sys/unix"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/head"
-	"spoolswitch/internal/note"
-	"spoolswitch/internal/wire"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/httpmessage"
+	"spoolswitch/internal/ids"
+	"spoolswitch/internal/rpc"
+	"spoolswitch/internal/telemetry"
 )
 
 const (
 	readSize    = 4096
-	idleDefault = 4 * clk.Second
-	idleMargin  = 500 * clk.Millisecond
-	unheard     = 500 * clk.Millisecond
+	idleDefault = 4 * clock.Second
+	idleMargin  = 500 * clock.Millisecond
+	unheard     = 500 * clock.Millisecond
 	strangers   = 2
 )
 
 var (
-	dials    = note.Counter("link.dials")
-	reused   = note.Counter("link.reused")
-	surplus  = note.Counter("link.surplus")
-	mistaken = note.Counter("link.mistaken")
-	bytesOut = note.Counter("link.bytes-out")
+	dials    = telemetry.Counter("link.dials")
+	reused   = telemetry.Counter("link.reused")
+	surplus  = telemetry.Counter("link.surplus")
+	mistaken = telemetry.Counter("link.mistaken")
+	bytesOut = telemetry.Counter("link.bytes-out")
 )
 
 // Conn is a connection to a replica.
@@ -39,7 +39,7 @@
 	rc    syscall.RawConn
 	br    *bufio.Reader
 	used  int
-	until clk.Tick
+	until clock.Tick
 	spent bool
 	tries [remembered]uint64
 }
@@ -51,13 +51,13 @@
 // it that was not read.
 type Quiet interface{ Quiet() bool }
 
-func dial(a word.Addr, timeout clk.Span) (*Conn, error) {
+func dial(a ids.Addr, timeout clock.Span) (*Conn, error) {
 	dials.Add(1)
-	c, err := wire.Dial(a, timeout)
+	c, err := rpc.Dial(a, timeout)
 	if err != nil {
 		return nil, err
 	}
-	wire.Tune(c, unheard)
+	rpc.Tune(c, unheard)
 	k := &Conn{c: c, br: bufio.NewReaderSize(c, readSize)}
 	if t, ok := c.(*net.TCPConn); ok {
 		k.rc, _ = t.SyscallConn()
@@ -84,7 +84,7 @@
 
 // Put sends bytes; whole tells whether all of them left. A request of which a
 // part never left cannot have run.
-func (k *Conn) Put(b []byte, deadline clk.Tick) (whole bool, err error) {
+func (k *Conn) Put(b []byte, deadline clock.Tick) (whole bool, err error) {
 	_ = k.c.SetDeadline(deadline.Deadline())
 	n, err := k.c.Write(b)
 	bytesOut.Add(int64(n))
@@ -92,20 +92,20 @@
 }
 
 // SetDeadline sets the moment past which reading ends.
-func (k *Conn) SetDeadline(t clk.Tick) { _ = k.c.SetReadDeadline(t.Deadline()) }
+func (k *Conn) SetDeadline(t clock.Tick) { _ = k.c.SetReadDeadline(t.Deadline()) }
 
 // Response reads the head of the answer to the try id. Answers to other tries
 // are passed over, and the connection is not used again; nor is it where the
 // try has no id that could tell its answer from others.
-func (k *Conn) Response(id []byte) (*head.Response, error) {
+func (k *Conn) Response(id []byte) (*httpmessage.Response, error) {
 	k.spent = k.spent || len(id) == 0
 	for i := 0; ; i++ {
-		a, err := head.ReadResponse(k.br)
+		a, err := httpmessage.ReadResponse(k.br)
 		if err != nil {
 			k.spent = true
 			return nil, err
 		}
-		if string(a.Field(head.AttemptID)) == string(id) {
+		if string(a.Field(httpmessage.AttemptID)) == string(id) {
 			if a.Close {
 				k.spent = true
 			}
@@ -116,14 +116,16 @@
 		if i >= strangers || (a.None && !a.Chunked) {
 			return nil, ErrMistaken
 		}
-		if _, err := head.NewBody(k.br, a.Framing).ReadAll(1 << 20); err != nil {
+		if _, err := httpmessage.NewBody(k.br, a.Framing).ReadAll(1 << 20); err != nil {
 			return nil, err
 		}
 	}
 }
 
 // Body is the reader of the answer's body.
-func (k *Conn) Body(a *head.Response) *head.Body { return head.NewBody(k.br, a.Framing) }
+func (k *Conn) Body(a *httpmessage.Response) *httpmessage.Body {
+	return httpmessage.NewBody(k.br, a.Framing)
+}
 
 // Unheard tells whether an error says that the other end's machine has not even
 // taken notice of what was sent.
--- a/internal/link/pool.go
+++ b/internal/upstream/pool.go
@@ -1,12 +1,12 @@
-package link
+package upstream
 
 import (
 	"errors"
 	"sync"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/head"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/httpmessage"
+	"spoolswitch/internal/ids"
 )
 
 // ErrMistaken says that only answers to other tries came.
@@ -14,7 +14,7 @@
 
 // Pool keeps the idle connections to one life of a replica.
 type Pool struct {
-	Addr word.Addr
+	Addr ids.Addr
 	mu   sync.Mutex
 	idle []*Conn
 	shut bool
@@ -30,7 +30,7 @@
 
 // Get finds an idle connection for a try, given by a hash of its id, or makes
 // one.
-func (p *Pool) Get(try uint64, timeout clk.Span) (*Conn, error) {
+func (p *Pool) Get(try uint64, timeout clock.Span) (*Conn, error) {
 	for {
 		p.mu.Lock()
 		n := len(p.idle)
@@ -42,7 +42,7 @@
 		k := p.idle[n-1]
 		p.idle = p.idle[:n-1]
 		p.mu.Unlock()
-		if clk.Now() < k.until && k.quiet() && k.take(try) {
+		if clock.Now() < k.until && k.quiet() && k.take(try) {
 			reused.Add(1)
 			return k, nil
 		}
@@ -69,7 +69,7 @@
 
 // Give takes a connection back after a whole answer, or closes it if it may
 // not be used again.
-func (p *Pool) Give(k *Conn, a *head.Response) {
+func (p *Pool) Give(k *Conn, a *httpmessage.Response) {
 	if k.spent || a.Close {
 		p.Drop(k)
 		return
@@ -87,7 +87,7 @@
 		p.Drop(k)
 		return
 	}
-	k.until = clk.Now().Add(d)
+	k.until = clock.Now().Add(d)
 	k.used++
 	p.mu.Lock()
 	if p.shut {
@@ -97,7 +97,7 @@
 	}
 	p.idle = append(p.idle, k)
 	var old []*Conn
-	for len(p.idle) > 0 && clk.Now() >= p.idle[0].until {
+	for len(p.idle) > 0 && clock.Now() >= p.idle[0].until {
 		old = append(old, p.idle[0])
 		p.idle = p.idle[1:]
 	}
--- a/internal/link/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -1,4 +1,4 @@
-package link
+package upstream
 
 import (
 	"net"
@@ -6,20 +6,20 @@
 
 	"github.com/matryer/is"
 
-	"spoolswitch/internal/clk"
-	"spoolswitch/internal/head"
-	"spoolswitch/internal/spawn"
-	"spoolswitch/internal/word"
+	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
+	"spoolswitch/internal/httpmessage"
+	"spoolswitch/internal/ids"
 )
 
 // host accepts connections and hands them to the test.
-func host(t *testing.T) (word.Addr, func() net.Conn) {
+func host(t *testing.T) (ids.Addr, func() net.Conn) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	return word.Addr(l.Addr().String()), func() net.Conn {
+	return ids.Addr(l.Addr().String()), func() net.Conn {
 		c, err := l.Accept()
 		if err != nil {
 			t.Fatal(err)
@@ -32,15 +32,15 @@
 	is := is.New(t)
 	a, accept := host(t)
 	p := &Pool{Addr: a}
-	k, err := p.Get(1, clk.Second)
+	k, err := p.Get(1, clock.Second)
 	is.NoErr(err)
 	accept()
-	p.Give(k, &head.Response{})
-	again, err := p.Get(2, clk.Second)
+	p.Give(k, &httpmessage.Response{})
+	again, err := p.Get(2, clock.Second)
 	is.NoErr(err)
 	is.True(again == k)
 	is.Equal(p.Open(), 1)
-	p.Give(again, &head.Response{Close: true}) // says that it closes
+	p.Give(again, &httpmessage.Response{Close: true}) // says that it closes
 	is.Equal(p.Open(), 0)
 }
 
@@ -50,17 +50,17 @@
 	is := is.New(t)
 	a, accept := host(t)
 	p := &Pool{Addr: a}
-	k, err := p.Get(7, clk.Second)
+	k, err := p.Get(7, clock.Second)
 	is.NoErr(err)
 	accept()
 	for try := range uint64(3) {
-		p.Give(k, &head.Response{})
-		next, err := p.Get(try, clk.Second)
+		p.Give(k, &httpmessage.Response{})
+		next, err := p.Get(try, clock.Second)
 		is.NoErr(err)
 		is.True(next == k)
 	}
-	p.Give(k, &head.Response{})
-	again, err := p.Get(7, clk.Second)
+	p.Give(k, &httpmessage.Response{})
+	again, err := p.Get(7, clock.Second)
 	is.NoErr(err)
 	is.True(again != k)
 	is.Equal(p.Open(), 1)
@@ -71,11 +71,11 @@
 	is := is.New(t)
 	a, accept := host(t)
 	p := &Pool{Addr: a}
-	k, err := p.Get(1, clk.Second)
+	k, err := p.Get(1, clock.Second)
 	is.NoErr(err)
 	c := accept()
-	spawn.Go(func() { _, _ = c.Write([]byte("HTTP/1.1 400 X\r\nContent-Length: 0\r\n\r\n")) })
-	k.SetDeadline(clk.Now().Add(10 * clk.Second))
+	concurrency.Go(func() { _, _ = c.Write([]byte("HTTP/1.1 400 X\r\nContent-Length: 0\r\n\r\n")) })
+	k.SetDeadline(clock.Now().Add(10 * clock.Second))
 	ans, err := k.Response(nil)
 	is.NoErr(err)
 	p.Give(k, ans)
@@ -92,13 +92,13 @@
 			is := is.New(t)
 			a, accept := host(t)
 			p := &Pool{Addr: a}
-			k, err := p.Get(3, clk.Second)
+			k, err := p.Get(3, clock.Second)
 			is.NoErr(err)
 			spoil(accept())
 			for k.quiet() {
 			}
-			p.Give(k, &head.Response{})
-			next, err := p.Get(4, clk.Second)
+			p.Give(k, &httpmessage.Response{})
+			next, err := p.Get(4, clock.Second)
 			is.NoErr(err)
 			is.True(next != k)
 		})
@@ -107,19 +107,19 @@
 
 func TestKeepAliveIsHeeded(t *testing.T) {
 	is := is.New(t)
-	sim := &clk.Sim{}
+	sim := &clock.Sim{}
 	a, accept := host(t)
 	p := &Pool{Addr: a}
-	k, err := p.Get(5, clk.Second)
+	k, err := p.Get(5, clock.Second)
 	is.NoErr(err)
 	accept()
 	t.Cleanup(sim.Use())
-	p.Give(k, &head.Response{Alive: 2 * clk.Second})
-	sim.Move(1600 * clk.Millisecond) // short of it by less than the margin
+	p.Give(k, &httpmessage.Response{Alive: 2 * clock.Second})
+	sim.Move(1600 * clock.Millisecond) // short of it by less than the margin
 	p.mu.Lock()
 	idle := p.idle[0]
 	p.mu.Unlock()
-	is.True(clk.Now() >= idle.until)
+	is.True(clock.Now() >= idle.until)
 	p.Shut()
 	is.Equal(p.Open(), 0)
 }
@@ -129,14 +129,14 @@
 	is := is.New(t)
 	a, accept := host(t)
 	p := &Pool{Addr: a}
-	k, err := p.Get(6, clk.Second)
+	k, err := p.Get(6, clock.Second)
 	is.NoErr(err)
 	c := accept()
-	spawn.Go(func() {
+	concurrency.Go(func() {
 		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 2\r\n\r\nno" +
 			"HTTP/1.1 200 OK\r\nAttempt-Id: mine\r\nContent-Length: 3\r\n\r\nyes"))
 	})
-	k.SetDeadline(clk.Now().Add(10 * clk.Second))
+	k.SetDeadline(clock.Now().Add(10 * clock.Second))
 	ans, err := k.Response([]byte("mine"))
 	is.NoErr(err)
 	b, err := k.Body(ans).ReadAll(10)
