--- a/internal/codes/codes.go
+++ b/internal/codes/codes.go
@@ -52,6 +52,7 @@
 	ListRefused   Code = 405
 	UnknownChange Code = 406
 	OtherRelease  Code = 407
+	DiskIllegible Code = 408
 	BadBatch      Code = 501
 	OldEpoch      Code = 502
 	BadCounts     Code = 511
@@ -72,7 +73,7 @@
 	OldVersion: "version not above the current", OtherVersion: "another version is current",
 	NoZone: "unknown zone", NoMajority: "no majority", Nothing: "nothing there yet", BadItem: "item at fault", TooOld: "older than what is remembered",
 	Moved: "the place has moved", Unvouched: "may be an old order",
-	DiskRefused: "the disk refused it", DiskCorrupt: "a record is corrupt", PeerLost: "a daemon did not answer",
+	DiskRefused: "the disk refused it", DiskCorrupt: "a record is corrupt", DiskIllegible: "a whole record cannot be decoded", PeerLost: "a daemon did not answer",
 	NotVoting: "not voting", ListRefused: "the platform refused the call", UnknownChange: "unknown change",
 	OtherRelease: "another release",
 	BadBatch:     "malformed batch", OldEpoch: "batch of an epoch that is over",
@@ -80,6 +81,7 @@
 	BadSimFlags: "flags at fault", BadSimPlan: "plan of a simulated day unreadable", SimBroken: "a simulated day is broken",
 }
 
+// String is what the code means, in a few words.
 func (c Code) String() string { return names[c] }
 
 // All are the numbered results.
@@ -91,6 +93,7 @@
 	Text string
 }
 
+// Error is the code, its meaning and the details.
 func (f *Fault) Error() string {
 	if f.Text == "" {
 		return fmt.Sprintf("%d %s", int(f.Code), f.Code)
--- a/internal/consensus/acceptor.go
+++ b/internal/consensus/acceptor.go
@@ -63,13 +63,16 @@
 	return &Acceptor{lane: concurrency.Turn{Max: 256}, cells: map[ids.Key]Cell{}}
 }
 
-// Replay takes one record of the disk in.
-func (a *Acceptor) Replay(p []byte) {
+// Replay takes one record of the disk in. One that is whole by its checksum and
+// cannot be decoded, as of a later release, may hold a promise: without it the
+// disk must not vote.
+func (a *Acceptor) Replay(p []byte) error {
 	var e entry
-	if gob.NewDecoder(bytes.NewReader(p)).Decode(&e) != nil {
-		return
+	if err := gob.NewDecoder(bytes.NewReader(p)).Decode(&e); err != nil {
+		return codes.New(codes.DiskIllegible, "a record of %d bytes: %v", len(p), err)
 	}
 	a.apply(&e)
+	return nil
 }
 
 func (a *Acceptor) apply(e *entry) {
@@ -109,7 +112,8 @@
 
 // Open opens the disk and takes its records in. Of a corrupt log it keeps what
 // was read, as that of a keeper that does not vote, in one rewrite: a start
-// later must not find a whole log that says otherwise.
+// later must not find a whole log that says otherwise. A log with a record that
+// cannot be decoded is refused with codes.DiskIllegible, and its file kept.
 func (a *Acceptor) Open(fs disk.FS) (disk.State, error) {
 	l, s, err := disk.Open(fs, a.Replay)
 	if err != nil {
--- a/internal/consensus/acceptor_test.go
+++ b/internal/consensus/acceptor_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"spoolswitch/internal/codes"
 	"spoolswitch/internal/disk"
 	"spoolswitch/internal/ids"
 	"spoolswitch/internal/interleave"
@@ -319,3 +320,39 @@
 		is.Equal(a.Roster(), three) // its good part is kept
 	}
 }
+
+// A record that is whole and cannot be decoded may hold a promise: the disk is
+// refused, its file kept, and nothing is voted for until an operator takes the
+// file away. Then it counts as a lost disk.
+func TestIllegibleRecord(t *testing.T) {
+	is := is.New(t)
+	d := disk.Dir(t.TempDir())
+	a := NewAcceptor()
+	_, err := a.Open(d)
+	is.NoErr(err)
+	is.NoErr(a.Found(three, nil))
+	l, _, err := disk.Open(d, func([]byte) error { return nil })
+	is.NoErr(err)
+	is.NoErr(l.Append([]byte("a record of a later release")))
+	file := filepath.Join(string(d), "keep.log")
+	before, err := os.ReadFile(file)
+	is.NoErr(err)
+	a = NewAcceptor()
+	for range 2 {
+		_, err = a.Open(d)
+		is.Equal(codes.Of(err), codes.DiskIllegible)
+		is.True(!a.Voting())
+		is.True(!a.Ready())
+		e := ids.Epoch{Round: 9, Node: "a"}
+		is.True(!a.Vote("k", e, three).OK)
+	}
+	after, err := os.ReadFile(file)
+	is.NoErr(err)
+	is.Equal(after, before)
+	is.NoErr(os.Remove(file))
+	a = NewAcceptor()
+	state, err := a.Open(d)
+	is.NoErr(err)
+	is.Equal(state, disk.Empty)
+	is.True(!a.Voting())
+}
--- a/internal/consensus/keeper.go
+++ b/internal/consensus/keeper.go
@@ -134,11 +134,6 @@
 	}
 }
 
-func (k *Keeper) tell(m Msg) {
-	m.From = k.Self
-	k.askAllLater(k.peers(), m)
-}
-
 // peers are the daemons that keep values with this one: the seats, and others
 // that hold rounds, which those do that have a disk. Who only forwards orders
 // needs to be told nothing.
--- a/internal/consensus/keeper_test.go
+++ b/internal/consensus/keeper_test.go
@@ -133,7 +133,6 @@
 type sink struct {
 	mu    sync.Mutex
 	items map[ids.Key]Item
-	back  bool
 	// followers are named in digests.
 	followers []ids.Node
 }
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -167,6 +167,7 @@
 }
 
 func (d *Daemon) open(s *settings.Settings, fs disk.FS, acc *consensus.Acceptor) {
+	refused := ""
 	for !d.over.Load() {
 		st, err := disk.Empty, error(nil)
 		if fs == nil {
@@ -176,7 +177,10 @@
 			st, err = acc.Open(fs)
 		}
 		if err != nil {
-			telemetry.Trouble("disk refused", "err", err)
+			if refused != err.Error() {
+				refused = err.Error()
+				telemetry.Trouble("disk refused", "code", int(codes.Of(err)), "err", err)
+			}
 			clock.Sleep(200 * clock.Millisecond)
 			continue
 		}
--- a/internal/disk/faults_test.go
+++ b/internal/disk/faults_test.go
@@ -307,10 +307,10 @@
 		p.d.lose()
 	}
 	last, n := 0, 0
-	l, s, err := Open(p.d, func(b []byte) {
+	l, s, err := Open(p.d, each(func(b []byte) {
 		last, _ = strconv.Atoi(string(b))
 		n++
-	})
+	}))
 	p.l = nil
 	if err != nil {
 		return ""
--- a/internal/disk/log.go
+++ b/internal/disk/log.go
@@ -65,8 +65,9 @@
 
 // Open reads the log and opens it for more; each record goes to fn. What was
 // read is on the disk, under its name, before Open returns. A corrupt log is
-// left as it is, and takes no record until it has been rewritten.
-func Open(fs FS, fn func([]byte)) (*Log, State, error) {
+// left as it is, and takes no record until it has been rewritten. An error of fn
+// ends the opening, and leaves the file as it is.
+func Open(fs FS, fn func([]byte) error) (*Log, State, error) {
 	b, err := fs.Read(name)
 	if os.IsNotExist(err) {
 		if b, err = renamed(fs); err != nil {
@@ -84,7 +85,10 @@
 	if os.IsNotExist(err) {
 		state = Empty
 	}
-	at, last, bad := scan(b, fn)
+	at, last, bad, err := scan(b, fn)
+	if err != nil {
+		return nil, Corrupt, err
+	}
 	if bad {
 		state = Corrupt
 	}
@@ -116,7 +120,7 @@
 	if err != nil {
 		return nil, codes.New(codes.DiskRefused, "%v", err)
 	}
-	at, _, bad := scan(b, func([]byte) {})
+	at, _, bad, _ := scan(b, func([]byte) error { return nil })
 	if bad || at == 0 || at != int64(len(b)) {
 		return nil, nil
 	}
@@ -146,23 +150,25 @@
 }
 
 // scan tells where the records end, where the last one begins, and whether
-// more are behind a bad one.
-func scan(b []byte, fn func([]byte)) (at, last int64, bad bool) {
+// more are behind a bad one. An error of fn ends it.
+func scan(b []byte, fn func([]byte) error) (at, last int64, bad bool, err error) {
 	for {
 		p, ok := record(b[at:])
 		if !ok {
 			break
 		}
-		fn(p)
+		if err := fn(p); err != nil {
+			return at, last, false, err
+		}
 		last = at
 		at += head + int64(len(p))
 	}
 	for i := at + 1; i+head < int64(len(b)); i++ {
 		if p, ok := record(b[i:]); ok && len(p) > 0 {
-			return at, last, true
+			return at, last, true, nil
 		}
 	}
-	return at, last, false
+	return at, last, false, nil
 }
 
 func record(b []byte) ([]byte, bool) {
--- a/internal/disk/log_test.go
+++ b/internal/disk/log_test.go
@@ -88,7 +88,7 @@
 
 func open(d *ram) (*Log, State, []string) {
 	var got []string
-	l, s, err := Open(d, func(b []byte) { got = append(got, string(b)) })
+	l, s, err := Open(d, each(func(b []byte) { got = append(got, string(b)) }))
 	if err != nil {
 		panic(err)
 	}
@@ -181,14 +181,14 @@
 func TestDir(t *testing.T) {
 	is := is.New(t)
 	d := Dir(t.TempDir() + "/data")
-	l, s, err := Open(d, func([]byte) {})
+	l, s, err := Open(d, each(func([]byte) {}))
 	is.NoErr(err)
 	is.Equal(s, Empty)
 	is.NoErr(l.Append([]byte("one")))
 	is.NoErr(l.Rewrite([][]byte{[]byte("two")}))
 	is.NoErr(l.Append([]byte("three")))
 	n := 0
-	_, s, err = Open(d, func([]byte) { n++ })
+	_, s, err = Open(d, each(func([]byte) { n++ }))
 	is.NoErr(err)
 	is.Equal(s, Whole)
 	is.Equal(n, 2)
@@ -199,9 +199,40 @@
 	f.Add([]byte{1, 0, 0, 0, 0, 0, 0, 0, 9})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		n := int64(0)
-		at, _, _ := scan(b, func(p []byte) { n += head + int64(len(p)) })
+		at, _, _, _ := scan(b, each(func(p []byte) { n += head + int64(len(p)) }))
 		if at != n || at > int64(len(b)) {
 			t.Fatalf("read %d, stands at %d of %d", n, at, len(b))
 		}
 	})
 }
+
+// each takes every record.
+func each(fn func([]byte)) func([]byte) error {
+	return func(b []byte) error {
+		fn(b)
+		return nil
+	}
+}
+
+// A record that its reader refuses ends the opening, and nothing is written.
+func TestRefusedByReader(t *testing.T) {
+	is := is.New(t)
+	d := newRAM()
+	l, _, err := Open(d, each(func([]byte) {}))
+	is.NoErr(err)
+	is.NoErr(l.Append([]byte("one")))
+	is.NoErr(l.Append([]byte("two")))
+	before, err := d.Read(name)
+	is.NoErr(err)
+	refusal := errors.New("not legible")
+	_, _, err = Open(d, func(b []byte) error {
+		if string(b) == "two" {
+			return refusal
+		}
+		return nil
+	})
+	is.True(errors.Is(err, refusal))
+	after, err := d.Read(name)
+	is.NoErr(err)
+	is.Equal(after, before)
+}
--- a/internal/ids/ids.go
+++ b/internal/ids/ids.go
@@ -98,6 +98,7 @@
 // Zero tells whether e is no epoch at all.
 func (e Epoch) Zero() bool { return e.Round == 0 }
 
+// String is the round and the node of the epoch.
 func (e Epoch) String() string { return fmt.Sprintf("%d@%s", e.Round, e.Node) }
 
 // Place is the place of a value among all values of its key.
@@ -117,4 +118,5 @@
 // Zero tells whether p is no place at all.
 func (p Place) Zero() bool { return p.Epoch.Zero() }
 
+// String is the epoch and the sequence number of the place.
 func (p Place) String() string { return fmt.Sprintf("%s.%d", p.Epoch, p.Seq) }
--- a/internal/interleave/house_test.go
+++ b/internal/interleave/house_test.go
@@ -95,3 +95,78 @@
 		t.Fatalf("only %d files seen", files)
 	}
 }
+
+// Every package and every exported item has a doc comment.
+func TestDocComments(t *testing.T) {
+	described := map[string]bool{}
+	err := filepath.WalkDir("../..", func(path string, entry os.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		set := token.NewFileSet()
+		file, err := parser.ParseFile(set, path, nil, parser.ParseComments)
+		if err != nil {
+			return err
+		}
+		dir := filepath.Dir(path)
+		described[dir] = described[dir] || file.Doc != nil
+		for _, name := range undocumented(file) {
+			t.Errorf("%s: %s has no doc comment", set.Position(name.Pos()), name.Name)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for dir, ok := range described {
+		if !ok {
+			t.Errorf("package in %s has no doc comment", dir)
+		}
+	}
+}
+
+// undocumented lists the exported names that a file declares without a comment.
+func undocumented(file *ast.File) (out []*ast.Ident) {
+	check := func(name *ast.Ident, comments ...*ast.CommentGroup) {
+		for _, c := range comments {
+			if c != nil {
+				return
+			}
+		}
+		if name.IsExported() {
+			out = append(out, name)
+		}
+	}
+	for _, decl := range file.Decls {
+		switch d := decl.(type) {
+		case *ast.FuncDecl:
+			if d.Recv == nil || receiverExported(d.Recv.List[0].Type) {
+				check(d.Name, d.Doc)
+			}
+		case *ast.GenDecl:
+			for _, spec := range d.Specs {
+				switch s := spec.(type) {
+				case *ast.TypeSpec:
+					check(s.Name, d.Doc, s.Doc, s.Comment)
+				case *ast.ValueSpec:
+					for _, name := range s.Names {
+						check(name, d.Doc, s.Doc, s.Comment)
+					}
+				}
+			}
+		}
+	}
+	return out
+}
+
+func receiverExported(e ast.Expr) bool {
+	switch x := e.(type) {
+	case *ast.StarExpr:
+		return receiverExported(x.X)
+	case *ast.IndexExpr:
+		return receiverExported(x.X)
+	case *ast.Ident:
+		return x.IsExported()
+	}
+	return false
+}
--- a/internal/kvindex/batch.go
+++ b/internal/kvindex/batch.go
@@ -45,6 +45,7 @@
 	Inferred
 )
 
+// String names the grade.
 func (g Grade) String() string { return [...]string{"observed", "inferred"}[g] }
 
 // Event is one change of what a replica keeps.
--- a/internal/kvindex/lookup.go
+++ b/internal/kvindex/lookup.go
@@ -21,6 +21,7 @@
 
 var missNames = [...]string{"hit", "evicted", "no_match", "lookup_limit", "unknown_history", "unknown_epoch"}
 
+// String names the kind of miss.
 func (m Miss) String() string { return missNames[m] }
 
 var misses = func() (out [len(missNames)]*telemetry.Count) {
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -23,7 +23,6 @@
 	br   *bufio.Reader
 	r    *Relay
 	gone atomic.Bool
-	cut  func()
 	mu   sync.Mutex
 	dead bool
 }
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -98,7 +98,7 @@
 
 func (n *Request) pick() (*routing.Rep, error) {
 	h := n.r.queue
-	var err error = codes.New(codes.QueueFull, "%s", n.ask.Service)
+	err := codes.New(codes.QueueFull, "%s", n.ask.Service)
 	if h.Empty(n.ask.Service) {
 		var rep *routing.Rep
 		if rep, err = n.r.Fleet.Choose(&n.ask); err == nil {
--- a/internal/sim/operator.go
+++ b/internal/sim/operator.go
@@ -45,9 +45,7 @@
 	got     verdict
 	status  int
 	calls   int
-	// read is the version that a reading told.
-	read ids.Version
-	mark int
+	mark    int
 	// who is the identity of the order: those that share it are the same.
 	who string
 }
