--- a/internal/consensus/digest.go
+++ b/internal/consensus/digest.go
@@ -1,7 +1,10 @@
 package consensus
 
 import (
-	"hash/maphash"
+	"encoding/binary"
+	"hash"
+	"hash/fnv"
+	"io"
 	"sync"
 
 	"spoolswitch/internal/clock"
@@ -18,30 +21,55 @@
 	last map[ids.Node]Msg
 }
 
-// sumSeed is this process's own: sums are only ever compared by their maker.
-var sumSeed = maphash.MakeSeed()
-
-type keyMark struct {
-	key  ids.Key
-	mark Mark
-}
-
-// digestSum is never 0. It does not hang on the order of maps.
+// digestSum stands for the marks, the roster and the relays of a digest. It is
+// never 0, does not hang on the order of maps, and is the same in each process,
+// so that simulated days repeat.
 func digestSum(m *Msg) uint64 {
-	sum := uint64(1)
+	sum := uint64(0)
 	for key, mark := range m.Marks {
-		sum += maphash.Comparable(sumSeed, keyMark{key, mark})
-	}
-	for i, n := range m.Relays {
-		sum += maphash.Comparable(sumSeed, keyMark{ids.Key(n), Mark{At: ids.Place{Seq: uint64(i)}}})
+		h := newSummer()
+		h.text(string(key))
+		h.epoch(mark.Promised)
+		h.place(mark.At)
+		h.place(mark.Known)
+		sum += h.Sum64()
 	}
-	for _, seats := range [][]ids.Node{m.Roster.Seat, m.Roster.Next} {
-		sum = sum*31 + m.Roster.Num
-		for _, n := range seats {
-			sum = sum*31 + maphash.String(sumSeed, string(n))
+	h := newSummer()
+	h.number(m.Roster.Num)
+	for _, nodes := range [][]ids.Node{m.Roster.Seat, m.Roster.Next, m.Relays} {
+		h.number(uint64(len(nodes)))
+		for _, n := range nodes {
+			h.text(string(n))
 		}
 	}
-	return max(sum, 1)
+	return max(sum+h.Sum64(), 1)
+}
+
+// summer hashes fields, each with its length or of a fixed size.
+type summer struct{ hash.Hash64 }
+
+func newSummer() summer { return summer{fnv.New64a()} }
+
+func (h summer) number(n uint64) {
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], n)
+	_, _ = h.Write(b[:])
+}
+
+func (h summer) text(s string) {
+	h.number(uint64(len(s)))
+	_, _ = io.WriteString(h, s)
+}
+
+func (h summer) epoch(e ids.Epoch) {
+	h.number(e.Round)
+	h.text(string(e.Node))
+	h.number(e.Life)
+}
+
+func (h summer) place(p ids.Place) {
+	h.epoch(p.Epoch)
+	h.number(p.Seq)
 }
 
 // summed is a digest as its asker gets it, who has what the sum had stands for.
