--- a/internal/configuration/delta.go
+++ b/internal/configuration/delta.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 	"slices"
 	"strings"
+
+	"spoolswitch/internal/ids"
 )
 
 // delta is the change from one configuration to the next, as an order to modify
@@ -18,27 +20,46 @@
 }
 
 // Delta is the change from one encoded state to another; nil if it cannot be
-// expressed, or is no smaller than the whole.
+// expressed, or is no smaller than the whole. The states were checked when they
+// were taken, and are not checked again.
 func Delta(old, fresh []byte) []byte {
-	from, to := DocOf(old), DocOf(fresh)
+	from, to := fieldsOf(old), fieldsOf(fresh)
 	if from == nil || to == nil {
 		return nil
 	}
-	patch, ok := from.patch(to)
+	c, ok := from.changeTo(to)
 	if !ok {
 		return nil
 	}
-	got, errs := from.Modify(patch)
-	if len(errs) > 0 || got.Sum() != to.Sum() {
+	sum := to.sum()
+	got, err := c.apply(from)
+	if err != nil || got.sum() != sum {
+		return nil
+	}
+	patch, err := json.Marshal(c)
+	if err != nil {
 		return nil
 	}
 	var b bytes.Buffer
-	if gob.NewEncoder(&b).Encode(delta{patch, to.Sum()}) != nil || b.Len() >= len(fresh) {
+	if gob.NewEncoder(&b).Encode(delta{patch, sum}) != nil || b.Len() >= len(fresh) {
 		return nil
 	}
 	return b.Bytes()
 }
 
+// fieldsOf reads the fields of an encoded state; nil if there are none.
+func fieldsOf(state []byte) fields {
+	s, err := Decode(state)
+	if err != nil || s.Version == 0 {
+		return nil
+	}
+	var f fields
+	if json.Unmarshal(s.JSON, &f) != nil {
+		return nil
+	}
+	return f
+}
+
 // ApplyDelta makes the next document out of d; false if that is not the one
 // that the change leads to.
 func (d *Doc) ApplyDelta(b []byte) (*Doc, bool) {
@@ -66,48 +87,55 @@
 	return d
 }
 
-// patch is the order to modify d that makes e; false if there is none.
-func (d *Doc) patch(e *Doc) ([]byte, bool) {
-	c := change{Version: &e.Version, Upsert: map[string]json.RawMessage{}, Remove: map[string][]string{}}
-	for field, old := range d.raw {
-		fresh, ok := e.raw[field]
+// changeTo is the order to modify f that makes g; false if there is none.
+func (f fields) changeTo(g fields) (*change, bool) {
+	c := &change{Version: new(ids.Version), Upsert: fields{}, Remove: map[string][]string{}}
+	if json.Unmarshal(g[versionField], c.Version) != nil {
+		return nil, false
+	}
+	for field, old := range f {
+		fresh, ok := g[field]
 		if !ok {
 			return nil, false
 		}
 		if field == versionField || bytes.Equal(old, fresh) {
 			continue
 		}
-		have, put := items(old), items(fresh)
-		if have == nil || put == nil {
+		if !c.list(field, items(old), items(fresh)) {
 			c.Upsert[field] = fresh
-			continue
-		}
-		up := []json.RawMessage{}
-		for _, it := range put {
-			if old, ok := find(have, it.name); !ok || !bytes.Equal(old, it.raw) {
-				up = append(up, it.raw)
-			}
 		}
-		for _, it := range have {
-			if _, ok := find(put, it.name); !ok {
-				c.Remove[field] = append(c.Remove[field], it.name)
-			}
+	}
+	for field, fresh := range g {
+		if _, ok := f[field]; !ok {
+			c.Upsert[field] = fresh
 		}
-		if len(up) > 0 {
-			b, err := json.Marshal(up)
-			if err != nil {
-				return nil, false
-			}
-			c.Upsert[field] = b
+	}
+	return c, true
+}
+
+// list adds what turns one list of named things into another; false if either is
+// none.
+func (c *change) list(field string, old, fresh []item) bool {
+	if old == nil || fresh == nil {
+		return false
+	}
+	up := []json.RawMessage{}
+	for _, it := range fresh {
+		if raw, ok := find(old, it.name); !ok || !bytes.Equal(raw, it.raw) {
+			up = append(up, it.raw)
 		}
 	}
-	for field, fresh := range e.raw {
-		if _, ok := d.raw[field]; !ok {
-			c.Upsert[field] = fresh
+	for _, it := range old {
+		if _, ok := find(fresh, it.name); !ok {
+			c.Remove[field] = append(c.Remove[field], it.name)
 		}
 	}
-	b, err := json.Marshal(c)
-	return b, err == nil
+	if len(up) == 0 {
+		return true
+	}
+	b, err := json.Marshal(up)
+	c.Upsert[field] = b
+	return err == nil
 }
 
 type item struct {
@@ -143,9 +171,11 @@
 
 // Sum is the digest of the document. The order of routes and services, which
 // means nothing, does not count.
-func (d *Doc) Sum() Digest {
-	raw := map[string]json.RawMessage{}
-	for field, b := range d.raw {
+func (d *Doc) Sum() Digest { return d.raw.sum() }
+
+func (f fields) sum() Digest {
+	raw := fields{}
+	for field, b := range f {
 		raw[field] = b
 		its := items(b)
 		if its == nil {
--- a/internal/configuration/doc.go
+++ b/internal/configuration/doc.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"reflect"
 	"sort"
 	"strings"
@@ -27,9 +28,12 @@
 	Routes   []*Route
 	Services []*Service
 	Limits   Limits
-	raw      map[string]json.RawMessage
+	raw      fields
 }
 
+// fields are the fields of a document, not yet read.
+type fields map[string]json.RawMessage
+
 var check = func() *validator.Validate {
 	v := validator.New()
 	v.RegisterTagNameFunc(func(f reflect.StructField) string {
@@ -44,7 +48,7 @@
 	if err := whole(b); err != nil {
 		return nil, []error{codes.New(codes.Unreadable, "%v", err)}
 	}
-	raw := map[string]json.RawMessage{}
+	raw := fields{}
 	if err := json.Unmarshal(b, &raw); err != nil {
 		return nil, []error{codes.New(codes.Unreadable, "%v", err)}
 	}
@@ -78,7 +82,7 @@
 	return b
 }
 
-func build(raw map[string]json.RawMessage) (*Doc, []error) {
+func build(raw fields) (*Doc, []error) {
 	d := &Doc{raw: raw}
 	for k, v := range map[string]any{versionField: &d.Version, routesField: &d.Routes, servicesField: &d.Services, "limits": &d.Limits} {
 		b, ok := raw[k]
@@ -207,9 +211,9 @@
 }
 
 type change struct {
-	Version *ids.Version               `json:"version"`
-	Upsert  map[string]json.RawMessage `json:"upsert"`
-	Remove  map[string][]string        `json:"remove"`
+	Version *ids.Version        `json:"version"`
+	Upsert  fields              `json:"upsert"`
+	Remove  map[string][]string `json:"remove"`
 }
 
 // Modify makes the document that the change b turns d into.
@@ -224,30 +228,37 @@
 	if c.Version == nil {
 		return nil, []error{codes.New(codes.Unreadable, "no version")}
 	}
-	raw := map[string]json.RawMessage{}
-	for k, v := range d.raw {
-		raw[k] = v
+	raw, err := c.apply(d.raw)
+	if err != nil {
+		return nil, []error{err}
 	}
-	e, err := json.Marshal(*c.Version)
+	return build(raw)
+}
+
+// apply makes the fields that the change turns others into. It does not check
+// what they say.
+func (c *change) apply(to fields) (fields, error) {
+	raw := maps.Clone(to)
+	version, err := json.Marshal(*c.Version)
 	if err != nil {
-		return nil, []error{codes.New(codes.Unreadable, "%v", err)}
+		return nil, codes.New(codes.Unreadable, "%v", err)
 	}
-	raw[versionField] = e
+	raw[versionField] = version
 	for k, v := range c.Upsert {
 		if n := bytes.TrimSpace(v); len(n) == 0 || n[0] != '[' {
 			raw[k] = v
 			continue
 		}
 		if raw[k], err = merge(raw[k], v, nil); err != nil {
-			return nil, []error{codes.New(codes.Unreadable, "%s: %v", k, err)}
+			return nil, codes.New(codes.Unreadable, "%s: %v", k, err)
 		}
 	}
 	for k, names := range c.Remove {
 		if raw[k], err = merge(raw[k], nil, names); err != nil {
-			return nil, []error{codes.New(codes.Unreadable, "%s: %v", k, err)}
+			return nil, codes.New(codes.Unreadable, "%s: %v", k, err)
 		}
 	}
-	return build(raw)
+	return raw, nil
 }
 
 type named struct {
