--- a/internal/consensus/acceptor.go
+++ b/internal/consensus/acceptor.go
@@ -32,8 +32,10 @@
 	Cell   Cell
 	Roster *Roster
 	Voting bool
-	// Unvoted says that this disk was empty at the first start of the system.
-	Unvoted bool
+	// Unvoted says that this disk was empty at the first start of the system, and
+	// Founders are the seeds of that start.
+	Unvoted  bool
+	Founders []ids.Node
 }
 
 func (e *entry) encode() []byte {
@@ -53,7 +55,8 @@
 	roster Roster
 	voting bool
 	// unvoted says that this disk never voted, nor one before it.
-	unvoted bool
+	unvoted  bool
+	founders []ids.Node
 }
 
 const laneWait = 3 * clock.Second
@@ -88,6 +91,9 @@
 		a.voting = true
 	}
 	a.unvoted = (a.unvoted || e.Unvoted) && !a.voting
+	if len(e.Founders) > 0 {
+		a.founders = e.Founders
+	}
 }
 
 // Use tells the acceptor which store to write to.
@@ -138,14 +144,15 @@
 	return a.voting && a.st != nil
 }
 
-// First notes on an empty disk that it is one of the first start of the system:
-// until it votes, nothing of it was ever counted, whatever restarts come first.
-func (a *Acceptor) First() error {
+// First notes on an empty disk that it is one of the first start of the system,
+// with the seeds of that start: until it votes, nothing of it was ever counted,
+// and whatever restarts come first, it founds the roster with these.
+func (a *Acceptor) First(founders []ids.Node) error {
 	if !a.lane.Take(laneWait) {
 		return codes.New(codes.DiskRefused, "busy")
 	}
 	defer a.lane.Give()
-	return a.write(&entry{Unvoted: true})
+	return a.write(&entry{Unvoted: true, Founders: founders})
 }
 
 // Unvoted tells whether the disk has never voted, and is no successor of one
@@ -156,6 +163,17 @@
 	return a.unvoted
 }
 
+// Founders are the seeds with which this disk is yet to found the roster; none if
+// it has voted, or was not there at the first start.
+func (a *Acceptor) Founders() []ids.Node {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.unvoted {
+		return nil
+	}
+	return a.founders
+}
+
 // Roster is the roster that the acceptor goes by.
 func (a *Acceptor) Roster() Roster {
 	a.mu.Lock()
@@ -339,7 +357,7 @@
 
 func (a *Acceptor) records(cells map[ids.Key]Cell) [][]byte {
 	r := a.Roster()
-	ps := [][]byte{(&entry{Roster: &r, Voting: a.Voting(), Unvoted: a.Unvoted()}).encode()}
+	ps := [][]byte{(&entry{Roster: &r, Voting: a.Voting(), Unvoted: a.Unvoted(), Founders: a.Founders()}).encode()}
 	for k, c := range sorted(cells) {
 		ps = append(ps, (&entry{Key: k, Cell: c}).encode())
 	}
--- a/internal/consensus/beat.go
+++ b/internal/consensus/beat.go
@@ -107,7 +107,7 @@
 }
 
 func (k *Keeper) digest() Msg {
-	m := Msg{OK: true, From: k.Self, Zone: k.Zone, Marks: map[ids.Key]Mark{}, Roster: k.acc.Roster(), Relays: k.Sink.Followers(), Disk: k.Disk, ListAge: k.ListAge()}
+	m := Msg{OK: true, From: k.Self, Zone: k.Zone, Marks: map[ids.Key]Mark{}, Roster: k.acc.Roster(), Relays: k.Sink.Followers(), Disk: k.Disk, Unvoted: k.acc.Unvoted(), ListAge: k.ListAge()}
 	m.Code = codes.OK
 	if !k.acc.Voting() {
 		m.Code = codes.NotVoting
--- a/internal/consensus/found.go
+++ b/internal/consensus/found.go
@@ -26,7 +26,11 @@
 // in memory count. One that hears of a roster goes by that, whether the others
 // answer or not. It tells whether that is done.
 func (k *Keeper) Begin() bool {
-	founders, _ := k.seeds()
+	founders := k.acc.Founders()
+	noted := len(founders) > 0
+	if !noted { // no disk that could note them
+		founders, _ = k.seeds()
+	}
 	to := slices.DeleteFunc(slices.Clone(founders), func(n ids.Node) bool { return n == k.Self })
 	got := k.askAll(to, Msg{Kind: Digest, Zone: k.Zone}, askTimeout, func(g map[ids.Node]Msg) bool { return len(g) == len(to) })
 	for _, a := range sorted(got) {
@@ -40,6 +44,13 @@
 	if len(got) < len(to) {
 		return false
 	}
+	// one whose disk is not that of the first start any more may have founded with
+	// others, and acknowledged what only the lost disk had
+	for _, a := range got {
+		if noted && a.Disk && !a.Unvoted {
+			return false
+		}
+	}
 	got[k.Self] = Msg{Disk: k.Disk}
 	in := slices.Clone(founders)
 	if anyDisk(got) {
--- a/internal/consensus/msg.go
+++ b/internal/consensus/msg.go
@@ -144,15 +144,17 @@
 	Sum  uint64
 	Same bool
 
-	Life        uint64
-	Num         uint64
-	Items       []Item
-	Snapshot    bool
-	Fresh       bool
-	ListAge     clock.Span
-	Relays      []ids.Node
-	Count       int
-	Disk        bool
+	Life     uint64
+	Num      uint64
+	Items    []Item
+	Snapshot bool
+	Fresh    bool
+	ListAge  clock.Span
+	Relays   []ids.Node
+	Count    int
+	Disk     bool
+	// Unvoted says that the sender's disk is of the first start and never voted.
+	Unvoted     bool
 	Zone        ids.Zone
 	KeeperZones map[ids.Node]ids.Zone
 	SeatZones   map[ids.Node]ids.Zone
--- a/internal/consensus/seats_test.go
+++ b/internal/consensus/seats_test.go
@@ -100,7 +100,7 @@
 		is := is.New(t)
 		c := &core{n: &net{ks: map[ids.Node]*Keeper{}, cut: map[[2]ids.Node]bool{}}, ks: map[ids.Node]*Keeper{}, st: map[ids.Node]*shelf{}, si: map[ids.Node]*sink{}}
 		for _, n := range three.Seat {
-			is.NoErr(c.add(n, three.Seat).Acceptor().First())
+			is.NoErr(c.add(n, three.Seat).Acceptor().First(three.Seat))
 		}
 		is.True(c.ks["a"].Begin())
 		is.True(c.ks["b"].Begin())
@@ -329,3 +329,40 @@
 	is.True(!Newcomer("d", map[ids.Node]Msg{"a": ok(three, nil), "b": ok(three, &with)})) // accepted, not yet gone by
 	is.True(!Newcomer("d", map[ids.Node]Msg{}))
 }
+
+// Founders that are all killed before any has founded go on founding when they
+// are back, with the seeds of the first start, whatever the settings name by
+// then; not while one is missing, nor where the disk of one was lost.
+func TestAllKilledBeforeFounding(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		is := is.New(t)
+		c := &core{n: &net{ks: map[ids.Node]*Keeper{}, cut: map[[2]ids.Node]bool{}}, ks: map[ids.Node]*Keeper{}, st: map[ids.Node]*shelf{}, si: map[ids.Node]*sink{}}
+		for _, n := range three.Seat {
+			is.NoErr(c.add(n, three.Seat).Acceptor().First(three.Seat))
+		}
+		for i, n := range three.Seat {
+			if lost && i == 0 {
+				c.st[n] = &shelf{}
+			}
+			c.start(n, []ids.Node{"d", "e", "f"})
+		}
+		c.n.part("c", "a", "b")
+		is.Equal(c.ks["b"].Acceptor().Founders(), three.Seat)
+		is.True(!c.ks["b"].Begin())
+		c.n.join()
+		for _, n := range []ids.Node{"b", "c"} {
+			is.Equal(c.ks[n].Begin(), !lost)
+			is.Equal(c.ks[n].Acceptor().Voting(), !lost)
+		}
+		if lost {
+			continue
+		}
+		is.Equal(len(c.ks["b"].Acceptor().Founders()), 0)
+		is.True(c.put("b", 0, "1").OK)
+		c.n.part("b", "a", "c")
+		is.True(c.ks["a"].Begin()) // hears of the roster from c
+		v, ok := c.get("a")
+		is.True(ok)
+		is.Equal(v, "1")
+	}
+}
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -190,10 +190,13 @@
 		}
 		switch {
 		case st == disk.Empty && s.Initial && seat:
-			if err := acc.First(); err != nil {
+			if err := acc.First(d.Keeper.Founders); err != nil {
 				telemetry.Trouble("first start not noted on disk", "err", err)
 			}
 			d.founder.Store(true)
+		case len(acc.Founders()) > 0 && acc.Roster().Num == 0:
+			telemetry.State("killed before the roster was founded, goes on founding it")
+			d.founder.Store(true)
 		case fs == nil:
 		case st != disk.Whole:
 			telemetry.Trouble("disk without its records, not voting", "state", int(st))
--- a/internal/rpc/call_test.go
+++ b/internal/rpc/call_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
 	"spoolswitch/internal/concurrency"
 	"spoolswitch/internal/ids"
 	"spoolswitch/internal/interleave"
@@ -156,3 +157,22 @@
 		}
 	}
 }
+
+// The calls that are open to one daemon are bounded; one more fails at once.
+func TestCallsAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := newScript(t)
+	p := NewPeer[msg](ids.Addr(s.l.Addr().String()))
+	defer p.Close()
+	var ends []func()
+	for i := range callsMost {
+		end, err := p.Stream(msg{N: i}, 10*clock.Second, func(msg, bool) {})
+		is.NoErr(err)
+		ends = append(ends, end)
+	}
+	_, err := p.Call(msg{}, clock.Minute)
+	is.Equal(codes.Of(err), codes.QueueFull)
+	ends[0]()
+	_, err = p.Stream(msg{}, 10*clock.Second, func(msg, bool) {})
+	is.NoErr(err)
+}
--- a/internal/rpc/peer.go
+++ b/internal/rpc/peer.go
@@ -27,7 +27,13 @@
 	Form uint64
 }
 
-const silent = 1500 * clock.Millisecond
+const (
+	silent = 1500 * clock.Millisecond
+	// callsMost bounds the calls that are open to one daemon at once.
+	callsMost = 512
+)
+
+var callsRefused = telemetry.Counter("wire.calls-refused")
 
 type pipe[M any] struct {
 	c   net.Conn
@@ -187,6 +193,11 @@
 		return nil, err
 	}
 	r.mu.Lock()
+	if len(r.open) >= callsMost {
+		r.mu.Unlock()
+		callsRefused.Add(1)
+		return nil, codes.New(codes.QueueFull, "%d calls are open to %s", callsMost, r.Addr)
+	}
 	r.next++
 	id := r.next
 	r.open[id] = fn
