--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -28,6 +28,16 @@
 	return inside{d}, nil
 }
 
+// What a relay holds follows the sessions that it serves. It stands before the
+// test that starts daemons, whose followers go on in this process: what they
+// allocate and give back would count as state here.
+func TestStateFollowsSessions(t *testing.T) {
+	is := is.New(t)
+	few, many := Measure(50, 500), Measure(50, 4000)
+	is.True(many.PerSession < 2*few.PerSession)
+	is.True(many.PerSession > 0)
+}
+
 // At two sizes: a relay gets each change once, and what it gets does not grow
 // with how many other relays there are, nor a change of one replica with how
 // many replicas there are.
@@ -45,11 +55,3 @@
 	is.True(got[1].Snapshot < got[0].Snapshot*8)
 	is.True(got[1].Snapshot > got[0].Snapshot) // replicas are told whole once, compressed
 }
-
-// What a relay holds follows the sessions that it serves.
-func TestStateFollowsSessions(t *testing.T) {
-	is := is.New(t)
-	few, many := Measure(50, 500), Measure(50, 4000)
-	is.True(many.PerSession < 2*few.PerSession)
-	is.True(many.PerSession > 0)
-}
