--- a/internal/consensus/digest_test.go
+++ b/internal/consensus/digest_test.go
@@ -26,6 +26,7 @@
 		is.True(ok)
 		return raw, whole
 	}
+	c.si["b"].Publish(Item{Key: "seen", At: ids.Place{Seq: 1}})
 	_, first := ask()
 	is.Equal(first.Marks["k"].At, b.Acceptor().Cell("k").At)
 	raw, second := ask()
@@ -34,9 +35,10 @@
 	is.Equal(second.Marks, first.Marks)
 	is.Equal(second.Roster, first.Roster)
 	for name, change := range map[string]func(){
-		"a vote":     func() { b.Acceptor().Vote("k", ids.Epoch{Round: 99, Node: "c"}, b.Acceptor().Roster()) },
-		"a value":    func() { c.si["b"].Publish(Item{Key: "told", At: ids.Place{Seq: 7}}) },
-		"a follower": func() { c.si["b"].followers = append(c.si["b"].followers, "r") },
+		"a vote":        func() { b.Acceptor().Vote("k", ids.Epoch{Round: 99, Node: "c"}, b.Acceptor().Roster()) },
+		"a value":       func() { c.si["b"].Publish(Item{Key: "told", At: ids.Place{Seq: 7}}) },
+		"a newer value": func() { c.si["b"].Publish(Item{Key: "seen", At: ids.Place{Seq: 2}}) },
+		"a follower":    func() { c.si["b"].followers = append(c.si["b"].followers, "r") },
 		"a roster": func() {
 			r := b.Acceptor().Roster()
 			is.NoErr(b.Acceptor().Adopt(Roster{Num: r.Num + 1, Seat: r.Seat, Next: []ids.Node{"d"}}))
--- a/internal/pool/duty_test.go
+++ b/internal/pool/duty_test.go
@@ -242,6 +242,22 @@
 		win := func(n ids.Node) func() { return func() { c.ds[n].Win() } }
 		return []interleave.Thread{interleave.Steps(win("a"), share("a", 1), share("a", 2)), interleave.Steps(win("b"), share("b", 1), share("b", 2))},
 			func(o []int) {
+				// At once, whatever has been told: of those that take the duty for theirs
+				// one alone has the epoch that a majority of disks accepted last.
+				top, newest := ids.Epoch{}, 0
+				for _, k := range names {
+					if e := c.ks[k].Acceptor().Cell(ids.PoolDuty).At.Epoch; top.Less(e) {
+						top = e
+					}
+				}
+				for _, k := range names {
+					if mine, at := c.ds[k].Mine(); mine && at.Epoch == top {
+						newest++
+					}
+				}
+				if newest != 1 {
+					t.Errorf("order %v: %d hold the duty under %v", o, newest, top)
+				}
 				// who lost the duty learns of it by the same telling as of the plans
 				same := func() bool {
 					who, n := c.holder()
--- a/internal/relay/gone_test.go
+++ b/internal/relay/gone_test.go
@@ -11,7 +11,11 @@
 	"spoolswitch/internal/standin"
 )
 
-const goneRequest = "POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\nContent-Length: 4\r\n\r\nbody"
+const goneRequest = "POST /long/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\nContent-Length: 4\r\n\r\nbody"
+
+// longRoute has a timeout beyond all waits here, so that only the client's
+// leaving can end a run.
+const longRoute = `{"name":"long","authority":"h.example","path-prefix":"/long/","route-class":"unsafe","timeout-ms":600000,"target-ms":400,"service":"s","max-attempts":3}`
 
 // GONE: a client that leaves while its request is held for news, or that sent
 // the next request already, takes its request along.
@@ -19,6 +23,7 @@
 	t.Run("held", func(t *testing.T) {
 		is := is.New(t)
 		g := newRig(t, standin.Well)
+		g.configure(2, longRoute)
 		g.r.Current = func() bool { return false }
 		k := standin.Call(g.addr)
 		k.Put(goneRequest)
@@ -37,6 +42,7 @@
 			cut.Set()
 			return false
 		})
+		g.configure(2, longRoute)
 		k := standin.Call(g.addr)
 		k.Put(goneRequest + goneRequest[:20])
 		is.True(in.Wait(10 * clock.Second))
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -521,8 +521,9 @@
 		cut.Set()
 		return false
 	})
+	g.configure(2, longRoute)
 	k := standin.Call(g.addr)
-	k.Put("POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n")
+	k.Put("POST /long/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n")
 	is.True(in.Wait(10 * clock.Second))
 	k.Close()
 	is.True(cut.Wait(10 * clock.Second))
