--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -107,6 +107,9 @@
 	}
 	r := c(s, x, parts)
 	telemetry.Counter("control." + strconv.Itoa(r.Status)).Add(1)
+	if r.Status >= 500 {
+		s.endedEarly(x, r.Code)
+	}
 	r.Fill(x)
 }
 
--- a/internal/interleave/house_test.go
+++ b/internal/interleave/house_test.go
@@ -17,7 +17,7 @@
 	{"concurrency", "telemetry", "interleave"},
 	{"match", "response", "disk", "httpmessage", "configuration", "schedule", "lru", "deflate"},
 	{"rpc", "settings", "kvindex"},
-	{"consensus", "upstream", "evidence"},
+	{"consensus", "upstream", "evidence", "metrics"},
 	{"feed", "discovery", "operator", "pool"},
 	{"routing", "trace"},
 	{"relay", "control"},
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -25,6 +25,8 @@
 	gone atomic.Bool
 	mu   sync.Mutex
 	dead bool
+	// stalled tells that a write was not taken in time.
+	stalled bool
 }
 
 const (
@@ -86,6 +88,7 @@
 		until := used.Add(k.r.View.Rest(used))
 		k.deadline(until)
 		if !k.r.idle(k, true) {
+			telemetry.CountEarlyEnd(telemetry.Closed, codes.Leaving)
 			return false
 		}
 		_, err := k.br.Peek(1)
@@ -96,6 +99,7 @@
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return false
 		case clock.Now() >= used.Add(k.r.View.Rest(used)):
+			telemetry.CountEarlyEnd(telemetry.Closed, codes.IdleOver)
 			return false
 		}
 	}
@@ -125,6 +129,7 @@
 		k.linger()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		telemetry.Counter("client.slow").Add(1)
+		telemetry.CountEarlyEnd(telemetry.Closed, codes.HeadTooSlow)
 		if k.br.Buffered() > 0 {
 			k.write(response.Of(codes.HeadTooSlow, "").Last().Append(nil))
 		}
@@ -144,6 +149,7 @@
 func (k *Client) write(b []byte) bool {
 	_ = k.c.SetWriteDeadline(clock.Now().Add(writeTimeout).Deadline())
 	_, err := k.c.Write(b)
+	k.stalled = k.stalled || errors.Is(err, os.ErrDeadlineExceeded)
 	return err == nil
 }
 
@@ -155,8 +161,7 @@
 	}
 	if room <= int64(lim.BodyBytes) {
 		if !k.r.reserve(room) {
-			k.write(response.Of(codes.QueueFull, "").For(q.Field(httpmessage.AttemptID)).Later(k.r.back()).Last().To(q.Method).Append(nil))
-			k.linger()
+			k.turnAway(q, codes.QueueFull, begun)
 			return false
 		}
 		defer k.r.release(room)
@@ -168,8 +173,7 @@
 	b := httpmessage.NewBody(k.br, q.Framing)
 	body, err := b.ReadAll(lim.BodyBytes)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		k.write(response.Of(codes.HeadTooSlow, "").For(q.Field(httpmessage.AttemptID)).Last().To(q.Method).Append(nil))
-		k.linger()
+		k.turnAway(q, codes.HeadTooSlow, begun)
 		return false
 	}
 	if err != nil {
@@ -181,8 +185,8 @@
 		n.refuse(codes.Leaving)
 		return false
 	}
-	k.r.enter()
-	defer k.r.exit()
+	k.r.enter(n)
+	defer k.r.exit(n)
 	if !k.r.senders.Try(func() {
 		n.run()
 		k.mu.Lock()
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -201,29 +201,15 @@
 func (d *Daemon) Report() *consensus.Report {
 	at, num, places := d.Tail.Place()
 	v := d.Relay.View
-	sessions, tokens := v.Fleet.Gauges()
 	r := &consensus.Report{Node: d.Tail.Self, Role: "relay", Zone: d.Tail.Zone, Sure: d.Tail.Fresh(cutAfter), Keeper: at, Feed: num,
-		Owners: places, Applied: v.Applied(), Counts: telemetry.Map(), Gauges: map[string]float64{
-			"sessions": float64(sessions), "held_tokens": float64(tokens), "active": float64(d.Relay.Active()), "relays": float64(v.Fleet.Share())}}
+		Owners: places, Applied: v.Applied(), Counts: telemetry.Map(), Gauges: reported(d.Gauges())}
 	x := v.Fleet.Desk.Index
-	r.Gauges["kv.quarantined"] = float64(x.Quarantined())
-	for q, name := range map[float64]string{0.5: "p50", 0.95: "p95", 0.99: "p99"} {
-		if d, ok := x.Latency.At(q); ok {
-			r.Gauges["kv.route-to-store-ms."+name] = float64(d / clock.Millisecond)
-		}
-	}
 	for _, s := range x.Status() {
 		old, _ := v.Fleet.Desk.Oldest(s.Epoch)
 		r.Streams = append(r.Streams, consensus.Stream{Status: s, Oldest: old})
 	}
-	if p := v.Fleet.Plan(); p != nil {
-		r.Gauges["pool.plan"] = float64(p.Num)
-	}
 	if t := v.Table(); t != nil {
 		r.Version = t.Version
-		for s := range t.Services {
-			r.Gauges["budget_left."+string(s)] = d.Relay.Budget.Left(s)
-		}
 	}
 	return r
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,10 +1,13 @@
 package relay
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"sync"
 
 	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
 	"spoolswitch/internal/concurrency"
 	"spoolswitch/internal/pool"
 	"spoolswitch/internal/routing"
@@ -37,7 +40,7 @@
 	closing bool
 	// intakeEnd is when a relay that leaves takes its last request.
 	intakeEnd clock.Tick
-	active    int
+	running   map[*Request]bool
 	idles     map[*Client]bool
 	open      int
 	most      int
@@ -45,7 +48,7 @@
 
 // NewRelay makes a relay that holds at most most connections of clients.
 func NewRelay(v *View, b *routing.Budget, senders, queue, most int) *Relay {
-	return &Relay{View: v, Fleet: v.Fleet, Budget: b, senders: concurrency.NewPool(senders, queue), queue: &Queue{Most: queue}, idles: map[*Client]bool{}, most: most,
+	return &Relay{View: v, Fleet: v.Fleet, Budget: b, senders: concurrency.NewPool(senders, queue), queue: &Queue{Most: queue}, idles: map[*Client]bool{}, running: map[*Request]bool{}, most: most,
 		Current: func() bool { return true }}
 }
 
@@ -68,6 +71,7 @@
 		r.mu.Lock()
 		if r.open >= r.most {
 			r.mu.Unlock()
+			telemetry.CountEarlyEnd(telemetry.Closed, codes.NoConnection)
 			_ = c.Close()
 			continue
 		}
@@ -112,16 +116,16 @@
 	r.bodies -= n
 }
 
-func (r *Relay) enter() {
+func (r *Relay) enter(n *Request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.active++
+	r.running[n] = true
 }
 
-func (r *Relay) exit() {
+func (r *Relay) exit(n *Request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.active--
+	delete(r.running, n)
 }
 
 // Leaving tells whether the relay is on its way out.
@@ -135,7 +139,7 @@
 func (r *Relay) Active() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.active
+	return len(r.running)
 }
 
 // held is how many connections of clients there are.
@@ -184,4 +188,14 @@
 	for clock.Since(begun) < grace && r.held() > 0 {
 		clock.Sleep(20 * clock.Millisecond)
 	}
+	for _, n := range r.underWay() {
+		n.endedEarly(telemetry.BrokenOff, codes.GraceOver)
+	}
+}
+
+// underWay lists the requests that have not ended.
+func (r *Relay) underWay() []*Request {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Keys(r.running))
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -38,9 +38,10 @@
 	urgency int
 	ran     bool
 
-	mu   sync.Mutex
-	conn *upstream.Conn
-	left bool
+	mu       sync.Mutex
+	conn     *upstream.Conn
+	left     bool
+	progress progress
 
 	sent   clock.Tick
 	began  clock.Tick
@@ -110,6 +111,7 @@
 		}
 		n.deadline = min(n.deadline, n.begun.Add(clock.Ms(ms)))
 	}
+	n.note(func(p *progress) { p.deadline, p.route = n.deadline, rt.Name })
 	h := fnv.New64a()
 	h.Write(n.id)
 	n.ask = routing.Ask{Draw: h.Sum64(), Sticky: rt.Affinity}
@@ -154,13 +156,17 @@
 		r = r.Last()
 	}
 	telemetry.Counter("own." + strconv.Itoa(r.Status)).Add(1)
+	if r.Status >= 500 {
+		n.endedEarly(telemetry.Refused, c)
+	}
 	if !n.k.write(r.To(n.Head.Method).Append(nil)) {
 		n.last = true
 	}
 }
 
-func (n *Request) abort() {
+func (n *Request) abort(cause codes.Code) {
 	telemetry.Counter("stream.cut").Add(1)
+	n.endedEarly(telemetry.BrokenOff, cause)
 	n.last = true
 	_ = n.k.c.Close()
 }
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -30,6 +30,7 @@
 	for {
 		if n.deserted() {
 			n.last = true
+			n.undelivered()
 			return
 		}
 		rep, err := n.pick()
@@ -59,6 +60,7 @@
 		switch {
 		case e == deserted:
 			n.last = true
+			n.undelivered()
 			return
 		case e == pastDeadline:
 			n.fail(codes.PastDeadline)
@@ -125,10 +127,6 @@
 }
 
 func (n *Request) fail(c codes.Code) {
-	if n.first {
-		n.abort()
-		return
-	}
 	if clock.Now() >= n.deadline {
 		if n.ran {
 			c = codes.PastDeadline
@@ -136,6 +134,10 @@
 			c = codes.QueueFull
 		}
 	}
+	if n.first {
+		n.abort(c)
+		return
+	}
 	if n.ran && c != codes.PastDeadline {
 		c = codes.ReplicaBroke
 	}
@@ -184,6 +186,7 @@
 		return unsent
 	}
 	n.sends++
+	n.note(func(p *progress) { p.sends++ })
 	sent := clock.Now()
 	n.sent = sent
 	n.r.Fleet.Sent(rep, &n.ask)
@@ -240,6 +243,7 @@
 	b := a.Append(make([]byte, 0, len(body)+512), len(body), n.last)
 	if !n.k.write(append(b, body...)) {
 		n.last = true
+		n.undelivered()
 	}
 	n.began = clock.Now()
 	return e
@@ -284,6 +288,7 @@
 				n.finish()
 				out = a.Append(out, -1, n.last)
 				n.first = true
+				n.note(func(p *progress) { p.begun = true })
 			}
 			if len(ev) > 0 {
 				out = chunk(out, ev)
@@ -304,6 +309,7 @@
 			}
 			if !n.k.write(append(out, "0\r\n\r\n"...)) {
 				n.last = true
+				n.undelivered()
 			}
 			return answered
 		}
--- a/internal/response/response.go
+++ b/internal/response/response.go
@@ -26,7 +26,7 @@
 var statuses = map[codes.Code]int{
 	codes.OK: 200, codes.BadHead: 400, codes.HeadTooLarge: 431, codes.BodyTooLarge: 413, codes.HeadTooSlow: 408,
 	codes.BadBody: 400, codes.NoRoute: 404, codes.NotReady: 503, codes.NoReplica: 503, codes.QueueFull: 503,
-	codes.PastDeadline: 504, codes.ReplicaBroke: 502, codes.Leaving: 503, codes.BadFields: 400, codes.BadMethod: 405,
+	codes.PastDeadline: 504, codes.ReplicaBroke: 502, codes.Leaving: 503, codes.GraceOver: 503, codes.NoConnection: 503, codes.BadFields: 400, codes.BadMethod: 405,
 	codes.NoCall: 404, codes.Unreadable: 400, codes.NoService: 400, codes.SamePlace: 400, codes.NoWeight: 400,
 	codes.NoTimeout: 400, codes.OldVersion: 400, codes.OtherVersion: 412, codes.NoZone: 404, codes.NoMajority: 503,
 	codes.Nothing: 404, codes.BadItem: 400, codes.TooOld: 503, codes.Moved: 503, codes.Unvouched: 503, codes.DiskRefused: 503, codes.NotVoting: 503, codes.PeerLost: 503,
