--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -25,6 +25,8 @@
 	gone atomic.Bool
 	mu   sync.Mutex
 	dead bool
+	// served tells that a request has been read on the connection.
+	served bool
 	// stalled tells that a write was not taken in time.
 	stalled bool
 }
@@ -74,6 +76,7 @@
 			k.refuse(err)
 			return
 		}
+		k.served = true
 		if !k.request(q, lim) {
 			return
 		}
@@ -88,8 +91,7 @@
 		until := used.Add(k.r.View.Rest(used))
 		k.deadline(until)
 		if !k.r.idle(k, true) {
-			telemetry.CountEarlyEnd(telemetry.Closed, codes.Leaving)
-			return false
+			return k.firstAfterIntake()
 		}
 		_, err := k.br.Peek(1)
 		k.r.idle(k, false)
@@ -106,6 +108,20 @@
 	return true
 }
 
+// firstAfterIntake waits for the request of a connection that is closing before it
+// has brought one, so that it can be refused; connections that have brought one
+// before are closed.
+func (k *Client) firstAfterIntake() bool {
+	if !k.served {
+		k.deadline(clock.Now().Add(firstRequest))
+		if _, err := k.br.Peek(1); err == nil {
+			return true
+		}
+	}
+	telemetry.CountEarlyEnd(telemetry.Closed, codes.Leaving)
+	return false
+}
+
 // leaves waits for the client to leave, or for the read deadline. What the client
 // sends meanwhile stays in the buffer; once that is full nobody can tell.
 func (k *Client) leaves() bool {
@@ -211,7 +227,7 @@
 	k.mu.Unlock()
 	if !over && k.leaves() {
 		k.gone.Store(true)
-		n.abandon()
+		n.end(codes.ClientLeft)
 	}
 	n.done.Wait(clock.Span(1<<62 - 1))
 	k.mu.Lock()
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -39,11 +39,14 @@
 	// intake is how long a relay takes requests after SIGTERM: the platform asks
 	// for readiness each second and goes by two misses. What is taken later may
 	// not be finished before the end of the grace period.
-	intake   = 2400 * clock.Millisecond
-	cutAfter = 3 * clock.Second
-	ownPause = 2 * clock.Second
-	glance   = 50 * clock.Millisecond
-	firstOwn = 250 * clock.Millisecond
+	intake = 2400 * clock.Millisecond
+	// exitMargin is the part of the grace period that is kept for the last answers
+	// and for the end of the process.
+	exitMargin = 250 * clock.Millisecond
+	cutAfter   = 3 * clock.Second
+	ownPause   = 2 * clock.Second
+	glance     = 50 * clock.Millisecond
+	firstOwn   = 250 * clock.Millisecond
 )
 
 // Start starts a relay from its settings.
@@ -217,7 +220,7 @@
 // Stop ends the relay in order.
 func (d *Daemon) Stop() {
 	telemetry.State("leaving")
-	d.Relay.Leave(d.settings().Grace()-500*clock.Millisecond, intake)
+	d.Relay.Leave(d.settings().Grace()-exitMargin, intake)
 	d.Close()
 }
 
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -44,9 +44,11 @@
 	unbacked
 	// The replica's machine took no notice.
 	unheard
-	// Ended by the relay: at the request's deadline, or after its client.
+	// Ended by the relay: at the request's deadline, after its client, or at the end
+	// of the grace period.
 	pastDeadline
 	deserted
+	graceOver
 )
 
 type rule struct {
@@ -70,6 +72,7 @@
 	unheard:      {mayHaveRun, false, false, routing.Silent},
 	pastDeadline: {mayHaveRun, true, false, routing.CutByClient},
 	deserted:     {mayHaveRun, true, false, routing.CutByClient},
+	graceOver:    {mayHaveRun, true, false, routing.CutByClient},
 }
 
 func (e ending) rule() rule { return endings[e] }
@@ -87,8 +90,8 @@
 func (n *Request) broke(err error) ending {
 	var f *codes.Fault
 	switch {
-	case n.deserted():
-		return deserted
+	case n.givenUp():
+		return n.stopped()
 	case errors.Is(err, os.ErrDeadlineExceeded) || clock.Now() >= n.deadline:
 		return pastDeadline
 	case upstream.Unheard(err):
--- a/internal/relay/ending_test.go
+++ b/internal/relay/ending_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
 	"spoolswitch/internal/concurrency"
 	"spoolswitch/internal/httpmessage"
 	"spoolswitch/internal/ids"
@@ -224,7 +225,7 @@
 	var b [1]byte
 	_, err = far.Read(b[:]) // it is on its way, and far too long to leave at once
 	is.NoErr(err)
-	n.abandon()
+	n.end(codes.ClientLeft)
 	is.True(done.Wait(20 * clock.Second))
 	is.Equal(e, deserted)
 }
--- a/internal/relay/leave_test.go
+++ b/internal/relay/leave_test.go
@@ -94,7 +94,7 @@
 	}},
 	"intake over": {false, func(r *Relay) {
 		r.mu.Lock()
-		r.leaving, r.intakeEnd = true, clock.Now()
+		r.leaving, r.leftFrom, r.intakeEnd, r.graceEnd = true, clock.Now(), clock.Now(), clock.Now().Add(20*clock.Second)
 		r.mu.Unlock()
 	}},
 	"closing": {false, func(r *Relay) {
--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
 	"spoolswitch/internal/configuration"
 	"spoolswitch/internal/discovery"
 	"spoolswitch/internal/httpmessage"
@@ -105,7 +106,7 @@
 
 func (p *play) leave() {
 	p.now.k.left = true
-	p.now.req.abandon()
+	p.now.req.end(codes.ClientLeft)
 }
 
 // Quiet is asked of a resting connection: an answer too many may have come, or
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,9 +1,7 @@
 package relay
 
 import (
-	"maps"
 	"net"
-	"slices"
 	"sync"
 
 	"spoolswitch/internal/clock"
@@ -38,12 +36,13 @@
 	mu      sync.Mutex
 	leaving bool
 	closing bool
-	// intakeEnd is when a relay that leaves takes its last request.
-	intakeEnd clock.Tick
-	running   map[*Request]bool
-	idles     map[*Client]bool
-	open      int
-	most      int
+	// leftFrom is when the leaving began, intakeEnd when a relay that leaves takes
+	// its last request, graceEnd when it ends what is still under way.
+	leftFrom, intakeEnd, graceEnd clock.Tick
+	running                       map[*Request]bool
+	idles                         map[*Client]bool
+	open                          int
+	most                          int
 }
 
 // NewRelay makes a relay that holds at most most connections of clients.
@@ -128,13 +127,6 @@
 	delete(r.running, n)
 }
 
-// Leaving tells whether the relay is on its way out.
-func (r *Relay) Leaving() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.leaving
-}
-
 // Active is how many requests are under way.
 func (r *Relay) Active() int {
 	r.mu.Lock()
@@ -157,45 +149,3 @@
 func (r *Relay) Ready() bool {
 	return !r.Leaving() && r.View.Table() != nil && r.Fleet.HasList()
 }
-
-// takes tells whether a request whose head was read at a moment is taken. The
-// end of the intake is a moment on the steady clock, so that it also holds for
-// what a process reads after a pause, before Leave goes on.
-func (r *Relay) takes(begun clock.Tick) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return !r.leaving || begun < r.intakeEnd
-}
-
-// Leave ends the relay in order. It turns unready at once and takes requests
-// for the time intake, as the platform still sends them here; later ones are
-// refused with the time to come back. Then idle connections are closed, and
-// what was taken is finished, until grace has passed since the call.
-func (r *Relay) Leave(grace, intake clock.Span) {
-	begun := clock.Now()
-	intake = min(intake, grace/2)
-	r.mu.Lock()
-	r.leaving = true
-	r.intakeEnd = begun.Add(intake)
-	r.mu.Unlock()
-	clock.Sleep(intake)
-	r.mu.Lock()
-	r.closing = true
-	for k := range r.idles { // under the lock: one that has just got a request sets its own
-		_ = k.c.SetReadDeadline(clock.Past())
-	}
-	r.mu.Unlock()
-	for clock.Since(begun) < grace && r.held() > 0 {
-		clock.Sleep(20 * clock.Millisecond)
-	}
-	for _, n := range r.underWay() {
-		n.endedEarly(telemetry.BrokenOff, codes.GraceOver)
-	}
-}
-
-// underWay lists the requests that have not ended.
-func (r *Relay) underWay() []*Request {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return slices.Collect(maps.Keys(r.running))
-}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
 	"spoolswitch/internal/concurrency"
 	"spoolswitch/internal/configuration"
 	"spoolswitch/internal/consensus"
@@ -631,7 +632,7 @@
 	n := &Request{}
 	is.True(n.hold(c))
 	n.give(&routing.Rep{Pool: pool}, c, &httpmessage.Response{}, answered)
-	n.abandon()
+	n.end(codes.ClientLeft)
 	again, err := pool.Get(2, clock.Second)
 	is.NoErr(err)
 	is.True(again == c)
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -38,9 +38,10 @@
 	urgency int
 	ran     bool
 
-	mu       sync.Mutex
-	conn     *upstream.Conn
-	left     bool
+	mu   sync.Mutex
+	conn *upstream.Conn
+	// ended is why the request is given up, OK while it is not.
+	ended    codes.Code
 	progress progress
 
 	sent   clock.Tick
@@ -57,7 +58,7 @@
 func (n *Request) run() {
 	n.last = n.Head.Close
 	if !n.awake() {
-		n.refuse(codes.NotReady)
+		n.refuse(n.endedOr(codes.NotReady))
 		return
 	}
 	t := n.r.View.Table()
@@ -70,6 +71,10 @@
 		n.refuse(codes.Of(err))
 		return
 	}
+	if !n.r.finishes(n.begun, n.deadline) {
+		n.refuse(codes.Leaving)
+		return
+	}
 	n.r.Budget.Note(n.ask.Service)
 	n.send()
 }
@@ -93,7 +98,7 @@
 		}
 	}
 	for !n.r.known() {
-		if clock.Since(n.begun) > d || n.deserted() {
+		if clock.Since(n.begun) > d || n.givenUp() {
 			return false
 		}
 		clock.Sleep(wakeStep)
@@ -171,10 +176,14 @@
 	_ = n.k.c.Close()
 }
 
-func (n *Request) abandon() {
+// end gives the request up for a cause; the first cause stands. The replica's
+// connection is closed at once.
+func (n *Request) end(cause codes.Code) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.left = true
+	if n.ended == codes.OK {
+		n.ended = cause
+	}
 	if n.conn != nil {
 		n.conn.Cut()
 	}
@@ -184,7 +193,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.conn = c
-	return !n.left
+	return n.ended == codes.OK
 }
 
 // let ends the hold on a connection; false if it had ended. From then on the
@@ -197,10 +206,34 @@
 	return held
 }
 
-func (n *Request) deserted() bool {
+// endedOr is the cause for which the request was given up, or other if it was not.
+func (n *Request) endedOr(other codes.Code) codes.Code {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.left
+	if n.ended != codes.OK {
+		return n.ended
+	}
+	return other
+}
+
+func (n *Request) givenUp() bool { return n.endedOr(codes.OK) != codes.OK }
+
+func (n *Request) deserted() bool { return n.endedOr(codes.OK) == codes.ClientLeft }
+
+// stoppedUnsent is the ending of a try that was given up before all of it was sent.
+func (n *Request) stoppedUnsent() ending {
+	if n.deserted() {
+		return deserted
+	}
+	return tooLate
+}
+
+// stopped is the ending of a try that was sent and given up.
+func (n *Request) stopped() ending {
+	if n.deserted() {
+		return deserted
+	}
+	return graceOver
 }
 
 func (n *Request) not(id ids.Replica) { n.ask.Not = append(n.ask.Not, id) }
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -33,6 +33,10 @@
 			n.undelivered()
 			return
 		}
+		if n.givenUp() {
+			n.fail(codes.GraceOver)
+			return
+		}
 		rep, err := n.pick()
 		if err != nil {
 			n.fail(codes.Of(err))
@@ -62,6 +66,9 @@
 			n.last = true
 			n.undelivered()
 			return
+		case e == graceOver:
+			n.fail(codes.GraceOver)
+			return
 		case e == pastDeadline:
 			n.fail(codes.PastDeadline)
 			return
@@ -113,7 +120,7 @@
 		return nil, err
 	}
 	defer h.Leave(w)
-	for clock.Now() < until && !n.deserted() {
+	for clock.Now() < until && !n.givenUp() {
 		if !h.First(w, min(holdLook, clock.Until(until))) {
 			continue
 		}
@@ -127,7 +134,8 @@
 }
 
 func (n *Request) fail(c codes.Code) {
-	if clock.Now() >= n.deadline {
+	c = n.endedOr(c)
+	if c != codes.GraceOver && clock.Now() >= n.deadline {
 		if n.ran {
 			c = codes.PastDeadline
 		} else {
@@ -138,7 +146,7 @@
 		n.abort(c)
 		return
 	}
-	if n.ran && c != codes.PastDeadline {
+	if n.ran && c != codes.PastDeadline && c != codes.GraceOver {
 		c = codes.ReplicaBroke
 	}
 	n.refuse(c)
@@ -165,7 +173,7 @@
 // connection has been given back if it may be used again.
 func (n *Request) exchange(rep *routing.Rep, c *upstream.Conn, left clock.Span) ending {
 	if !n.hold(c) {
-		return deserted
+		return n.stoppedUnsent()
 	}
 	set := []httpmessage.Set{
 		{K: httpmessage.Expected, V: string(rep.ID)},
@@ -180,8 +188,8 @@
 	b := n.Head.Append(make([]byte, 0, len(n.Body)+1024), len(n.Body), set...)
 	whole, err := c.Put(append(b, n.Body...), n.deadline)
 	if !whole {
-		if n.deserted() {
-			return deserted
+		if n.givenUp() {
+			return n.stoppedUnsent()
 		}
 		return unsent
 	}
