--- a/internal/relay/leave_test.go
+++ b/internal/relay/leave_test.go
@@ -20,6 +20,17 @@
 	// reached and resume are set by the replica's end and by the test.
 	reached, resume *concurrency.Mark
 	known           bool
+	// id and fields are the request's, if other than those of leaveRequest.
+	id, fields string
+}
+
+// request is the head of the request.
+func (r *leaveRun) request() string {
+	s := leaveRequest
+	if r.id != "" {
+		s = strings.Replace(s, "Attempt-Id: a", "Attempt-Id: "+r.id, 1)
+	}
+	return strings.Replace(s, "Content-Length", r.fields+"Content-Length", 1)
 }
 
 const leaveRequest = "POST /resume/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\nContent-Length: 4\r\n\r\n"
@@ -28,12 +39,12 @@
 var moments = map[string]func(r *leaveRun) (finish func()){
 	"half of the head": func(r *leaveRun) func() {
 		until(r.g.t, "the connection", func() bool { return r.g.r.resting() == 1 })
-		r.k.Put(leaveRequest[:30])
+		r.k.Put(r.request()[:30])
 		until(r.g.t, "the head's begin", func() bool { return r.g.r.resting() == 0 })
-		return func() { r.k.Put(leaveRequest[30:] + "body") }
+		return func() { r.k.Put(r.request()[30:] + "body") }
 	},
 	"half of the body": func(r *leaveRun) func() {
-		r.k.Put(leaveRequest + "bo")
+		r.k.Put(r.request() + "bo")
 		until(r.g.t, "the head", r.g.r.reading)
 		return func() { r.k.Put("dy") }
 	},
@@ -41,7 +52,7 @@
 		r.g.r.mu.Lock()
 		r.known = false
 		r.g.r.mu.Unlock()
-		r.k.Put(leaveRequest + "body")
+		r.k.Put(r.request() + "body")
 		until(r.g.t, "the request", func() bool { return r.g.r.Active() == 1 })
 		return func() {
 			r.g.r.mu.Lock()
@@ -75,7 +86,7 @@
 			write("0\r\n\r\n")
 			return true
 		})
-		r.k.Put(leaveRequest + "body")
+		r.k.Put(r.request() + "body")
 		if !r.reached.Wait(10 * clock.Second) {
 			r.g.t.Fatal("the replica was not reached")
 		}
