--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -5,6 +5,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 
 	"github.com/valyala/fasthttp"
 
@@ -26,6 +27,9 @@
 	// client is to go on to another daemon soon.
 	cutTimeout = 450 * clock.Millisecond
 	comeAgain  = 100 * clock.Millisecond
+	// stopTimeout is how long calls under way are waited for when the daemon ends:
+	// longer than any order takes that was begun before.
+	stopTimeout = clock.Second
 )
 
 type call func(s *Server, x *fasthttp.RequestCtx, parts []string) response.Response
@@ -37,6 +41,10 @@
 	mu     sync.Mutex
 	srv    *fasthttp.Server
 	room   room
+	// stopping is set when no more orders are begun; underWay counts the calls that
+	// have no answer yet.
+	stopping atomic.Bool
+	underWay atomic.Int64
 }
 
 var calls = new(match.Tree[call]).
@@ -82,8 +90,10 @@
 	s.Zones = z
 }
 
-// Stop ends the answering; calls under way are finished first.
+// Stop ends the answering: orders under way are finished first, and later ones are
+// refused, to be sent to another keeper.
 func (s *Server) Stop() {
+	s.stopping.Store(true)
 	if s.srv == nil {
 		return
 	}
@@ -92,7 +102,11 @@
 		_ = s.srv.Shutdown()
 		done.Set()
 	})
-	done.Wait(clock.Second)
+	done.Wait(stopTimeout)
+	if calls := s.underWay.Load(); calls > 0 {
+		telemetry.EndedEarly(telemetry.EarlyEnd{How: telemetry.BrokenOff, Cause: codes.GraceOver, Request: "control",
+			Age: stopTimeout, Details: []any{"calls", calls}})
+	}
 }
 
 type quiet struct{}
@@ -100,6 +114,8 @@
 func (quiet) Printf(string, ...any) {}
 
 func (s *Server) handle(x *fasthttp.RequestCtx) {
+	s.underWay.Add(1)
+	defer s.underWay.Add(-1)
 	c, parts, err := calls.Find(string(x.Method()), string(x.Path()))
 	if err != nil {
 		response.Of(codes.Of(err), "").Fill(x)
@@ -168,10 +184,21 @@
 	if !s.Keeper.Pauses.Vouched(accepted(x)) || rpc.Gone(x.Conn()) {
 		return response.Of(codes.Unvouched, "").Later(comeAgain).Last()
 	}
+	if s.stopping.Load() {
+		return leaving()
+	}
 	return of(s.Keeper.Change(key, o, deadline))
 }
 
+// leaving refuses what would outlast the daemon.
+func leaving() response.Response {
+	return response.Of(codes.Leaving, "").Later(comeAgain).Last()
+}
+
 func (s *Server) retrieve() response.Response {
+	if s.stopping.Load() {
+		return leaving()
+	}
 	a := s.Keeper.Change(ids.Configuration, &consensus.Order{Query: true}, s.deadline())
 	if !a.OK {
 		return of(a)
