Shares of a distribution are spread evenly over requests; draws of tries are mixed

Cause: a part was chosen by the upper bits of an FNV hash of Attempt-Id. Change: each relay goes through evenly spread numbers for each route, from a random start; the draw of a try is mixed.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,6 +33,7 @@
 	queue   *Queue
 	bodies  int64
 	sizes   routing.Sizes
+	draws   draws
 	mu      sync.Mutex
 	leaving bool
 	closing bool
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -119,8 +119,11 @@
 	n.note(func(p *progress) { p.deadline, p.route = n.deadline, rt.Name })
 	h := fnv.New64a()
 	h.Write(n.id)
-	n.ask = routing.Ask{Draw: h.Sum64(), Sticky: rt.Affinity}
-	n.ask.Service = rt.Choose(float64(n.ask.Draw>>11) / (1 << 53))
+	n.ask = routing.Ask{Draw: kvindex.Mix(h.Sum64()), Sticky: rt.Affinity}
+	n.ask.Service = rt.Service
+	if len(rt.Shares) > 0 {
+		n.ask.Service = rt.Choose(n.r.draws.next(rt.Name))
+	}
 	n.skip = -1
 	if v := n.Head.Field(httpmessage.LastEvent); len(v) > 0 {
 		id, err := strconv.ParseInt(string(v), 10, 64)
