--- a/internal/consensus/acceptor.go
+++ b/internal/consensus/acceptor.go
@@ -20,32 +20,6 @@
 	Val      []byte
 }
 
-// Store keeps records; an error means that the record does not count.
-type Store interface {
-	Append(p []byte) error
-	Long(live int64) bool
-	Rewrite(ps [][]byte) error
-}
-
-type entry struct {
-	Key    ids.Key
-	Cell   Cell
-	Roster *Roster
-	Voting bool
-	// Unvoted says that this disk was empty at the first start of the system, and
-	// Founders are the seeds of that start.
-	Unvoted  bool
-	Founders []ids.Node
-}
-
-func (e *entry) encode() []byte {
-	var b bytes.Buffer
-	if gob.NewEncoder(&b).Encode(e) != nil {
-		return nil
-	}
-	return b.Bytes()
-}
-
 // Acceptor promises and accepts for one disk.
 type Acceptor struct {
 	lane   concurrency.Turn
@@ -103,19 +77,6 @@
 	a.st = st
 }
 
-// Volatile is the store of a keeper without a disk: each start is that of a
-// lost one.
-type Volatile struct{}
-
-// Append keeps nothing.
-func (Volatile) Append([]byte) error { return nil }
-
-// Long is never so.
-func (Volatile) Long(int64) bool { return false }
-
-// Rewrite has nothing to rewrite.
-func (Volatile) Rewrite([][]byte) error { return nil }
-
 // Open opens the disk and takes its records in. Of a corrupt log it keeps what
 // was read, as that of a keeper that does not vote, in one rewrite: a start
 // later must not find a whole log that says otherwise. A log with a record that
@@ -393,9 +354,3 @@
 		a.lane.Give()
 	}
 }
-
-type shut struct{}
-
-func (shut) Append([]byte) error    { return codes.New(codes.DiskRefused, "closed") }
-func (shut) Long(int64) bool        { return false }
-func (shut) Rewrite([][]byte) error { return codes.New(codes.DiskRefused, "closed") }
--- a/internal/kvindex/view.go
+++ b/internal/kvindex/view.go
@@ -37,16 +37,6 @@
 	grade  Grade
 }
 
-type hope struct {
-	routed, until clock.Tick
-	tokens        int64
-}
-
-type hopeful struct {
-	hash  uint64
-	until clock.Tick
-}
-
 const (
 	capacityDefault = 200000
 	goneMost        = 4096
@@ -79,20 +69,6 @@
 	v.blocks.Bound(tokens)
 }
 
-// Capacity is how many tokens the replica is taken to be able to keep.
-func (v *View) Capacity() int64 {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.blocks.Most()
-}
-
-// Tokens is how many tokens the replica is known to keep.
-func (v *View) Tokens() int64 {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.blocks.Weight()
-}
-
 func (v *View) expected() Seq {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -312,129 +288,3 @@
 	v.apply(Batch{b.Epoch, b.Seq, b.Events[from:]})
 	v.renewed()
 }
-
-// Speculate enters blocks that a request just routed will bring, apart from
-// those that are known. Each expires unless an event confirms it.
-func (v *View) Speculate(c Chain) {
-	d := v.x.lifetime()
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.closed {
-		return
-	}
-	now := clock.Now()
-	v.expire(now)
-	for _, k := range c {
-		if _, ok := v.blocks.Get(k.Hash); ok || len(v.spec) >= specsMost {
-			continue
-		}
-		h, ok := v.spec[k.Hash]
-		if !ok {
-			h.routed = now
-		}
-		h.until, h.tokens = now.Add(d), k.Tokens
-		v.spec[k.Hash] = h
-		v.line = append(v.line, hopeful{k.Hash, h.until})
-	}
-}
-
-func (v *View) expire(now clock.Tick) {
-	i := 0
-	for i < len(v.line) && now >= v.line[i].until {
-		if h, ok := v.spec[v.line[i].hash]; ok && now >= h.until {
-			delete(v.spec, v.line[i].hash)
-			expired.Add(1)
-		}
-		i++
-	}
-	if i > 0 {
-		v.line = append([]hopeful(nil), v.line[i:]...)
-	}
-}
-
-// Quarantined tells whether the view may not be trusted now.
-func (v *View) Quarantined() bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.lost
-}
-
-// Leading is how many of the first blocks of a chain the replica keeps or will
-// shortly, none while the view may not be trusted.
-func (v *View) Leading(c Chain) (n int, trusted bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.lost || v.closed {
-		return 0, false
-	}
-	if v.blocks.Len() == 0 && len(v.spec) == 0 {
-		return 0, true
-	}
-	now := clock.Now()
-	for i, k := range c {
-		if _, ok := v.blocks.Get(k.Hash); ok {
-			continue
-		}
-		if h, ok := v.spec[k.Hash]; !ok || now >= h.until {
-			return i, true
-		}
-	}
-	return len(c), true
-}
-
-// Promise is how many leading tokens of a chain are known to be kept, and when
-// the one of them unused the longest was used.
-func (v *View) Promise(c Chain) (tokens int64, used clock.Tick) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	used = clock.Now()
-	if v.lost || v.closed {
-		return 0, used
-	}
-	for _, k := range c {
-		r, ok := v.blocks.Get(k.Hash)
-		if !ok {
-			break
-		}
-		tokens += k.Tokens
-		used = min(used, r.used)
-	}
-	return tokens, used
-}
-
-// Unused names the blocks that went unused for d or longer.
-func (v *View) Unused(d clock.Span) []Block {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	now := clock.Now()
-	var out []Block
-	v.blocks.Each(func(k uint64, r resident) bool {
-		if now.Sub(r.used) < d {
-			return false
-		}
-		out = append(out, Block{k, r.tokens})
-		return len(out) < blocksMost
-	})
-	return out
-}
-
-func (v *View) count() {
-	s := int64(clock.Now()) / int64(clock.Second)
-	if s != v.second {
-		v.second, v.inSecond = s, 0
-	}
-	v.inSecond++
-	v.peak = max(v.peak, v.inSecond)
-}
-
-func (v *View) status() Status {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.expire(clock.Now())
-	s := Status{Epoch: v.epoch, Next: v.next, Gap: v.gap, Quarantined: v.lost,
-		Blocks: v.blocks.Len(), Tokens: v.blocks.Weight(), Speculative: len(v.spec), PeakPerS: v.peak}
-	if v.lost {
-		s.For = clock.Since(v.since)
-	}
-	return s
-}
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net"
 	"strings"
-	"sync"
 
 	"github.com/valyala/fasthttp"
 
@@ -17,7 +16,6 @@
 	"spoolswitch/internal/codes"
 	"spoolswitch/internal/consensus"
 	"spoolswitch/internal/discovery"
-	"spoolswitch/internal/feed"
 	"spoolswitch/internal/ids"
 	"spoolswitch/internal/standin"
 	"spoolswitch/internal/telemetry"
@@ -70,32 +68,6 @@
 	Memory int64
 }
 
-type hollow struct {
-	mu    sync.Mutex
-	items map[ids.Key]int
-	at    map[ids.Key]ids.Place
-	// listed is how many replicas the last whole list had.
-	listed int
-	// whole is the bytes of the first whole value of each key.
-	whole map[ids.Key]int
-}
-
-func (h *hollow) take(it consensus.Item) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.items[it.Key]++
-	h.at[it.Key] = it.At
-	if _, ok := h.whole[it.Key]; !ok && it.Base.Zero() {
-		h.whole[it.Key] = len(it.Val)
-	}
-	if it.Key == ids.List && it.Base.Zero() {
-		replicas, ok := discovery.Decode(it.Val)
-		h.listed = len(replicas)
-		return ok
-	}
-	return true
-}
-
 type run struct {
 	size    Size
 	base    int
@@ -213,26 +185,6 @@
 	return out, nil
 }
 
-func (r *run) fewestListed() int {
-	fewest := r.size.Replicas
-	for _, h := range r.relays {
-		h.mu.Lock()
-		fewest = min(fewest, h.listed)
-		h.mu.Unlock()
-	}
-	return fewest
-}
-
-func (r *run) snapshotValues() float64 {
-	bytes := 0
-	for _, h := range r.relays {
-		h.mu.Lock()
-		bytes += h.whole[ids.Configuration] + h.whole[ids.List]
-		h.mu.Unlock()
-	}
-	return per(float64(bytes), len(r.relays))
-}
-
 func per(n float64, of int) float64 { return n / float64(max(1, of)) }
 
 func until(fn func() bool) bool {
@@ -246,43 +198,6 @@
 
 func bytesIn() float64 { return float64(telemetry.Counter("wire.bytes-in").Get()) }
 
-func (r *run) follow(i int) {
-	h := &hollow{items: map[ids.Key]int{}, at: map[ids.Key]ids.Place{}, whole: map[ids.Key]int{}}
-	r.relays = append(r.relays, h)
-	t := &feed.Tail{Self: ids.Node(fmt.Sprintf("relay-%d", i)), IP: "127.0.0.1", Zone: ids.Zone(fmt.Sprintf("z%d", i%3)),
-		Take: h.take, Heard: func(int, clock.Span) {}, Seeds: func() []ids.Addr {
-			var out []ids.Addr
-			for k := range min(3, r.size.Keepers) {
-				out = append(out, r.keeper(k))
-			}
-			return out
-		}}
-	t.Run()
-}
-
-func (r *run) all(ok func(h *hollow) bool) bool {
-	return until(func() bool {
-		for _, h := range r.relays {
-			h.mu.Lock()
-			fine := ok(h)
-			h.mu.Unlock()
-			if !fine {
-				return false
-			}
-		}
-		return true
-	})
-}
-
-func (r *run) items(key ids.Key) (n float64) {
-	for _, h := range r.relays {
-		h.mu.Lock()
-		n += float64(h.items[key])
-		h.mu.Unlock()
-	}
-	return n
-}
-
 func (r *run) read(a ids.Addr) *consensus.Report {
 	rep, err := trace.Wire(a, ids.Configuration, clock.Second)
 	if err != nil {
