Relay and keeper under the field's names; the keeper's start in short functions

Fields and methods of relay.Client, Request and Relay renamed (conn, reader, relay, client, attemptID, answerBegun, closeAfter, mayHaveRun, inIntake, openConnections, retryAfter, ...), control.StartOn (105 lines) parted. No change of behaviour; tests of relay, control, sim, fleet and the house pass.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -33,6 +33,9 @@
 	founder atomic.Bool
 }
 
+// openTimeout is how long the start waits for the disk.
+const openTimeout = 2 * clock.Second
+
 // Machine is what a keeper has of the machine that it runs on.
 type Machine struct {
 	// Disk is where it keeps what it accepts; nil without a disk.
@@ -60,10 +63,28 @@
 		return nil, codes.New(codes.BadSettings, "bindings.control-addr is missing")
 	}
 	acc := consensus.NewAcceptor()
+	d := newDaemon(s, m, acc)
+	internal, err := d.listen(s)
+	if err != nil {
+		return nil, err
+	}
+	d.openDisk(s, m.Disk, acc)
+	pools := newPools(s, d.Keeper, d.Hub)
+	d.serveDaemons(internal, s.Zone, pools)
+	d.srv = &Server{Keeper: d.Keeper, Zones: s.Zones, room: room{most: s.Limits.MemoryMB << 20 / 8}}
+	m.Serve(d.srv, d.lc)
+	concurrency.Go(func() { d.holdRounds(acc) })
+	d.startDuties(s, m, pools)
+	d.calendar(s.Calendar.Rewrite, acc)
+	telemetry.State("keeper up", "node", d.Keeper.Self, "voting", acc.Voting())
+	return d, nil
+}
+
+// newDaemon makes a keeper and its hub, without any connection or thread.
+func newDaemon(s *settings.Settings, m Machine, acc *consensus.Acceptor) *Daemon {
 	hub := feed.NewHub()
-	self := ids.Node(s.Inner(s.IP, 0))
 	wires := &consensus.Wires{}
-	k := consensus.New(self, acc, wires, hub)
+	k := consensus.New(ids.Node(s.Inner(s.IP, 0)), acc, wires, hub)
 	k.Zone = s.Zone
 	wires.Far = k.Far
 	k.Decider = Decide
@@ -76,77 +97,109 @@
 	}
 	hub.Status = k
 	hub.Diff, k.Diff, k.Patch = diff, diff, patch
-	hub.Trim = func(key ids.Key, val []byte) []byte {
-		if key != ids.Configuration {
-			return val
-		}
-		return configuration.Brief(val)
-	}
+	hub.Trim = trim
 	hub.Apply = clock.Ms(s.Bounds.ConfigApplyMs)
-	d := &Daemon{Keeper: k, Hub: hub, net: wires}
-	li, err := rpc.Listen(ids.Addr(self))
+	return &Daemon{Keeper: k, Hub: hub, net: wires}
+}
+
+// trim leaves out what relays need not know of a value.
+func trim(key ids.Key, val []byte) []byte {
+	if key != ids.Configuration {
+		return val
+	}
+	return configuration.Brief(val)
+}
+
+// listen opens the ports for other daemons, which it returns, and for operators.
+func (d *Daemon) listen(s *settings.Settings) (internal net.Listener, err error) {
+	internal, err = rpc.Listen(ids.Addr(d.Keeper.Self))
 	if err != nil {
 		return nil, codes.New(codes.BadSettings, "%v", err)
 	}
-	lc, err := rpc.Listen(ids.Addr(s.Bindings.Control))
+	d.lc, err = rpc.Listen(ids.Addr(s.Bindings.Control))
 	if err != nil {
 		return nil, codes.New(codes.BadSettings, "%v", err)
 	}
-	d.lc = lc
+	return internal, nil
+}
+
+// openDisk opens the disk in the background, and waits a while for it.
+func (d *Daemon) openDisk(s *settings.Settings, fs disk.FS, acc *consensus.Acceptor) {
 	opened := concurrency.NewMark()
 	concurrency.Go(func() {
-		d.open(s, m.Disk, acc)
+		d.open(s, fs, acc)
 		opened.Set()
 	})
-	opened.Wait(2 * clock.Second)
-	pools := newPools(s, k, hub)
-	far := func(m consensus.Msg) bool { return m.Zone != "" && m.Zone != s.Zone || k.Far(m.From) }
-	d.in = rpc.ServeZoned(li, far, func(m consensus.Msg, push func(consensus.Msg) error) (consensus.Msg, bool) {
-		if m.Kind == consensus.Trace {
-			r := k.Report(m.Key)
-			r.Feed, r.Relays, r.Counts = hub.Num(), hub.Relays(), telemetry.Map()
-			pools.report(r)
-			return consensus.Msg{OK: true, Report: r}, true
-		}
-		if m.Kind == consensus.Follow {
-			hub.Follow(m, push)
+	opened.Wait(openTimeout)
+}
+
+// serveDaemons answers the calls of other daemons.
+func (d *Daemon) serveDaemons(internal net.Listener, zone ids.Zone, pools *pools) {
+	far := func(m consensus.Msg) bool { return m.Zone != "" && m.Zone != zone || d.Keeper.Far(m.From) }
+	d.in = rpc.ServeZoned(internal, far, func(m consensus.Msg, push func(consensus.Msg) error) (consensus.Msg, bool) {
+		switch m.Kind {
+		case consensus.Trace:
+			return consensus.Msg{OK: true, Report: d.report(m.Key, pools)}, true
+		case consensus.Follow:
+			d.Hub.Follow(m, push)
 			return consensus.Msg{}, false
-		}
-		if m.Kind == consensus.Confirm {
-			return hub.Confirm(m), true
-		}
-		if m.Kind == consensus.Counts || m.Kind == consensus.Fold {
+		case consensus.Confirm:
+			return d.Hub.Confirm(m), true
+		case consensus.Counts, consensus.Fold:
 			return pools.duty.Counted(m), true
 		}
-		return k.Handle(m), true
+		return d.Keeper.Handle(m), true
 	})
-	d.srv = &Server{Keeper: k, Zones: s.Zones, room: room{most: s.Limits.MemoryMB << 20 / 8}}
-	m.Serve(d.srv, lc)
-	concurrency.Go(func() {
-		for !d.over.Load() {
-			if d.founder.Load() && !acc.Voting() {
-				if k.Begin() {
-					d.founder.Store(false)
-				}
-			} else if acc.Ready() && (k.Disk || acc.Roster().Has(k.Self)) {
-				k.Regain()
-			}
-			k.Gossip()
-			if !k.Rounds() && !d.founder.Load() {
-				clock.Sleep(consensus.Beat / 4)
-				continue
-			}
-			begun := clock.Now()
-			k.Round()
-			hub.Check()
-			if !k.Sure(3 * consensus.Beat) {
-				clock.Sleep(consensus.Beat / 4)
-				continue
-			}
-			clock.Sleep(max(consensus.Beat-clock.Since(begun), consensus.Beat/4))
+}
+
+// report tells of this keeper, and what it did about a key.
+func (d *Daemon) report(key ids.Key, pools *pools) *consensus.Report {
+	r := d.Keeper.Report(key)
+	r.Feed, r.Relays, r.Counts = d.Hub.Num(), d.Hub.Relays(), telemetry.Map()
+	pools.report(r)
+	return r
+}
+
+// holdRounds founds the roster or reads a lost disk back where that is due, and
+// holds rounds with the other keepers, until the daemon ends.
+func (d *Daemon) holdRounds(acc *consensus.Acceptor) {
+	for !d.over.Load() {
+		d.takePart(acc)
+		d.Keeper.Gossip()
+		clock.Sleep(d.round())
+	}
+}
+
+// takePart brings the keeper's disk to where it may vote.
+func (d *Daemon) takePart(acc *consensus.Acceptor) {
+	if d.founder.Load() && !acc.Voting() {
+		if d.Keeper.Begin() {
+			d.founder.Store(false)
 		}
-	})
-	duty := &discovery.Duty{Duty: consensus.Duty{Keeper: k, Key: ids.ListDuty, Value: hub.Value}, Read: m.List, Drain: clock.Ms(s.Bounds.DrainMs)}
+		return
+	}
+	if acc.Ready() && (d.Keeper.Disk || acc.Roster().Has(d.Keeper.Self)) {
+		d.Keeper.Regain()
+	}
+}
+
+// round holds one round, if the keeper holds any, and tells the pause after it.
+func (d *Daemon) round() clock.Span {
+	if !d.Keeper.Rounds() && !d.founder.Load() {
+		return consensus.Beat / 4
+	}
+	begun := clock.Now()
+	d.Keeper.Round()
+	d.Hub.Check()
+	if !d.Keeper.Sure(3 * consensus.Beat) {
+		return consensus.Beat / 4
+	}
+	return max(consensus.Beat-clock.Since(begun), consensus.Beat/4)
+}
+
+// startDuties starts what keepers do by lease, and the notice of pauses.
+func (d *Daemon) startDuties(s *settings.Settings, m Machine, pools *pools) {
+	duty := &discovery.Duty{Duty: consensus.Duty{Keeper: d.Keeper, Key: ids.ListDuty, Value: d.Hub.Value}, Read: m.List, Drain: clock.Ms(s.Bounds.DrainMs)}
 	concurrency.Every(discovery.Glance, func() bool {
 		duty.Step()
 		return !d.over.Load()
@@ -158,12 +211,9 @@
 		})
 	}
 	concurrency.Every(consensus.PauseBeat, func() bool {
-		k.Pauses.Beat()
+		d.Keeper.Pauses.Beat()
 		return !d.over.Load()
 	})
-	d.calendar(s.Calendar.Rewrite, acc)
-	telemetry.State("keeper up", "node", self, "voting", acc.Voting())
-	return d, nil
 }
 
 func (d *Daemon) open(s *settings.Settings, fs disk.FS, acc *consensus.Acceptor) {
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -19,12 +19,12 @@
 
 // Client is a client's connection.
 type Client struct {
-	c    net.Conn
-	br   *bufio.Reader
-	r    *Relay
-	gone atomic.Bool
-	mu   sync.Mutex
-	dead bool
+	conn     net.Conn
+	reader   *bufio.Reader
+	relay    *Relay
+	left     atomic.Bool
+	mu       sync.Mutex
+	answered bool
 	// served tells that a request has been read on the connection.
 	served bool
 	// stalled tells that a write was not taken in time.
@@ -39,39 +39,39 @@
 
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 16<<10) }}
 
-func (k *Client) reader(most int) {
+func (k *Client) makeReader(most int) {
 	if most+2 <= 16<<10 {
-		k.br = readers.Get().(*bufio.Reader)
-		k.br.Reset(k.c)
+		k.reader = readers.Get().(*bufio.Reader)
+		k.reader.Reset(k.conn)
 		return
 	}
-	k.br = bufio.NewReaderSize(k.c, min(most, longestHead)+2)
+	k.reader = bufio.NewReaderSize(k.conn, min(most, longestHead)+2)
 }
 
 func (k *Client) free() {
-	if k.br.Size() == 16<<10 {
-		k.br.Reset(nil)
-		readers.Put(k.br)
+	if k.reader.Size() == 16<<10 {
+		k.reader.Reset(nil)
+		readers.Put(k.reader)
 	}
 }
 
 func (k *Client) serve() {
 	lim := configuration.Limits{}.Whole()
-	if t := k.r.View.Table(); t != nil {
+	if t := k.relay.View.Table(); t != nil {
 		lim = t.Limits
 	}
-	k.reader(lim.HeadBytes)
+	k.makeReader(lim.HeadBytes)
 	defer k.free()
-	defer k.c.Close()
+	defer k.conn.Close()
 	for {
-		if t := k.r.View.Table(); t != nil {
+		if t := k.relay.View.Table(); t != nil {
 			lim = t.Limits
 		}
 		if !k.rest(clock.Now()) {
 			return
 		}
 		k.deadline(clock.Now().Add(clock.Ms(lim.HeadMs)))
-		q, err := httpmessage.ReadRequest(k.br)
+		q, err := httpmessage.ReadRequest(k.reader)
 		if err != nil {
 			k.refuse(err)
 			return
@@ -87,20 +87,20 @@
 // closed while any configuration since allowed it to rest, unless the relay
 // leaves; nothing of a request that comes then has been read.
 func (k *Client) rest(used clock.Tick) bool {
-	for k.br.Buffered() == 0 {
-		until := used.Add(k.r.View.Rest(used))
+	for k.reader.Buffered() == 0 {
+		until := used.Add(k.relay.View.Rest(used))
 		k.deadline(until)
-		if !k.r.idle(k, true) {
+		if !k.relay.idle(k, true) {
 			return k.firstAfterIntake()
 		}
-		_, err := k.br.Peek(1)
-		k.r.idle(k, false)
+		_, err := k.reader.Peek(1)
+		k.relay.idle(k, false)
 		switch {
 		case err == nil:
 			return true
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return false
-		case clock.Now() >= used.Add(k.r.View.Rest(used)):
+		case clock.Now() >= used.Add(k.relay.View.Rest(used)):
 			telemetry.CountEarlyEnd(telemetry.Closed, codes.IdleOver)
 			return false
 		}
@@ -114,7 +114,7 @@
 func (k *Client) firstAfterIntake() bool {
 	if !k.served {
 		k.deadline(clock.Now().Add(firstRequest))
-		if _, err := k.br.Peek(1); err == nil {
+		if _, err := k.reader.Peek(1); err == nil {
 			return true
 		}
 	}
@@ -125,8 +125,8 @@
 // leaves waits for the client to leave, or for the read deadline. What the client
 // sends meanwhile stays in the buffer; once that is full nobody can tell.
 func (k *Client) leaves() bool {
-	for k.br.Buffered() < k.br.Size() {
-		_, err := k.br.Peek(k.br.Buffered() + 1)
+	for k.reader.Buffered() < k.reader.Size() {
+		_, err := k.reader.Peek(k.reader.Buffered() + 1)
 		if err != nil {
 			return !errors.Is(err, os.ErrDeadlineExceeded)
 		}
@@ -134,7 +134,7 @@
 	return false
 }
 
-func (k *Client) deadline(t clock.Tick) { _ = k.c.SetReadDeadline(t.Deadline()) }
+func (k *Client) deadline(t clock.Tick) { _ = k.conn.SetReadDeadline(t.Deadline()) }
 
 func (k *Client) refuse(err error) {
 	var f *codes.Fault
@@ -146,7 +146,7 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		telemetry.Counter("client.slow").Add(1)
 		telemetry.CountEarlyEnd(telemetry.Closed, codes.HeadTooSlow)
-		if k.br.Buffered() > 0 {
+		if k.reader.Buffered() > 0 {
 			k.write(response.Of(codes.HeadTooSlow, "").Last().Append(nil))
 		}
 	case errors.Is(err, io.ErrUnexpectedEOF):
@@ -155,16 +155,16 @@
 }
 
 func (k *Client) linger() {
-	if t, ok := k.c.(*net.TCPConn); ok {
+	if t, ok := k.conn.(*net.TCPConn); ok {
 		_ = t.CloseWrite()
 	}
 	k.deadline(clock.Now().Add(300 * clock.Millisecond))
-	_, _ = io.CopyN(io.Discard, k.br, 1<<20)
+	_, _ = io.CopyN(io.Discard, k.reader, 1<<20)
 }
 
 func (k *Client) write(b []byte) bool {
-	_ = k.c.SetWriteDeadline(clock.Now().Add(writeTimeout).Deadline())
-	_, err := k.c.Write(b)
+	_ = k.conn.SetWriteDeadline(clock.Now().Add(writeTimeout).Deadline())
+	_, err := k.conn.Write(b)
 	k.stalled = k.stalled || errors.Is(err, os.ErrDeadlineExceeded)
 	return err == nil
 }
@@ -176,17 +176,17 @@
 		room = int64(min(lim.BodyBytes, chunkedRoom))
 	}
 	if room <= int64(lim.BodyBytes) {
-		if !k.r.reserve(room) {
+		if !k.relay.reserve(room) {
 			k.turnAway(q, codes.QueueFull, begun)
 			return false
 		}
-		defer k.r.release(room)
+		defer k.relay.release(room)
 	}
 	if q.Expect && !q.None {
 		k.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
 	k.deadline(begun.Add(clock.Ms(lim.HeadMs + lim.IdleMs)))
-	b := httpmessage.NewBody(k.br, q.Framing)
+	b := httpmessage.NewBody(k.reader, q.Framing)
 	body, err := b.ReadAll(lim.BodyBytes)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		k.turnAway(q, codes.HeadTooSlow, begun)
@@ -197,40 +197,40 @@
 		return false
 	}
 	n := newRequest(k, q, body, begun)
-	if !k.r.takes(begun) {
+	if !k.relay.inIntake(begun) {
 		n.refuse(codes.Leaving)
 		return false
 	}
-	k.r.enter(n)
-	defer k.r.exit(n)
-	if !k.r.senders.Try(func() {
+	k.relay.enter(n)
+	defer k.relay.exit(n)
+	if !k.relay.senders.Try(func() {
 		n.run()
 		k.mu.Lock()
-		k.dead = true
+		k.answered = true
 		k.mu.Unlock()
-		_ = k.c.SetReadDeadline(clock.Past())
+		_ = k.conn.SetReadDeadline(clock.Past())
 		n.done.Set()
 	}) {
 		n.refuse(codes.QueueFull)
-		return !n.last
+		return !n.closeAfter
 	}
 	k.watch(n)
-	return !n.last && !k.gone.Load()
+	return !n.closeAfter && !k.left.Load()
 }
 
 // watch waits for the end of a request, and abandons it if its client leaves
 // before that.
 func (k *Client) watch(n *Request) {
-	_ = k.c.SetReadDeadline(clock.NoDeadline())
+	_ = k.conn.SetReadDeadline(clock.NoDeadline())
 	k.mu.Lock()
-	over := k.dead
+	over := k.answered
 	k.mu.Unlock()
 	if !over && k.leaves() {
-		k.gone.Store(true)
+		k.left.Store(true)
 		n.end(codes.ClientLeft)
 	}
 	n.done.Wait(clock.Span(1<<62 - 1))
 	k.mu.Lock()
-	k.dead = false
+	k.answered = false
 	k.mu.Unlock()
 }
--- a/internal/relay/early.go
+++ b/internal/relay/early.go
@@ -29,7 +29,7 @@
 	p := n.progress
 	n.mu.Unlock()
 	end := telemetry.EarlyEnd{
-		How: how, Cause: cause, Request: string(n.id), Age: clock.Since(n.begun),
+		How: how, Cause: cause, Request: string(n.attemptID), Age: clock.Since(n.begun),
 		Details: []any{"route", p.route, "sends", p.sends, "answer-begun", p.begun},
 	}
 	if p.deadline != 0 {
@@ -41,7 +41,7 @@
 // undelivered reports an answer that its client did not take.
 func (n *Request) undelivered() {
 	cause := codes.ClientLeft
-	if n.k.stalled {
+	if n.client.stalled {
 		cause = codes.ClientStalled
 	}
 	n.endedEarly(telemetry.Abandoned, cause)
@@ -53,7 +53,7 @@
 	id := head.Field(httpmessage.AttemptID)
 	answer := response.Of(code, "").For(id).Last().To(head.Method)
 	if answer.Status == 503 {
-		answer = answer.Later(k.r.back())
+		answer = answer.Later(k.relay.retryAfter())
 	}
 	telemetry.EndedEarly(telemetry.EarlyEnd{How: telemetry.Refused, Cause: code, Request: string(id), Age: clock.Since(begun)})
 	k.write(answer.Append(nil))
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -116,7 +116,7 @@
 		return turnedAway
 	case ok && len(a.Field(httpmessage.Seal)) == 0:
 		return malformed
-	case n.first && !n.streams(a):
+	case n.answerBegun && !n.streams(a):
 		return malformed
 	case promises(a.Status) && !n.route.Repeatable():
 		return unbacked
--- a/internal/relay/ending_test.go
+++ b/internal/relay/ending_test.go
@@ -212,7 +212,7 @@
 	is.NoErr(err)
 	q, err := httpmessage.ReadRequest(bufio.NewReader(strings.NewReader("POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1\r\n\r\n")))
 	is.NoErr(err)
-	n := &Request{Head: q, Body: make([]byte, 64<<20), r: g.r, route: g.r.View.Table().Match(host, "/unsafe/"), deadline: clock.Now().Add(clock.Minute)}
+	n := &Request{Head: q, Body: make([]byte, 64<<20), relay: g.r, route: g.r.View.Table().Match(host, "/unsafe/"), deadline: clock.Now().Add(clock.Minute)}
 	var e ending
 	done := concurrency.NewMark()
 	concurrency.Go(func() {
--- a/internal/relay/gauges.go
+++ b/internal/relay/gauges.go
@@ -23,7 +23,7 @@
 		{Name: "held_tokens", Help: "Tokens of the sessions that are bound.", Figure: float64(tokens)},
 		{Name: "active", Help: "Requests under way.", Figure: float64(d.Relay.Active())},
 		{Name: "relays", Help: "Relays that share the bounds.", Figure: float64(fleet.Share())},
-		{Name: "client_connections_open", Help: "Connections of clients.", Figure: float64(d.Relay.held())},
+		{Name: "client_connections_open", Help: "Connections of clients.", Figure: float64(d.Relay.openConnections())},
 		{Name: "ready", Help: "1 while the relay tells the platform that it is ready.", Figure: metrics.Flag(d.Relay.Ready())},
 		{Name: "leaving", Help: "1 from SIGTERM on.", Figure: metrics.Flag(d.Relay.Leaving())},
 		{Name: "feed_fresh", Help: "1 while a keeper confirms what this relay was fed.", Figure: metrics.Flag(d.Tail.Fresh(cutAfter))},
--- a/internal/relay/leave.go
+++ b/internal/relay/leave.go
@@ -27,10 +27,10 @@
 	return r.leaving
 }
 
-// takes tells whether a request whose head was read at a moment is taken. The
+// inIntake tells whether a request whose head was read at a moment is taken. The
 // end of the intake is a moment on the steady clock, so that it also holds for
 // what a process reads after a pause, before Leave goes on.
-func (r *Relay) takes(begun clock.Tick) bool {
+func (r *Relay) inIntake(begun clock.Tick) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return !r.leaving || begun < r.intakeEnd
@@ -81,13 +81,13 @@
 	defer r.mu.Unlock()
 	r.closing = true
 	for k := range r.idles { // under the lock: one that has just got a request sets its own
-		_ = k.c.SetReadDeadline(clock.Past())
+		_ = k.conn.SetReadDeadline(clock.Past())
 	}
 }
 
 // awaitEmpty waits until no connection of a client is left, or until a moment.
 func (r *Relay) awaitEmpty(until clock.Tick) {
-	for clock.Now() < until && r.held() > 0 {
+	for clock.Now() < until && r.openConnections() > 0 {
 		clock.Sleep(emptyPoll)
 	}
 }
--- a/internal/relay/leave_test.go
+++ b/internal/relay/leave_test.go
@@ -167,11 +167,11 @@
 	sim := &clock.Sim{}
 	t.Cleanup(sim.Use())
 	r := NewRelay(&View{}, nil, 1, 1, 1)
-	is.True(r.takes(clock.Now()))
+	is.True(r.inIntake(clock.Now()))
 	r.leaving, r.intakeEnd = true, clock.Now().Add(2*clock.Second)
-	is.True(r.takes(clock.Now()))
+	is.True(r.inIntake(clock.Now()))
 	sim.Move(2 * clock.Second)
-	is.True(!r.takes(clock.Now()))
+	is.True(!r.inIntake(clock.Now()))
 }
 
 // A settings change does not touch what runs, nor what rests.
--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -287,10 +287,10 @@
 		p.t.Fatal(err)
 	}
 	k.got.Reset()
-	x.req = newRequest(&Client{c: k, r: p.r}, q, []byte("body"), clock.Now())
+	x.req = newRequest(&Client{conn: k, relay: p.r}, q, []byte("body"), clock.Now())
 	x.req.run()
 	p.judge(x)
-	if k.shut || k.left || x.req.last {
+	if k.shut || k.left || x.req.closeAfter {
 		return &near{}
 	}
 	return k
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -43,12 +43,12 @@
 	running                       map[*Request]bool
 	idles                         map[*Client]bool
 	open                          int
-	most                          int
+	connectionsMost               int
 }
 
 // NewRelay makes a relay that holds at most most connections of clients.
 func NewRelay(v *View, b *routing.Budget, senders, queue, most int) *Relay {
-	return &Relay{View: v, Fleet: v.Fleet, Budget: b, senders: concurrency.NewPool(senders, queue), queue: &Queue{Most: queue}, idles: map[*Client]bool{}, running: map[*Request]bool{}, most: most,
+	return &Relay{View: v, Fleet: v.Fleet, Budget: b, senders: concurrency.NewPool(senders, queue), queue: &Queue{Most: queue}, idles: map[*Client]bool{}, running: map[*Request]bool{}, connectionsMost: most,
 		Current: func() bool { return true }}
 }
 
@@ -69,7 +69,7 @@
 		telemetry.Counter("client.connections").Add(1)
 		rpc.Tune(c, 5*clock.Second)
 		r.mu.Lock()
-		if r.open >= r.most {
+		if r.open >= r.connectionsMost {
 			r.mu.Unlock()
 			telemetry.CountEarlyEnd(telemetry.Closed, codes.NoConnection)
 			_ = c.Close()
@@ -78,7 +78,7 @@
 		r.open++
 		r.mu.Unlock()
 		concurrency.Go(func() {
-			(&Client{c: c, r: r}).serve()
+			(&Client{conn: c, relay: r}).serve()
 			r.mu.Lock()
 			r.open--
 			r.mu.Unlock()
@@ -135,14 +135,14 @@
 	return len(r.running)
 }
 
-// held is how many connections of clients there are.
-func (r *Relay) held() int {
+// openConnections is how many connections of clients there are.
+func (r *Relay) openConnections() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.open
 }
 
-func (r *Relay) back() clock.Span { return 250 * clock.Millisecond }
+func (r *Relay) retryAfter() clock.Span { return 250 * clock.Millisecond }
 
 func (r *Relay) known() bool { return r.View.Table() != nil && r.Fleet.HasList() && r.Current() }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -630,7 +630,7 @@
 	c, err := pool.Get(1, clock.Second)
 	is.NoErr(err)
 	n := &Request{}
-	is.True(n.hold(c))
+	is.True(n.holdConn(c))
 	n.give(&routing.Rep{Pool: pool}, c, &httpmessage.Response{}, answered)
 	n.end(codes.ClientLeft)
 	again, err := pool.Get(2, clock.Second)
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -24,19 +24,19 @@
 	Head *httpmessage.Request
 	Body []byte
 
-	k        *Client
-	r        *Relay
-	route    *configuration.Route
-	begun    clock.Tick
-	deadline clock.Tick
-	id       []byte
-	done     *concurrency.Mark
-	last     bool
-
-	ask     routing.Ask
-	sends   int
-	urgency int
-	ran     bool
+	client     *Client
+	relay      *Relay
+	route      *configuration.Route
+	begun      clock.Tick
+	deadline   clock.Tick
+	attemptID  []byte
+	done       *concurrency.Mark
+	closeAfter bool
+
+	ask        routing.Ask
+	sends      int
+	urgency    int
+	mayHaveRun bool
 
 	mu   sync.Mutex
 	conn *upstream.Conn
@@ -44,38 +44,38 @@
 	ended    codes.Code
 	progress progress
 
-	sent   clock.Tick
-	began  clock.Tick
-	first  bool
-	events httpmessage.Events
-	skip   int64
+	sent        clock.Tick
+	began       clock.Tick
+	answerBegun bool
+	events      httpmessage.Events
+	skip        int64
 }
 
 func newRequest(k *Client, q *httpmessage.Request, body []byte, begun clock.Tick) *Request {
-	return &Request{Head: q, Body: body, k: k, r: k.r, begun: begun, id: bytes.Clone(q.Field(httpmessage.AttemptID)), done: concurrency.NewMark()}
+	return &Request{Head: q, Body: body, client: k, relay: k.relay, begun: begun, attemptID: bytes.Clone(q.Field(httpmessage.AttemptID)), done: concurrency.NewMark()}
 }
 
 func (n *Request) run() {
-	n.last = n.Head.Close
-	if !n.awake() {
+	n.closeAfter = n.Head.Close
+	if !n.awaitNews() {
 		n.refuse(n.endedOr(codes.NotReady))
 		return
 	}
-	t := n.r.View.Table()
+	t := n.relay.View.Table()
 	n.route = t.Match(n.Head.Host, n.Head.URI)
 	if n.route == nil {
 		n.refuse(codes.NoRoute)
 		return
 	}
-	if err := n.read(); err != nil {
+	if err := n.parse(); err != nil {
 		n.refuse(codes.Of(err))
 		return
 	}
-	if !n.r.finishes(n.begun, n.deadline) {
+	if !n.relay.finishes(n.begun, n.deadline) {
 		n.refuse(codes.Leaving)
 		return
 	}
-	n.r.Budget.Note(n.ask.Service)
+	n.relay.Budget.Note(n.ask.Service)
 	n.send()
 }
 
@@ -84,20 +84,20 @@
 	wakeStep = 20 * clock.Millisecond
 )
 
-// awake waits until the relay knows where to send. What comes before the first
+// awaitNews waits until the relay knows where to send. What comes before the first
 // list is held for it: that comes soon. Where what was known is no longer
 // current, it may not come back in time, and the client is told soon.
-func (n *Request) awake() bool {
+func (n *Request) awaitNews() bool {
 	d := wakeMost
 	if ms, err := strconv.ParseFloat(string(n.Head.Field(httpmessage.DeadlineMs)), 64); err == nil && ms >= 0 {
 		d = min(d, clock.Ms(ms/4))
 	}
-	if t := n.r.View.Table(); t != nil && n.r.Fleet.HasList() {
+	if t := n.relay.View.Table(); t != nil && n.relay.Fleet.HasList() {
 		if rt := t.Match(n.Head.Host, n.Head.URI); rt != nil && rt.TargetMs > 0 {
 			d = min(d, clock.Ms(rt.TargetMs/5))
 		}
 	}
-	for !n.r.known() {
+	for !n.relay.known() {
 		if clock.Since(n.begun) > d || n.givenUp() {
 			return false
 		}
@@ -106,7 +106,7 @@
 	return true
 }
 
-func (n *Request) read() error {
+func (n *Request) parse() error {
 	rt := n.route
 	n.deadline = n.begun.Add(clock.Ms(rt.TimeoutMs))
 	if v := n.Head.Field(httpmessage.DeadlineMs); len(v) > 0 {
@@ -118,11 +118,11 @@
 	}
 	n.note(func(p *progress) { p.deadline, p.route = n.deadline, rt.Name })
 	h := fnv.New64a()
-	h.Write(n.id)
+	h.Write(n.attemptID)
 	n.ask = routing.Ask{Draw: kvindex.Mix(h.Sum64()), Sticky: rt.Affinity}
 	n.ask.Service = rt.Service
 	if len(rt.Shares) > 0 {
-		n.ask.Service = rt.Choose(n.r.draws.next(rt.Name))
+		n.ask.Service = rt.Choose(n.relay.draws.next(rt.Name))
 	}
 	n.skip = -1
 	if v := n.Head.Field(httpmessage.LastEvent); len(v) > 0 {
@@ -138,7 +138,7 @@
 			return err
 		}
 		n.ask.Tokens = in
-		n.urgency = n.r.sizes.Urgency(n.ask.Service, in)
+		n.urgency = n.relay.sizes.Urgency(n.ask.Service, in)
 	}
 	if rt.Affinity {
 		c, err := kvindex.ReadChain(string(n.Head.Field(httpmessage.Model)), string(n.Head.Field(httpmessage.Prefix)))
@@ -151,32 +151,32 @@
 }
 
 func (n *Request) refuse(c codes.Code) {
-	r := response.Of(c, "").For(n.id)
+	r := response.Of(c, "").For(n.attemptID)
 	if r.Status == 503 {
-		if n.ran {
+		if n.mayHaveRun {
 			r.Status = 502
 		} else {
-			r = r.Later(n.r.back())
+			r = r.Later(n.relay.retryAfter())
 		}
 	}
-	if r.Status == 502 || n.r.Leaving() || n.Head.Close {
-		n.last = true
+	if r.Status == 502 || n.relay.Leaving() || n.Head.Close {
+		n.closeAfter = true
 		r = r.Last()
 	}
 	telemetry.Counter("own." + strconv.Itoa(r.Status)).Add(1)
 	if r.Status >= 500 {
 		n.endedEarly(telemetry.Refused, c)
 	}
-	if !n.k.write(r.To(n.Head.Method).Append(nil)) {
-		n.last = true
+	if !n.client.write(r.To(n.Head.Method).Append(nil)) {
+		n.closeAfter = true
 	}
 }
 
 func (n *Request) abort(cause codes.Code) {
 	telemetry.Counter("stream.cut").Add(1)
 	n.endedEarly(telemetry.BrokenOff, cause)
-	n.last = true
-	_ = n.k.c.Close()
+	n.closeAfter = true
+	_ = n.client.conn.Close()
 }
 
 // end gives the request up for a cause; the first cause stands. The replica's
@@ -192,16 +192,16 @@
 	}
 }
 
-func (n *Request) hold(c *upstream.Conn) bool {
+func (n *Request) holdConn(c *upstream.Conn) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.conn = c
 	return n.ended == codes.OK
 }
 
-// let ends the hold on a connection; false if it had ended. From then on the
+// releaseConn ends the hold on a connection; false if it had ended. From then on the
 // client's leaving does not cut it.
-func (n *Request) let(c *upstream.Conn) bool {
+func (n *Request) releaseConn(c *upstream.Conn) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	held := n.conn == c
@@ -239,4 +239,4 @@
 	return graceOver
 }
 
-func (n *Request) not(id ids.Replica) { n.ask.Not = append(n.ask.Not, id) }
+func (n *Request) exclude(id ids.Replica) { n.ask.Not = append(n.ask.Not, id) }
--- a/internal/relay/rest_test.go
+++ b/internal/relay/rest_test.go
@@ -80,7 +80,7 @@
 					sim.Move(clock.Ms(ms))
 				})
 			}
-			(&Client{c: c, r: r}).serve()
+			(&Client{conn: c, relay: r}).serve()
 			is.Equal(c.reads, x.reads)
 			is.True(c.shut)
 		})
@@ -93,7 +93,7 @@
 	is := is.New(t)
 	g := newRig(t, standin.Well)
 	g.r.mu.Lock()
-	g.r.most = 1
+	g.r.connectionsMost = 1
 	g.r.mu.Unlock()
 	k := standin.Call(g.addr)
 	defer k.Close()
@@ -189,10 +189,10 @@
 	g := newRig(t, standin.Well)
 	f := routing.NewFleet("z1", 300*clock.Second)
 	g.r.Fleet, g.r.View.Fleet = f, f
-	n := &Request{r: g.r, Head: &httpmessage.Request{Host: "h.example", URI: "/safe/"}, begun: clock.Now().Add(-200 * clock.Millisecond)}
+	n := &Request{relay: g.r, Head: &httpmessage.Request{Host: "h.example", URI: "/safe/"}, begun: clock.Now().Add(-200 * clock.Millisecond)}
 	awake, done := false, concurrency.NewMark()
 	concurrency.Go(func() {
-		awake = n.awake()
+		awake = n.awaitNews()
 		done.Set()
 	})
 	is.True(!done.Wait(100 * clock.Millisecond)) // the aim is 400 ms
@@ -210,7 +210,7 @@
 		k.Put("POST /safe/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\n" + body)
 		until(t, "the body", g.r.reading)
 		k.Close()
-		until(t, "the end", func() bool { return g.r.held() == 0 })
+		until(t, "the end", func() bool { return g.r.openConnections() == 0 })
 		is.Equal(g.arrivals(), 0)
 	}
 }
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -29,7 +29,7 @@
 	refused := false
 	for {
 		if n.deserted() {
-			n.last = true
+			n.closeAfter = true
 			n.undelivered()
 			return
 		}
@@ -42,28 +42,28 @@
 			n.fail(codes.Of(err))
 			return
 		}
-		if n.sends > 0 && !n.r.Budget.Spend(n.ask.Service) {
-			n.r.Fleet.Done(rep, routing.CutByClient)
+		if n.sends > 0 && !n.relay.Budget.Spend(n.ask.Service) {
+			n.relay.Fleet.Done(rep, routing.CutByClient)
 			n.fail(codes.NoReplica)
 			return
 		}
 		before := n.sends
 		e := n.try(rep)
-		n.r.Fleet.Settle(&n.ask, e.seen())
+		n.relay.Fleet.Settle(&n.ask, e.seen())
 		if (e == pastDeadline || e == deserted) && n.sent != 0 && n.began < n.sent {
-			n.r.Fleet.Hung(rep, &n.ask, clock.Since(n.sent))
+			n.relay.Fleet.Hung(rep, &n.ask, clock.Since(n.sent))
 		}
 		x := e.rule()
-		n.r.Fleet.Done(rep, x.outcome)
+		n.relay.Fleet.Done(rep, x.outcome)
 		switch x.proof {
 		case notRun:
 			refused = true
 		case mayHaveRun:
-			n.ran = true
+			n.mayHaveRun = true
 		}
 		switch {
 		case e == deserted:
-			n.last = true
+			n.closeAfter = true
 			n.undelivered()
 			return
 		case e == graceOver:
@@ -81,7 +81,7 @@
 			n.fail(codes.ReplicaBroke)
 			return
 		}
-		n.not(rep.ID)
+		n.exclude(rep.ID)
 		if n.sends == before {
 			if reach++; reach >= reachMost {
 				n.fail(codes.NoReplica)
@@ -89,7 +89,7 @@
 			}
 		}
 		if n.sends >= n.route.Attempts() {
-			if refused && !n.ran {
+			if refused && !n.mayHaveRun {
 				n.fail(codes.QueueFull)
 			} else {
 				n.fail(codes.ReplicaBroke)
@@ -102,15 +102,15 @@
 // repeatable tells whether the request may run once more. A stream that began
 // can be taken up only behind an event that has an id.
 func (n *Request) repeatable() bool {
-	return n.route.Repeatable() && (!n.first || n.events.Seen)
+	return n.route.Repeatable() && (!n.answerBegun || n.events.Seen)
 }
 
 func (n *Request) pick() (*routing.Rep, error) {
-	h := n.r.queue
+	h := n.relay.queue
 	err := codes.New(codes.QueueFull, "%s", n.ask.Service)
 	if h.Empty(n.ask.Service) {
 		var rep *routing.Rep
-		if rep, err = n.r.Fleet.Choose(&n.ask); err == nil {
+		if rep, err = n.relay.Fleet.Choose(&n.ask); err == nil {
 			return rep, nil
 		}
 	}
@@ -125,7 +125,7 @@
 			continue
 		}
 		var rep *routing.Rep
-		if rep, err = n.r.Fleet.Choose(&n.ask); err == nil {
+		if rep, err = n.relay.Fleet.Choose(&n.ask); err == nil {
 			return rep, nil
 		}
 		clock.Sleep(holdStep)
@@ -136,17 +136,17 @@
 func (n *Request) fail(c codes.Code) {
 	c = n.endedOr(c)
 	if c != codes.GraceOver && clock.Now() >= n.deadline {
-		if n.ran {
+		if n.mayHaveRun {
 			c = codes.PastDeadline
 		} else {
 			c = codes.QueueFull
 		}
 	}
-	if n.first {
+	if n.answerBegun {
 		n.abort(c)
 		return
 	}
-	if n.ran && c != codes.PastDeadline && c != codes.GraceOver {
+	if n.mayHaveRun && c != codes.PastDeadline && c != codes.GraceOver {
 		c = codes.ReplicaBroke
 	}
 	n.refuse(c)
@@ -163,7 +163,7 @@
 		return unsent
 	}
 	e := n.exchange(rep, c, left)
-	if n.let(c) {
+	if n.releaseConn(c) {
 		rep.Pool.Drop(c)
 	}
 	return e
@@ -172,7 +172,7 @@
 // exchange sends the request on a connection and passes the answer on. The
 // connection has been given back if it may be used again.
 func (n *Request) exchange(rep *routing.Rep, c *upstream.Conn, left clock.Span) ending {
-	if !n.hold(c) {
+	if !n.holdConn(c) {
 		return n.stoppedUnsent()
 	}
 	set := []httpmessage.Set{
@@ -182,7 +182,7 @@
 	if n.urgency != 0 && len(n.Head.Field(httpmessage.Urgency)) == 0 {
 		set = append(set, httpmessage.Set{K: httpmessage.Urgency, V: strconv.Itoa(n.urgency)})
 	}
-	if n.first && n.events.Seen {
+	if n.answerBegun && n.events.Seen {
 		set = append(set, httpmessage.Set{K: httpmessage.LastEvent, V: strconv.FormatInt(n.events.Last, 10)})
 	}
 	b := n.Head.Append(make([]byte, 0, len(n.Body)+1024), len(n.Body), set...)
@@ -197,24 +197,24 @@
 	n.note(func(p *progress) { p.sends++ })
 	sent := clock.Now()
 	n.sent = sent
-	n.r.Fleet.Sent(rep, &n.ask)
+	n.relay.Fleet.Sent(rep, &n.ask)
 	if err != nil {
 		return cutShort
 	}
-	a, err := c.Response(n.id)
+	a, err := c.Response(n.attemptID)
 	if err != nil {
 		return n.broke(err)
 	}
-	n.r.Fleet.Begun(rep, n.ask.Tokens)
+	n.relay.Fleet.Begun(rep, n.ask.Tokens)
 	if v := a.Field(httpmessage.Load); len(v) > 0 {
-		n.r.Fleet.Told(rep, string(v))
+		n.relay.Fleet.Told(rep, string(v))
 	}
 	if n.Head.Method == "HEAD" {
 		c.Spend()
 		a.Bodiless()
 	}
 	if v := a.Field(httpmessage.Weights); len(v) > 0 {
-		n.r.Fleet.Weights(rep, &n.ask, string(v))
+		n.relay.Fleet.Weights(rep, &n.ask, string(v))
 	}
 	e := n.sort(a)
 	switch {
@@ -244,13 +244,13 @@
 		return n.broke(err)
 	}
 	if a.Status/100 == 2 {
-		n.r.Fleet.Read(rep, &n.ask, -1)
+		n.relay.Fleet.Read(rep, &n.ask, -1)
 	}
 	n.give(rep, c, a, e)
 	n.finish()
-	b := a.Append(make([]byte, 0, len(body)+512), len(body), n.last)
-	if !n.k.write(append(b, body...)) {
-		n.last = true
+	b := a.Append(make([]byte, 0, len(body)+512), len(body), n.closeAfter)
+	if !n.client.write(append(b, body...)) {
+		n.closeAfter = true
 		n.undelivered()
 	}
 	n.began = clock.Now()
@@ -258,8 +258,8 @@
 }
 
 func (n *Request) finish() {
-	if n.r.Leaving() || n.Head.Close {
-		n.last = true
+	if n.relay.Leaving() || n.Head.Close {
+		n.closeAfter = true
 	}
 }
 
@@ -268,7 +268,7 @@
 func (n *Request) stream(rep *routing.Rep, c *upstream.Conn, a *httpmessage.Response, sent clock.Tick) ending {
 	body := c.Body(a)
 	skip := int64(-1)
-	if n.first {
+	if n.answerBegun {
 		resumed.Add(1)
 		if n.events.Seen {
 			skip = n.events.Last
@@ -292,16 +292,16 @@
 			if n.events.Held() > eventMost {
 				return malformed
 			}
-			if !n.first && len(ev) > 0 {
+			if !n.answerBegun && len(ev) > 0 {
 				n.finish()
-				out = a.Append(out, -1, n.last)
-				n.first = true
+				out = a.Append(out, -1, n.closeAfter)
+				n.answerBegun = true
 				n.note(func(p *progress) { p.begun = true })
 			}
 			if len(ev) > 0 {
 				out = chunk(out, ev)
-				if !n.k.write(out) {
-					n.last = true
+				if !n.client.write(out) {
+					n.closeAfter = true
 					return deserted
 				}
 			}
@@ -310,13 +310,13 @@
 		if err == io.EOF && body.Whole() && !n.events.Left() {
 			n.give(rep, c, a, answered)
 			out = out[:0]
-			if !n.first {
+			if !n.answerBegun {
 				n.finish()
-				out = a.Append(out, -1, n.last)
-				n.first = true
+				out = a.Append(out, -1, n.closeAfter)
+				n.answerBegun = true
 			}
-			if !n.k.write(append(out, "0\r\n\r\n"...)) {
-				n.last = true
+			if !n.client.write(append(out, "0\r\n\r\n"...)) {
+				n.closeAfter = true
 				n.undelivered()
 			}
 			return answered
@@ -329,7 +329,7 @@
 }
 
 func (n *Request) written(before int64) {
-	m, t := n.r.Meter, n.r.View.Table()
+	m, t := n.relay.Meter, n.relay.View.Table()
 	if m == nil || t == nil || n.began == 0 || n.events.N <= before+1 {
 		return
 	}
@@ -339,17 +339,17 @@
 }
 
 func (n *Request) judge(rep *routing.Rep, took clock.Span) {
-	if m := n.r.Meter; m != nil {
+	if m := n.relay.Meter; m != nil {
 		m.Read(n.ask.Service, n.ask.Weight, n.ask.Promise.Unread, took)
 	}
-	if d, ok := n.r.Fleet.Read(rep, &n.ask, took); ok && n.r.Tell != nil {
-		n.r.Tell(d)
+	if d, ok := n.relay.Fleet.Read(rep, &n.ask, took); ok && n.relay.Tell != nil {
+		n.relay.Tell(d)
 	}
 }
 
 // give hands a connection back whose answer was read to its end.
 func (n *Request) give(rep *routing.Rep, c *upstream.Conn, a *httpmessage.Response, e ending) {
-	if e.rule().reuse && n.let(c) {
+	if e.rule().reuse && n.releaseConn(c) {
 		rep.Pool.Give(c, a)
 	}
 }
--- a/internal/relay/shares_test.go
+++ b/internal/relay/shares_test.go
@@ -38,8 +38,8 @@
 					got := map[ids.Service]float64{}
 					relays := make([]Relay, 11)
 					for i := range x.requests {
-						n := &Request{Head: &httpmessage.Request{}, id: []byte(id(i)), route: route, r: &relays[i*7%len(relays)]}
-						is.NoErr(n.read())
+						n := &Request{Head: &httpmessage.Request{}, attemptID: []byte(id(i)), route: route, relay: &relays[i*7%len(relays)]}
+						is.NoErr(n.parse())
 						got[n.ask.Service]++
 					}
 					for i, w := range weights {
