--- a/internal/relay/causes_test.go
+++ b/internal/relay/causes_test.go
@@ -9,7 +9,6 @@
 
 	"spoolswitch/internal/clock"
 	"spoolswitch/internal/codes"
-	"spoolswitch/internal/concurrency"
 	"spoolswitch/internal/configuration"
 	"spoolswitch/internal/consensus"
 	"spoolswitch/internal/feed"
@@ -81,7 +80,7 @@
 
 func causesBeside(t *testing.T, lines *earlyLines, first, second, moment string) {
 	is := is.New(t)
-	r := &leaveRun{g: newRig(t, standin.Stream(3, 0)), reached: concurrency.NewMark(), resume: concurrency.NewMark(), known: true}
+	r := newLeaveRun(t)
 	defer r.resume.Set()
 	r.id = strings.ReplaceAll(fmt.Sprintf("%s-%s-%s", first, second, moment), " ", "-")
 	among := func(cause string) bool { return first == cause || second == cause }
@@ -92,11 +91,6 @@
 	r.g.r.View.mu.Lock()
 	r.g.r.View.table.Limits.HeadMs = 20000
 	r.g.r.View.mu.Unlock()
-	r.g.r.Current = func() bool {
-		r.g.r.mu.Lock()
-		defer r.g.r.mu.Unlock()
-		return r.known
-	}
 	r.k = standin.Call(r.g.addr)
 	defer r.k.Close()
 	finish := moments[moment](r)
--- a/internal/relay/early_test.go
+++ b/internal/relay/early_test.go
@@ -47,6 +47,16 @@
 	return false
 }
 
+// neverAnswers says that a request has come, and holds it until its connection ends.
+func neverAnswers(came *concurrency.Mark) standin.Play {
+	return func(w net.Conn, _ standin.Got) bool {
+		came.Set()
+		var b [1]byte
+		_, _ = w.Read(b[:])
+		return false
+	}
+}
+
 // Each way in which a relay ends an answer early leaves its line.
 func TestEarlyEndsAreLogged(t *testing.T) {
 	half := func(w net.Conn, g standin.Got) bool {
@@ -66,7 +76,7 @@
 		"replica full":    {standin.Full, "/unsafe/", true, telemetry.Refused, codes.NoReplica},
 		"not known":       {standin.Well, "/unsafe/", false, telemetry.Refused, codes.NotReady},
 		"replica is mute": {func(w net.Conn, _ standin.Got) bool { return false }, "/unsafe/", true, telemetry.Refused, codes.ReplicaBroke},
-		"past its time":   {func(w net.Conn, _ standin.Got) bool { var b [1]byte; _, _ = w.Read(b[:]); return false }, "/unsafe/", true, telemetry.Refused, codes.PastDeadline},
+		"past its time":   {neverAnswers(concurrency.NewMark()), "/unsafe/", true, telemetry.Refused, codes.PastDeadline},
 	} {
 		t.Run(name, func(t *testing.T) {
 			lines := collectEarlyLines(t)
@@ -80,12 +90,7 @@
 		is := is.New(t)
 		lines := collectEarlyLines(t)
 		in := concurrency.NewMark()
-		g := newRig(t, func(w net.Conn, _ standin.Got) bool {
-			in.Set()
-			var b [1]byte
-			_, _ = w.Read(b[:])
-			return false
-		})
+		g := newRig(t, neverAnswers(in))
 		k := standin.Call(g.addr)
 		k.Put("POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: early\r\nContent-Length: 0\r\n\r\n")
 		is.True(in.Wait(10 * clock.Second))
--- a/internal/relay/grace_test.go
+++ b/internal/relay/grace_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"net"
 	"strings"
 	"testing"
 
@@ -77,12 +76,7 @@
 		is := is.New(t)
 		lines := collectEarlyLines(t)
 		in := concurrency.NewMark()
-		g := newRig(t, func(w net.Conn, _ standin.Got) bool {
-			in.Set()
-			var b [1]byte
-			_, _ = w.Read(b[:])
-			return false
-		})
+		g := newRig(t, neverAnswers(in))
 		k := standin.Call(g.addr)
 		defer k.Close()
 		k.Put(ask("/unsafe/"))
--- a/internal/relay/leave_test.go
+++ b/internal/relay/leave_test.go
@@ -24,6 +24,18 @@
 	id, fields string
 }
 
+// newLeaveRun starts a relay before a replica that streams; the relay knows the
+// fleet while known is set.
+func newLeaveRun(t *testing.T) *leaveRun {
+	r := &leaveRun{g: newRig(t, standin.Stream(3, 0)), reached: concurrency.NewMark(), resume: concurrency.NewMark(), known: true}
+	r.g.r.Current = func() bool {
+		r.g.r.mu.Lock()
+		defer r.g.r.mu.Unlock()
+		return r.known
+	}
+	return r
+}
+
 // request is the head of the request.
 func (r *leaveRun) request() string {
 	s := leaveRequest
@@ -128,12 +140,7 @@
 		for stage, leaving := range leavings {
 			t.Run(moment+", "+stage, func(t *testing.T) {
 				is := is.New(t)
-				r := &leaveRun{g: newRig(t, standin.Stream(3, 0)), reached: concurrency.NewMark(), resume: concurrency.NewMark(), known: true}
-				r.g.r.Current = func() bool {
-					r.g.r.mu.Lock()
-					defer r.g.r.mu.Unlock()
-					return r.known
-				}
+				r := newLeaveRun(t)
 				r.k = standin.Call(r.g.addr)
 				defer r.k.Close()
 				finish := bring(r)
