Tests wait for news on marks that stay set, not on windows of real time

Cause: the moment 'held before the first news' polled for Active() == 1, which lasts a fifth of the route's aim (80 ms); a poller starved for longer waited for something that had gone.

Change: the relay's newsTimeout can be set by a test; the moment waits for a mark that is set when the relay has looked for news and had none. Limits on heads, bodies and rest are long wherever a test goes step by step (before, only in TestEachCauseBesideEachOther). TestHeldForTheFirstList asks for both timeouts exactly. Same checks of answers and arrivals.

--- a/internal/relay/causes_test.go
+++ b/internal/relay/causes_test.go
@@ -88,9 +88,6 @@
 	if timed {
 		r.fields = fmt.Sprintf("Deadline-Ms: %d\r\n", causeDeadline/clock.Millisecond)
 	}
-	r.g.r.View.mu.Lock()
-	r.g.r.View.table.Limits.HeadMs = 20000
-	r.g.r.View.mu.Unlock()
 	r.k = standin.Call(r.g.addr)
 	defer r.k.Close()
 	finish := moments[moment](r)
--- a/internal/relay/gone_test.go
+++ b/internal/relay/gone_test.go
@@ -24,6 +24,7 @@
 		is := is.New(t)
 		g := newRig(t, standin.Well)
 		g.configure(2, longRoute)
+		g.holdForNews()
 		g.r.Current = func() bool { return false }
 		k := standin.Call(g.addr)
 		k.Put(goneRequest)
--- a/internal/relay/grace_test.go
+++ b/internal/relay/grace_test.go
@@ -95,6 +95,7 @@
 		g := newRig(t, standin.Well)
 		g.configure(2, longRoute)
 		g.list("draining")
+		g.holdForNews()
 		g.r.Current = func() bool { return false }
 		k := standin.Call(g.addr)
 		defer k.Close()
--- a/internal/relay/leave_test.go
+++ b/internal/relay/leave_test.go
@@ -17,9 +17,10 @@
 type leaveRun struct {
 	g *rig
 	k *standin.Client
-	// reached and resume are set by the replica's end and by the test.
-	reached, resume *concurrency.Mark
-	known           bool
+	// reached and resume are set by the replica's end and by the test, held once the
+	// relay has looked for news and had none. Each stays set.
+	reached, held, resume *concurrency.Mark
+	known                 bool
 	// id and fields are the request's, if other than those of leaveRequest.
 	id, fields string
 }
@@ -27,10 +28,14 @@
 // newLeaveRun starts a relay before a replica that streams; the relay knows the
 // fleet while known is set.
 func newLeaveRun(t *testing.T) *leaveRun {
-	r := &leaveRun{g: newRig(t, standin.Stream(3, 0)), reached: concurrency.NewMark(), resume: concurrency.NewMark(), known: true}
+	r := &leaveRun{g: newRig(t, standin.Stream(3, 0)), reached: concurrency.NewMark(), held: concurrency.NewMark(), resume: concurrency.NewMark(), known: true}
+	r.g.patient()
 	r.g.r.Current = func() bool {
 		r.g.r.mu.Lock()
 		defer r.g.r.mu.Unlock()
+		if !r.known {
+			r.held.Set()
+		}
 		return r.known
 	}
 	return r
@@ -64,8 +69,11 @@
 		r.g.r.mu.Lock()
 		r.known = false
 		r.g.r.mu.Unlock()
+		r.g.holdForNews()
 		r.k.Put(r.request() + "body")
-		until(r.g.t, "the request", func() bool { return r.g.r.Active() == 1 })
+		if !r.held.Wait(20 * clock.Second) {
+			r.g.t.Fatal("the request was not held")
+		}
 		return func() {
 			r.g.r.mu.Lock()
 			r.known = true
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,6 +29,9 @@
 	// BodiesMost bounds the bytes of clients' bodies that are held at once.
 	BodiesMost int64
 
+	// newsTimeout, if set, tells how long a request may be held for the first news.
+	newsTimeout func(*Request) clock.Span
+
 	senders *concurrency.Pool
 	queue   *Queue
 	bodies  int64
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -65,6 +65,27 @@
 	return g
 }
 
+// patient has the relay wait long for what a test brings about step by step, so that
+// no window of real time closes while the test is starved: heads and bodies may come
+// slowly, and connections may rest.
+func (g *rig) patient() {
+	g.r.View.mu.Lock()
+	defer g.r.View.mu.Unlock()
+	g.r.View.table.Limits.HeadMs, g.r.View.table.Limits.IdleMs = 20000, 20000
+	g.r.View.rests = []rest{{clock.Now(), 20 * clock.Second}}
+}
+
+// holdForNews has requests held for news until it comes or they are given up. One
+// that says how long its client waits is held for a quarter of that, as always.
+func (g *rig) holdForNews() {
+	g.r.newsTimeout = func(n *Request) clock.Span {
+		if len(n.Head.Field(httpmessage.DeadlineMs)) > 0 {
+			return n.newsTimeout()
+		}
+		return 20 * clock.Second
+	}
+}
+
 func (g *rig) at() ids.Place {
 	g.place++
 	return ids.Place{Epoch: ids.Epoch{Round: 1}, Seq: g.place}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -80,28 +80,42 @@
 }
 
 const (
-	wakeMost = 1200 * clock.Millisecond
-	wakeStep = 20 * clock.Millisecond
+	// newsTimeoutMost is the longest that a request is held for the first news: a
+	// keeper is found and feeds within about a second of the relay's start.
+	newsTimeoutMost = 1200 * clock.Millisecond
+	// newsPoll is the pause between two looks for the news.
+	newsPoll = 20 * clock.Millisecond
 )
 
-// awaitNews waits until the relay knows where to send. What comes before the first
-// list is held for it: that comes soon. Where what was known is no longer
-// current, it may not come back in time, and the client is told soon.
-func (n *Request) awaitNews() bool {
-	d := wakeMost
+// newsTimeout is how long the request may be held until the relay knows where to
+// send. What comes before the first list is held for it: that comes soon. Where what
+// was known is no longer current, it may not come back in time, and the client is
+// told soon.
+func (n *Request) newsTimeout() clock.Span {
+	timeout := newsTimeoutMost
 	if ms, err := strconv.ParseFloat(string(n.Head.Field(httpmessage.DeadlineMs)), 64); err == nil && ms >= 0 {
-		d = min(d, clock.Ms(ms/4))
+		timeout = min(timeout, clock.Ms(ms/4))
 	}
 	if t := n.relay.View.Table(); t != nil && n.relay.Fleet.HasList() {
 		if rt := t.Match(n.Head.Host, n.Head.URI); rt != nil && rt.TargetMs > 0 {
-			d = min(d, clock.Ms(rt.TargetMs/5))
+			timeout = min(timeout, clock.Ms(rt.TargetMs/5))
 		}
 	}
+	return timeout
+}
+
+// awaitNews waits until the relay knows where to send; false if that took longer than
+// the request may be held, or the request was given up.
+func (n *Request) awaitNews() bool {
+	timeout := n.newsTimeout()
+	if n.relay.newsTimeout != nil {
+		timeout = n.relay.newsTimeout(n)
+	}
 	for !n.relay.known() {
-		if clock.Since(n.begun) > d || n.givenUp() {
+		if clock.Since(n.begun) > timeout || n.givenUp() {
 			return false
 		}
-		clock.Sleep(wakeStep)
+		clock.Sleep(newsPoll)
 	}
 	return true
 }
--- a/internal/relay/rest_test.go
+++ b/internal/relay/rest_test.go
@@ -115,6 +115,7 @@
 func TestLeaveWaitsForWhatIsRead(t *testing.T) {
 	is := is.New(t)
 	g := newRig(t, standin.Well)
+	g.patient()
 	k := standin.Call(g.addr)
 	defer k.Close()
 	k.Put("POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\nContent-Length: 4\r\n\r\nbo")
@@ -187,15 +188,21 @@
 func TestHeldForTheFirstList(t *testing.T) {
 	is := is.New(t)
 	g := newRig(t, standin.Well)
+	g.holdForNews()
+	listed := g.r.Fleet
 	f := routing.NewFleet("z1", 300*clock.Second)
 	g.r.Fleet, g.r.View.Fleet = f, f
 	n := &Request{relay: g.r, Head: &httpmessage.Request{Host: "h.example", URI: "/safe/"}, begun: clock.Now().Add(-200 * clock.Millisecond)}
+	is.Equal(n.newsTimeout(), newsTimeoutMost)
+	g.r.Fleet = listed
+	is.Equal(n.newsTimeout(), 80*clock.Millisecond) // the aim is 400 ms
+	g.r.Fleet = f
 	awake, done := false, concurrency.NewMark()
 	concurrency.Go(func() {
 		awake = n.awaitNews()
 		done.Set()
 	})
-	is.True(!done.Wait(100 * clock.Millisecond)) // the aim is 400 ms
+	is.True(!done.Wait(100 * clock.Millisecond))
 	g.list("in_service")
 	is.True(done.Wait(20 * clock.Second))
 	is.True(awake)
@@ -206,6 +213,7 @@
 	for _, body := range []string{"Content-Length: 4\r\n\r\nbod", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"} {
 		is := is.New(t)
 		g := newRig(t, standin.Well)
+		g.patient()
 		k := standin.Call(g.addr)
 		k.Put("POST /safe/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\n" + body)
 		until(t, "the body", g.r.reading)
