Rollouts: steps in a register, evidence from routers, a bounded sample, verdicts

Orders for rollouts are taken and answered by any keeper; the state of a service's rollout stands in a register of its own. The keeper with the duty takes it through setWeight, pause and analysis. Routers send the candidate at most a part of what they take themselves, and report counts by route and version. A version that is new in the list is held back until a majority's confirmation that began later says whether an order is under way.

Before: no order was taken. Steps of the way that failed: samples of routes that came too late at routers with few requests, failures counted before answers that last, sums that fell with routers that left.

--- a/internal/codes/codes.go
+++ b/internal/codes/codes.go
@@ -13,58 +13,61 @@
 
 // The results. docs/codes.md tables them.
 const (
-	OK            Code = 0
-	BadSettings   Code = 101
-	NoSettings    Code = 102
-	BadHead       Code = 201
-	HeadTooLarge  Code = 202
-	BodyTooLarge  Code = 203
-	HeadTooSlow   Code = 204
-	BadBody       Code = 205
-	NoRoute       Code = 206
-	NotReady      Code = 207
-	NoReplica     Code = 208
-	QueueFull     Code = 209
-	PastDeadline  Code = 210
-	ReplicaBroke  Code = 211
-	Leaving       Code = 212
-	BadFields     Code = 213
-	GraceOver     Code = 214
-	ClientLeft    Code = 215
-	ClientStalled Code = 216
-	IdleOver      Code = 217
-	NoConnection  Code = 218
-	BadMethod     Code = 301
-	NoCall        Code = 302
-	Unreadable    Code = 303
-	NoService     Code = 304
-	SamePlace     Code = 305
-	NoWeight      Code = 306
-	NoTimeout     Code = 307
-	OldVersion    Code = 308
-	OtherVersion  Code = 309
-	NoZone        Code = 310
-	NoMajority    Code = 311
-	Nothing       Code = 312
-	BadItem       Code = 313
-	TooOld        Code = 314
-	Moved         Code = 315
-	Unvouched     Code = 316
-	DiskRefused   Code = 401
-	DiskCorrupt   Code = 402
-	PeerLost      Code = 403
-	NotVoting     Code = 404
-	ListRefused   Code = 405
-	UnknownChange Code = 406
-	OtherRelease  Code = 407
-	DiskIllegible Code = 408
-	BadBatch      Code = 501
-	OldEpoch      Code = 502
-	BadCounts     Code = 511
-	BadPlan       Code = 512
-	BadSimFlags   Code = 601
-	BadSimPlan    Code = 602
-	SimBroken     Code = 603
+	OK              Code = 0
+	BadSettings     Code = 101
+	NoSettings      Code = 102
+	BadHead         Code = 201
+	HeadTooLarge    Code = 202
+	BodyTooLarge    Code = 203
+	HeadTooSlow     Code = 204
+	BadBody         Code = 205
+	NoRoute         Code = 206
+	NotReady        Code = 207
+	NoReplica       Code = 208
+	QueueFull       Code = 209
+	PastDeadline    Code = 210
+	ReplicaBroke    Code = 211
+	Leaving         Code = 212
+	BadFields       Code = 213
+	GraceOver       Code = 214
+	ClientLeft      Code = 215
+	ClientStalled   Code = 216
+	IdleOver        Code = 217
+	NoConnection    Code = 218
+	BadMethod       Code = 301
+	NoCall          Code = 302
+	Unreadable      Code = 303
+	NoService       Code = 304
+	SamePlace       Code = 305
+	NoWeight        Code = 306
+	NoTimeout       Code = 307
+	OldVersion      Code = 308
+	OtherVersion    Code = 309
+	NoZone          Code = 310
+	NoMajority      Code = 311
+	Nothing         Code = 312
+	BadItem         Code = 313
+	TooOld          Code = 314
+	Moved           Code = 315
+	Unvouched       Code = 316
+	BadRollout      Code = 317
+	RolloutUnderWay Code = 318
+	NoRollout       Code = 319
+	DiskRefused     Code = 401
+	DiskCorrupt     Code = 402
+	PeerLost        Code = 403
+	NotVoting       Code = 404
+	ListRefused     Code = 405
+	UnknownChange   Code = 406
+	OtherRelease    Code = 407
+	DiskIllegible   Code = 408
+	BadBatch        Code = 501
+	OldEpoch        Code = 502
+	BadCounts       Code = 511
+	BadPlan         Code = 512
+	BadSimFlags     Code = 601
+	BadSimPlan      Code = 602
+	SimBroken       Code = 603
 )
 
 var names = map[Code]string{
@@ -79,6 +82,7 @@
 	SamePlace: "two routes share a place", NoWeight: "weights add up to 0", NoTimeout: "timeout-ms is 0",
 	OldVersion: "version not above the current", OtherVersion: "another version is current",
 	NoZone: "unknown zone", NoMajority: "no majority", Nothing: "nothing there yet", BadItem: "item at fault", TooOld: "older than what is remembered",
+	BadRollout: "rollout at fault", RolloutUnderWay: "another rollout is under way", NoRollout: "no rollout of the service",
 	Moved: "the place has moved", Unvouched: "may be an old order",
 	DiskRefused: "the disk refused it", DiskCorrupt: "a record is corrupt", DiskIllegible: "a whole record cannot be decoded", PeerLost: "a daemon did not answer",
 	NotVoting: "not voting", ListRefused: "the platform refused the call", UnknownChange: "unknown change",
--- a/internal/configuration/doc.go
+++ b/internal/configuration/doc.go
@@ -45,7 +45,7 @@
 
 // Read reads and checks a whole configuration; every fault is returned.
 func Read(b []byte) (*Doc, []error) {
-	if err := whole(b); err != nil {
+	if err := Whole(b); err != nil {
 		return nil, []error{codes.New(codes.Unreadable, "%v", err)}
 	}
 	raw := fields{}
@@ -58,7 +58,7 @@
 // Legible tells the faults of a configuration or a change of one that hang on
 // nothing but its text: it cannot be read whole, or has no version.
 func Legible(b []byte) error {
-	if err := whole(b); err != nil {
+	if err := Whole(b); err != nil {
 		return codes.New(codes.Unreadable, "%v", err)
 	}
 	var v struct {
@@ -163,7 +163,8 @@
 	return out
 }
 
-func whole(b []byte) error {
+// Whole tells the fault of a text that is to be one JSON value, without a field twice.
+func Whole(b []byte) error {
 	d := json.NewDecoder(bytes.NewReader(b))
 	if err := value(d, 0); err != nil {
 		return err
@@ -218,7 +219,7 @@
 
 // Modify makes the document that the change b turns d into.
 func (d *Doc) Modify(b []byte) (*Doc, []error) {
-	if err := whole(b); err != nil {
+	if err := Whole(b); err != nil {
 		return nil, []error{codes.New(codes.Unreadable, "%v", err)}
 	}
 	var c change
--- a/internal/configuration/state.go
+++ b/internal/configuration/state.go
@@ -129,7 +129,7 @@
 	var d *Doc
 	var errs []error
 	if o.Modify {
-		if err := whole(o.Body); err != nil {
+		if err := Whole(o.Body); err != nil {
 			return nil, codes.New(codes.Unreadable, "%v", err)
 		}
 	} else if d, errs = Read(o.Body); len(errs) > 0 {
--- a/internal/consensus/keeper.go
+++ b/internal/consensus/keeper.go
@@ -255,8 +255,7 @@
 	if guards.Off(guards.Late) {
 		return false
 	}
-	_, evac := key.Evacuated()
-	return evac && o != nil && !o.Query && o.If.Zero()
+	return key.Ordered() && o != nil && !o.Query && o.If.Zero()
 }
 
 // carry carries an order out as the owner of its key. An acknowledged
--- a/internal/consensus/msg.go
+++ b/internal/consensus/msg.go
@@ -34,11 +34,14 @@
 	Fold
 	Gossip
 	Confirm
+	RolloutCounts
+	RolloutFold
 )
 
 var kindNames = [...]string{Vote: "vote", Accept: "accept", Hold: "hold", Learn: "learn", Digest: "digest", Fetch: "fetch",
 	Survey: "survey", Change: "change", Query: "query", Follow: "follow", Join: "join", Trace: "trace", Drift: "drift",
-	Forward: "forward", Counts: "counts", Fold: "fold", Gossip: "gossip", Confirm: "confirm"}
+	Forward: "forward", Counts: "counts", Fold: "fold", Gossip: "gossip", Confirm: "confirm",
+	RolloutCounts: "rollout-counts", RolloutFold: "rollout-fold"}
 
 // Subject names what the message is about: its kind and, where keys differ in
 // cost, the family of its key.
@@ -195,6 +198,35 @@
 	Pools   []Pool
 	Moves   []string
 	Holder  ids.Node
+	// Rollouts are those that the keeper knows of.
+	Rollouts []Rollout
+}
+
+// Rollout is how the rollout of one service stands.
+type Rollout struct {
+	Service ids.Service
+	Number  uint64
+	Target  ids.Software
+	Status  string
+	Step    int
+	Steps   []string
+	Weight  int
+	Elapsed clock.Span
+	Within  clock.Span
+	Reason  string
+	// Holder takes it through its steps; Routes is what that keeper has counted, by route.
+	Holder ids.Node
+	Routes []RolloutRoute
+	// Moves are the last steps that the holder took, and why.
+	Moves []string
+}
+
+// RolloutRoute is what was counted on one route of a rollout's service.
+type RolloutRoute struct {
+	Route                                     string
+	Stable, StableFailed, StableSlow          int64
+	Candidate, CandidateFailed, CandidateSlow int64
+	CandidateRefused                          int64
 }
 
 // Pool is how the replicas of one service are divided, and what was counted last.
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -15,6 +15,7 @@
 	"spoolswitch/internal/disk"
 	"spoolswitch/internal/feed"
 	"spoolswitch/internal/ids"
+	"spoolswitch/internal/rollout"
 	"spoolswitch/internal/rpc"
 	"spoolswitch/internal/schedule"
 	"spoolswitch/internal/settings"
@@ -70,11 +71,13 @@
 	}
 	d.openDisk(s, m.Disk, acc)
 	pools := newPools(s, d.Keeper, d.Hub)
-	d.serveDaemons(internal, s.Zone, pools)
-	d.srv = &Server{Keeper: d.Keeper, Zones: s.Zones, room: room{most: s.Limits.MemoryMB << 20 / 8}}
+	rollouts := newRollouts(d.Keeper, d.Hub)
+	d.serveDaemons(internal, s.Zone, pools, rollouts)
+	d.srv = &Server{Keeper: d.Keeper, Zones: s.Zones, steps: s.Rollout.Steps, room: room{most: s.Limits.MemoryMB << 20 / 8}}
 	m.Serve(d.srv, d.lc)
 	concurrency.Go(func() { d.holdRounds(acc) })
 	d.startDuties(s, m, pools)
+	rollouts.start(d.over.Load)
 	d.calendar(s.Calendar.Rewrite, acc)
 	telemetry.State("keeper up", "node", d.Keeper.Self, "voting", acc.Voting())
 	return d, nil
@@ -87,7 +90,7 @@
 	k := consensus.New(ids.Node(s.Inner(s.IP, 0)), acc, wires, hub)
 	k.Zone = s.Zone
 	wires.Far = k.Far
-	k.Decider = Decide
+	k.Decider = deciderWith(hub.Age, repeatWindow(s))
 	k.Seats = consensus.Seats(s.Tolerance.Machines, len(s.Zones))
 	k.Disk = m.Disk != nil
 	k.Label = label
@@ -134,12 +137,12 @@
 }
 
 // serveDaemons answers the calls of other daemons.
-func (d *Daemon) serveDaemons(internal net.Listener, zone ids.Zone, pools *pools) {
+func (d *Daemon) serveDaemons(internal net.Listener, zone ids.Zone, pools *pools, rollouts *rollouts) {
 	far := func(m consensus.Msg) bool { return m.Zone != "" && m.Zone != zone || d.Keeper.Far(m.From) }
 	d.in = rpc.ServeZoned(internal, far, func(m consensus.Msg, push func(consensus.Msg) error) (consensus.Msg, bool) {
 		switch m.Kind {
 		case consensus.Trace:
-			return consensus.Msg{OK: true, Report: d.report(m.Key, pools)}, true
+			return consensus.Msg{OK: true, Report: d.report(m.Key, pools, rollouts)}, true
 		case consensus.Follow:
 			d.Hub.Follow(m, push)
 			return consensus.Msg{}, false
@@ -147,16 +150,19 @@
 			return d.Hub.Confirm(m), true
 		case consensus.Counts, consensus.Fold:
 			return pools.duty.Counted(m), true
+		case consensus.RolloutCounts, consensus.RolloutFold:
+			return rollouts.duty.Counted(m), true
 		}
 		return d.Keeper.Handle(m), true
 	})
 }
 
 // report tells of this keeper, and what it did about a key.
-func (d *Daemon) report(key ids.Key, pools *pools) *consensus.Report {
+func (d *Daemon) report(key ids.Key, pools *pools, rollouts *rollouts) *consensus.Report {
 	r := d.Keeper.Report(key)
 	r.Feed, r.Relays, r.Counts = d.Hub.Num(), d.Hub.Relays(), telemetry.Map()
 	pools.report(r)
+	rollouts.report(r)
 	return r
 }
 
@@ -258,6 +264,7 @@
 // Take takes changed settings in: the zones and the seeds.
 func (d *Daemon) Take(s *settings.Settings) {
 	d.srv.SetZones(s.Zones)
+	d.srv.SetRolloutSteps(s.Rollout.Steps)
 	var ns []ids.Node
 	for _, a := range s.Seeds {
 		ns = append(ns, ids.Node(s.Keeper(a)))
@@ -305,6 +312,11 @@
 	if _, ok := key.Evacuated(); ok {
 		return string(val)
 	}
+	if _, ok := key.RolledOut(); ok {
+		if s, err := rollout.Decode(val); err == nil && s.Number > 0 {
+			return s.Label()
+		}
+	}
 	return ""
 }
 
--- a/internal/control/decide.go
+++ b/internal/control/decide.go
@@ -2,12 +2,46 @@
 package control
 
 import (
+	"spoolswitch/internal/clock"
 	"spoolswitch/internal/codes"
 	"spoolswitch/internal/configuration"
 	"spoolswitch/internal/consensus"
 	"spoolswitch/internal/ids"
+	"spoolswitch/internal/rollout"
 )
 
+// deciderWith makes the decisions of a keeper. standing tells how long it has known the
+// value of a key, and within repeats an order for a rollout that is like the last one is that
+// order, sent again.
+func deciderWith(standing func(ids.Key) clock.Span, repeats clock.Span) func(ids.Key, *consensus.Order) consensus.Decide {
+	return func(key ids.Key, o *consensus.Order) consensus.Decide {
+		if _, ok := key.RolledOut(); !ok || o == nil || o.Query {
+			return Decide(key, o)
+		}
+		return func(cur []byte) ([]byte, consensus.Msg) { return decideRollout(cur, o, standing(key), repeats) }
+	}
+}
+
+// decideRollout makes the decision on a command for a service's rollout.
+func decideRollout(cur []byte, o *consensus.Order, standing, repeats clock.Span) ([]byte, consensus.Msg) {
+	state, err := rollout.Decode(cur)
+	if err != nil {
+		return nil, consensus.Fail(err)
+	}
+	command, err := rollout.DecodeCommand(o.Body)
+	if err != nil {
+		return nil, consensus.Fail(err)
+	}
+	next, err := state.Apply(command, standing, repeats)
+	if err != nil {
+		return nil, consensus.Fail(err)
+	}
+	if next == nil {
+		return nil, consensus.Msg{OK: true}
+	}
+	return next.Encode(), consensus.Msg{OK: true}
+}
+
 // Decide makes the decision that an order asks for on a key.
 func Decide(key ids.Key, o *consensus.Order) consensus.Decide {
 	return func(cur []byte) ([]byte, consensus.Msg) {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -17,6 +17,7 @@
 	"spoolswitch/internal/ids"
 	"spoolswitch/internal/match"
 	"spoolswitch/internal/response"
+	"spoolswitch/internal/rollout"
 	"spoolswitch/internal/rpc"
 	"spoolswitch/internal/telemetry"
 )
@@ -39,8 +40,10 @@
 	Keeper *consensus.Keeper
 	Zones  map[string]string
 	mu     sync.Mutex
-	srv    *fasthttp.Server
-	room   room
+	// steps are those that a new order for a rollout goes through.
+	steps []rollout.Step
+	srv   *fasthttp.Server
+	room  room
 	// stopping is set when no more orders are begun; underWay counts the calls that
 	// have no answer yet.
 	stopping atomic.Bool
@@ -63,6 +66,12 @@
 	Add("POST", "/-/evacuation/*/terminate", func(s *Server, x *fasthttp.RequestCtx, p []string) response.Response {
 		return s.evacuate(x, p[0], false)
 	}).
+	Add("POST", "/-/rollouts/initiate", func(s *Server, x *fasthttp.RequestCtx, _ []string) response.Response {
+		return s.initiate(x)
+	}).
+	Add("GET", "/-/rollouts/*/retrieve", func(s *Server, _ *fasthttp.RequestCtx, p []string) response.Response {
+		return s.retrieveRollout(ids.Service(p[0]))
+	}).
 	Add("GET", "/-/ready", func(s *Server, _ *fasthttp.RequestCtx, _ []string) response.Response {
 		if !s.Keeper.Sure(2 * clock.Second) {
 			return response.Of(codes.NotReady, "")
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -166,6 +166,16 @@
 	return v.it.Val, v.it.At
 }
 
+// Age tells how long the hub has had the value of a key; 0 if it has none.
+func (h *Hub) Age(k ids.Key) clock.Span {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if v := h.items[k]; v != nil {
+		return clock.Since(v.since)
+	}
+	return 0
+}
+
 // Num is the number of the newest change.
 func (h *Hub) Num() uint64 {
 	h.mu.Lock()
--- a/internal/feed/tail.go
+++ b/internal/feed/tail.go
@@ -69,6 +69,14 @@
 	return t.fresh != 0 && clock.Since(t.fresh) < d
 }
 
+// ConfirmedAt tells when this relay asked the question whose answer last confirmed what
+// it was fed, 0 before the first.
+func (t *Tail) ConfirmedAt() clock.Tick {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fresh
+}
+
 // Place tells which keeper is followed and how far.
 func (t *Tail) Place() (ids.Addr, uint64, map[ids.Key]ids.Place) {
 	t.mu.Lock()
@@ -227,15 +235,17 @@
 	}
 }
 
-// Tell sends a message to the keeper that is followed, without waiting.
-func (t *Tail) Tell(m consensus.Msg) {
+// Tell sends a message to the keeper that is followed, without waiting; false if none was
+// ever followed, and nothing is sent.
+func (t *Tail) Tell(m consensus.Msg) bool {
 	t.mu.Lock()
 	p := t.peer
 	t.mu.Unlock()
 	if p == nil {
-		return
+		return false
 	}
 	concurrency.Go(func() { _, _ = p.Call(m, firstWait) })
+	return true
 }
 
 func (t *Tail) told(m consensus.Msg) {
--- a/internal/guards/guards.go
+++ b/internal/guards/guards.go
@@ -43,6 +43,10 @@
 	Copies Guard = "copies"
 	// Hops is the end of forwarding.
 	Hops Guard = "hops"
+	// Steps is the refusal of steps of a rollout that are out of their order.
+	Steps Guard = "steps"
+	// Verdict is the refusal of a second verdict on one order of a rollout.
+	Verdict Guard = "verdict"
 )
 
 var off atomic.Pointer[[]string]
--- a/internal/ids/ids.go
+++ b/internal/ids/ids.go
@@ -24,6 +24,9 @@
 // Replica is the id of one life of a replica.
 type Replica string
 
+// Software is the version of a replica's software.
+type Software string
+
 // Key names a register of the control state.
 type Key string
 
@@ -36,18 +39,24 @@
 	ListDuty Key = "duty/list"
 	// PoolDuty is the key of the duty of planning the pools.
 	PoolDuty Key = "duty/pool"
+	// RolloutDuty is the key of the duty of taking rollouts through their steps.
+	RolloutDuty Key = "duty/rollout"
 	// Plan is the key under which the plan of the pools travels in the feed.
 	Plan Key = "plan"
 	// List is the key under which the list travels in the feed.
 	List Key = "list"
 
-	evac  = "evacuation/"
-	drift = "drift/"
+	evac    = "evacuation/"
+	rollout = "rollout/"
+	drift   = "drift/"
 )
 
 // Evacuation is the key of a zone's evacuation.
 func Evacuation(z Zone) Key { return Key(evac + string(z)) }
 
+// Rollout is the key of a service's rollout.
+func Rollout(s Service) Key { return Key(rollout + string(s)) }
+
 // Drift is the key under which news of a replica's drifted record travels.
 func Drift(r Replica) Key { return Key(drift + string(r)) }
 
@@ -68,7 +77,7 @@
 func (k Key) Shared() bool { return k == List || k == Plan }
 
 // Duty tells whether the key is that of a duty.
-func (k Key) Duty() bool { return k == ListDuty || k == PoolDuty }
+func (k Key) Duty() bool { return k == ListDuty || k == PoolDuty || k == RolloutDuty }
 
 // Evacuated tells which zone an evacuation key is about.
 func (k Key) Evacuated() (Zone, bool) {
@@ -76,6 +85,18 @@
 	return Zone(s), ok
 }
 
+// RolledOut tells which service a rollout key is about.
+func (k Key) RolledOut() (Service, bool) {
+	s, ok := strings.CutPrefix(string(k), rollout)
+	return Service(s), ok
+}
+
+// Ordered tells whether the key's value is changed by orders that name no value to build
+// on: those that other daemons forward are bound to the place of the value.
+func (k Key) Ordered() bool {
+	return strings.HasPrefix(string(k), evac) || strings.HasPrefix(string(k), rollout)
+}
+
 // Epoch orders the leases of a key. No two leases share one: Life is drawn anew
 // at each start of a daemon.
 type Epoch struct {
--- a/internal/interleave/house_test.go
+++ b/internal/interleave/house_test.go
@@ -15,10 +15,10 @@
 var layers = [][]string{
 	{"clock", "ids", "codes", "guards"},
 	{"concurrency", "telemetry", "interleave"},
-	{"match", "response", "disk", "httpmessage", "configuration", "schedule", "lru", "deflate"},
+	{"match", "response", "disk", "httpmessage", "configuration", "schedule", "lru", "deflate", "rollout"},
 	{"rpc", "settings", "kvindex"},
 	{"consensus", "upstream", "evidence", "metrics"},
-	{"feed", "discovery", "operator", "pool"},
+	{"feed", "discovery", "operator", "pool", "promotion"},
 	{"routing", "trace"},
 	{"relay", "control"},
 	{"standin", "fleet", "daemon", "sim"},
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -58,6 +58,7 @@
 	f := routing.NewFleet(s.Zone, clock.Ms(s.Session.IdleS*1000))
 	f.Overrun, f.Slack = s.Bounds.ColdOverrun, s.Bounds.ColdSlack
 	f.Self = s.Node
+	f.ExposureShare = s.Bounds.ExposureShare
 	f.Desk.Index.SpeculativeFirst = clock.Ms(s.Index.SpeculativeMs)
 	f.Desk.Bounds(evidence.Sizing{Steps: s.Index.Steps(), Total: s.ReplayMost()}, s.Index.Proofs)
 	v := &View{Fleet: f}
@@ -68,6 +69,7 @@
 	d.Relay.BodiesMost = s.Limits.MemoryMB << 20 / 4
 	d.Tail = &feed.Tail{Self: s.Node, Addr: s.Inner(s.IP, 1), IP: s.IP, Zone: s.Zone, Take: v.Take, Apply: clock.Ms(s.Bounds.ConfigApplyMs),
 		Heard: func(n int, _ clock.Span) { f.Relays(n) }, Seeds: d.seeds}
+	f.Confirmation(d.Tail.ConfirmedAt)
 	d.Relay.Tell = func(x routing.Drift) {
 		var b bytes.Buffer
 		if gob.NewEncoder(&b).Encode(x) == nil {
@@ -97,6 +99,7 @@
 	if s.Pool.Enabled {
 		d.count(s)
 	}
+	(&rolloutReporter{fleet: f, tell: d.Tail.Tell, self: s.Node, life: rand.Uint64() | 1}).start()
 	concurrency.Go(func() { d.Relay.Serve(lf) })
 	concurrency.Go(func() { _ = d.readiness(lr) })
 	rd := &discovery.Reader{Addr: ids.Addr(s.Platform.Address), Rate: discovery.Share(s.Platform.PerS, 1.0/32)}
@@ -143,6 +146,7 @@
 	d.s = s
 	d.mu.Unlock()
 	d.Relay.Fleet.Desk.Bounds(evidence.Sizing{Steps: s.Index.Steps(), Total: s.ReplayMost()}, s.Index.Proofs)
+	d.Relay.Fleet.ExposureBounds(s.Bounds.ExposureShare)
 	d.Relay.Fleet.Bounds(s.Bounds.ColdOverrun, s.Bounds.ColdSlack, clock.Ms(s.Session.IdleS*1000))
 	d.Relay.Budget.Bounds(s.Bounds.RetryBudgetRatio, s.Bounds.RetrySlack, clock.Ms(s.Bounds.RetryWindowS*1000))
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -44,8 +44,11 @@
 	ended    codes.Code
 	progress progress
 
+	// sent and began are when the last try was sent, and when its answer came; status is
+	// that of the answer's head, 0 before it.
 	sent        clock.Tick
 	began       clock.Tick
+	status      int
 	answerBegun bool
 	events      httpmessage.Events
 	skip        int64
@@ -133,7 +136,7 @@
 	n.note(func(p *progress) { p.deadline, p.route = n.deadline, rt.Name })
 	h := fnv.New64a()
 	h.Write(n.attemptID)
-	n.ask = routing.Ask{Draw: kvindex.Mix(h.Sum64()), Sticky: rt.Affinity}
+	n.ask = routing.Ask{Draw: kvindex.Mix(h.Sum64()), Sticky: rt.Affinity, Route: rt.Name}
 	n.ask.Service = rt.Service
 	if len(rt.Shares) > 0 {
 		n.ask.Service = rt.Choose(n.relay.draws.next(rt.Name))
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -37,6 +37,7 @@
 			n.fail(codes.GraceOver)
 			return
 		}
+		n.ask.Repeated = n.sends > 0
 		rep, err := n.pick()
 		if err != nil {
 			n.fail(codes.Of(err))
@@ -54,6 +55,7 @@
 			n.relay.Fleet.Hung(rep, &n.ask, clock.Since(n.sent))
 		}
 		x := e.rule()
+		n.observe(rep, e)
 		n.relay.Fleet.Done(rep, x.outcome)
 		switch x.proof {
 		case notRun:
@@ -153,7 +155,7 @@
 }
 
 func (n *Request) try(rep *routing.Rep) ending {
-	n.sent = 0
+	n.sent, n.status = 0, 0
 	left := clock.Until(n.deadline)
 	if left <= clock.Ms(n.route.TargetMs/offerLeast) {
 		return tooLate
@@ -205,6 +207,7 @@
 	if err != nil {
 		return n.broke(err)
 	}
+	n.status = a.Status
 	n.relay.Fleet.Begun(rep, n.ask.Tokens)
 	if v := a.Field(httpmessage.Load); len(v) > 0 {
 		n.relay.Fleet.Told(rep, string(v))
@@ -286,6 +289,7 @@
 			if !judged && len(ev) > 0 {
 				judged = true
 				n.began = clock.Now()
+				n.observeBegin(rep)
 				n.judge(rep, clock.Since(sent))
 			}
 			out = out[:0]
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -14,6 +14,7 @@
 	"spoolswitch/internal/discovery"
 	"spoolswitch/internal/ids"
 	"spoolswitch/internal/pool"
+	"spoolswitch/internal/rollout"
 	"spoolswitch/internal/routing"
 	"spoolswitch/internal/telemetry"
 )
@@ -109,6 +110,10 @@
 			}
 			return
 		}
+		if service, ok := it.Key.RolledOut(); ok {
+			v.rolledOut(service, it)
+			return
+		}
 		if z, ok := it.Key.Evacuated(); ok {
 			v.Fleet.Evacuate(z, string(it.Val) == "on")
 			v.mu.Lock()
@@ -119,6 +124,19 @@
 	}
 }
 
+// rolledOut takes the state of a service's rollout in.
+func (v *View) rolledOut(service ids.Service, it consensus.Item) {
+	state, err := rollout.Decode(it.Val)
+	if err != nil || state.Number == 0 {
+		return
+	}
+	v.Fleet.RolledOut(service, state)
+	v.mu.Lock()
+	v.stamp(it.Key, state.Label())
+	v.mu.Unlock()
+	telemetry.State("rollout", "service", service, "target", state.Target, "status", state.Status, "step", state.Step, "weight", state.Weight(), "why", state.Reason)
+}
+
 func (v *View) configure(b []byte) {
 	s, err := configuration.Decode(b)
 	if err != nil || s.Version == 0 {
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -18,11 +18,17 @@
 	Weight int64
 	Draw   uint64
 	Not    []ids.Replica
+	// Route names the route that the request came on, and Repeated says that it was sent
+	// to a replica before.
+	Route    string
+	Repeated bool
 
 	// Promise is filled by Choose.
 	Promise Promise
 
 	attempt *evidence.Attempt
+	// arrived says that the request was counted as one for its service.
+	arrived bool
 }
 
 func (a *Ask) not(id ids.Replica) bool {
@@ -62,7 +68,7 @@
 }
 
 func (f *Fleet) open(r *Rep, a *Ask) bool {
-	return !r.gone && r.InService() && !f.evac[r.Zone] && !a.not(r.ID)
+	return !r.gone && r.InService() && !f.evac[r.Zone] && !a.not(r.ID) && r.track <= candidate
 }
 
 // Choose names the replica of a request and takes a place there. Done must be
@@ -71,45 +77,17 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := clock.Now()
-	cold, conns := f.coldBound(a.Service), f.connShare(a.Service)
-	fit := false
-	able, spares := f.able[:0], f.spares[:0]
-	for _, r := range f.services[a.Service] {
-		if !f.open(r, a) {
-			continue
-		}
-		fit = true
-		if r.up(now) && f.spare(r, now, cold) && r.running < conns && !r.full(now) {
-			if r.in(now) {
-				able = append(able, r)
-			} else {
-				spares = append(spares, r)
-			}
-		}
-	}
-	f.able, f.spares = able, spares
-	if len(able) == 0 {
-		able = spares // an ejected one rather than none
-	}
-	if !fit {
-		return nil, codes.New(codes.NoReplica, "%s", a.Service)
-	}
-	var s kvindex.Chain
+	var session kvindex.Chain
 	if a.Sticky {
-		s = f.session(a.Chain)
-	}
-	if len(able) == 0 {
-		return nil, codes.New(codes.QueueFull, "%s", a.Service)
+		session = f.session(a.Chain)
 	}
 	a.Weight = a.Tokens
-	if len(s) > 0 {
-		a.Weight = s.Tokens()
+	if len(session) > 0 {
+		a.Weight = session.Tokens()
 	}
-	var r *Rep
-	if len(s) > 0 {
-		r = f.bound(a, s, able, now)
-	} else {
-		r = f.least(a, able, now)
+	r := f.place(a, session, now)
+	if r == nil {
+		return nil, f.refusal(a)
 	}
 	r.running++
 	r.since++
@@ -117,13 +95,130 @@
 	r.sent = append(r.sent, now)
 	a.attempt = nil
 	a.Promise = r.promise(a.Chain, a.Tokens, now)
-	if len(s) > 0 {
-		f.Desk.Index.Lookup(r.stream.Epoch, a.Chain, s.Tokens())
+	if len(session) > 0 {
+		f.Desk.Index.Lookup(r.stream.Epoch, a.Chain, session.Tokens())
 	}
 	r.view.Speculate(a.Chain)
 	return r, nil
 }
 
+// refusal says why no replica can take a request now: none may be sent to at all, or all
+// that may are full.
+func (f *Fleet) refusal(a *Ask) error {
+	for _, r := range f.services[a.Service] {
+		if f.open(r, a) || r.track == unconfirmed {
+			return codes.New(codes.QueueFull, "%s", a.Service)
+		}
+	}
+	return codes.New(codes.NoReplica, "%s", a.Service)
+}
+
+// place finds the replica of a request among those that can take it now; nil if none can.
+func (f *Fleet) place(a *Ask, session kvindex.Chain, now clock.Tick) *Rep {
+	v := f.active(a.Service)
+	if v == nil {
+		return f.among(f.takers(a, now, nil), a, session, now)
+	}
+	v.arrived(a)
+	order := f.orderOf(v, a, session, now)
+	r := f.onTrack(v, order.first, a, session, now)
+	if r == nil && (order.second || order.first == stable && !f.anyStable(a)) {
+		r = f.onTrack(v, other(order.first), a, session, now)
+	}
+	if r != nil {
+		v.sentTo(r, a)
+	}
+	return r
+}
+
+// anyStable tells whether a stable replica is listed: without any the candidate is all
+// there is.
+func (f *Fleet) anyStable(a *Ask) bool {
+	for _, r := range f.services[a.Service] {
+		if r.track == stable && r.InService() {
+			return true
+		}
+	}
+	return false
+}
+
+func other(t track) track {
+	if t == stable {
+		return candidate
+	}
+	return stable
+}
+
+// onTrack finds the replica of a request on a track; nil if none can take it.
+func (f *Fleet) onTrack(v *versions, t track, a *Ask, session kvindex.Chain, now clock.Tick) *Rep {
+	partly := v.state.Weight() < 100
+	able := f.takers(a, now, func(r *Rep) bool { return r.track == t && (t == stable || !partly || r.sampled) })
+	if t == candidate && partly && len(session) > 0 && len(able) > 0 {
+		return f.ranked(able, session.Last(), now)
+	}
+	return f.among(able, a, session, now)
+}
+
+// ranked is the first of the replicas by rendezvous that is not hot. The session's binding
+// to a stable replica stays as it is.
+func (f *Fleet) ranked(able []*Rep, key uint64, now clock.Tick) *Rep {
+	sum := 0
+	for _, r := range able {
+		sum += r.press(now)
+	}
+	var first best
+	for _, r := range able {
+		cool := int64(0)
+		if r.press(now) <= hotFrom(sum, len(able)) {
+			cool = 1
+		}
+		first.see(r, cool, true, r.rank(key))
+	}
+	return first.rep
+}
+
+func (f *Fleet) among(able []*Rep, a *Ask, session kvindex.Chain, now clock.Tick) *Rep {
+	switch {
+	case len(able) == 0:
+		return nil
+	case len(session) > 0:
+		return f.bound(a, session, able, now)
+	}
+	return f.least(a, able, now)
+}
+
+// takers are the replicas that can take a request now; ejected ones only if there are no
+// others. The slice is good until the next call.
+func (f *Fleet) takers(a *Ask, now clock.Tick, only func(*Rep) bool) []*Rep {
+	cold, conns := f.coldBound(a.Service), f.connShare(a.Service)
+	able, spares := f.able[:0], f.spares[:0]
+	for _, r := range f.services[a.Service] {
+		if r.track == unconfirmed {
+			r.track = f.trackOf(f.versionsOf(a.Service), r.software())
+		}
+		if !f.open(r, a) || only != nil && !only(r) {
+			continue
+		}
+		if !r.up(now) || !f.spare(r, now, cold) || r.running >= conns || r.full(now) {
+			continue
+		}
+		if r.in(now) {
+			able = append(able, r)
+		} else {
+			spares = append(spares, r)
+		}
+	}
+	f.able, f.spares = able, spares
+	if len(able) == 0 {
+		return spares
+	}
+	return able
+}
+
+// hotFrom is the load beyond which a replica is hot, and others are looked for: over three
+// times the mean, and ten more.
+func hotFrom(sum, n int) int { return 3*sum/n + 10 }
+
 // best is the first of an order of replicas that is never made whole.
 type best struct {
 	rep   *Rep
@@ -161,7 +256,7 @@
 	for _, r := range able {
 		sum += r.press(now)
 	}
-	most := 3*sum/len(able) + 10
+	most := hotFrom(sum, len(able))
 	b, ok := f.sessions.Get(key)
 	if ok && now.Sub(b.used) >= f.Idle {
 		ok = false
--- a/internal/routing/fleet.go
+++ b/internal/routing/fleet.go
@@ -28,6 +28,9 @@
 	Desk *evidence.Desk
 	// Self names this relay.
 	Self ids.Node
+	// ExposureShare bounds what the candidate of a rollout gets before it has proved
+	// itself: a part of the service's requests.
+	ExposureShare float64
 
 	mu       sync.Mutex
 	reps     map[ids.Replica]*Rep
@@ -43,6 +46,9 @@
 	plan     *pool.Plan
 	norms    map[ids.Service]*norm
 	spares   []*Rep
+	versions map[ids.Service]*versions
+	// confirmed, if set, tells when what this relay knows was last confirmed as current.
+	confirmed func() clock.Tick
 }
 
 type binding struct {
@@ -142,6 +148,7 @@
 func (f *Fleet) settled(shut []*Rep) {
 	f.sort()
 	f.sides()
+	f.sortTracks()
 	f.listed = true
 	f.mu.Unlock()
 	for _, r := range shut {
--- a/internal/routing/rep.go
+++ b/internal/routing/rep.go
@@ -38,6 +38,10 @@
 	prefill bool
 	audit   audit
 	outlier outlier
+	// track goes by the version, and sampled says that the replica serves the part of the
+	// requests that the candidate of a rollout gets.
+	track   track
+	sampled bool
 }
 
 const (
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,6 +15,7 @@
 	"spoolswitch/internal/clock"
 	"spoolswitch/internal/codes"
 	"spoolswitch/internal/ids"
+	"spoolswitch/internal/rollout"
 	"spoolswitch/internal/schedule"
 )
 
@@ -45,6 +46,8 @@
 	RetrySlack       float64 `toml:"retry-slack" validate:"gte=0"`
 	ColdOverrun      float64 `toml:"cold-overrun" validate:"gte=0"`
 	ColdSlack        float64 `toml:"cold-slack" validate:"gte=0"`
+	AckMs            float64 `toml:"ack-ms" validate:"gte=0"`
+	ExposureShare    float64 `toml:"exposure-share" validate:"gte=0,lte=1"`
 }
 
 // Tolerance is what may be lost at the same time while every rule holds.
@@ -78,6 +81,7 @@
 	Index     Index             `toml:"kv-index"`
 	Pool      Pool              `toml:"pool"`
 	Session   Session           `toml:"session"`
+	Rollout   Rollout           `toml:"rollout"`
 }
 
 // Calendar says when keepers rewrite their log, cron-like; empty is never.
@@ -120,6 +124,11 @@
 	Least      int64   `toml:"least-requests" validate:"gte=1"`
 }
 
+// Rollout holds the steps that an order to bring a new version in goes through.
+type Rollout struct {
+	Steps []rollout.Step `toml:"steps"`
+}
+
 // Session holds the defaults of the session design.
 type Session struct {
 	IdleS float64 `toml:"idle-timeout-s" validate:"gte=0"`
@@ -160,6 +169,12 @@
 			out = append(out, codes.New(codes.BadSettings, "calendar.rewrite: %v", err))
 		}
 	}
+	if len(s.Rollout.Steps) == 0 {
+		s.Rollout.Steps = rollout.DefaultSteps()
+	}
+	if err := rollout.CheckSteps(s.Rollout.Steps); err != nil {
+		out = append(out, codes.New(codes.BadSettings, "rollout.steps: %v", err))
+	}
 	if n := s.Index.Steps(); n > s.ReplayMost() {
 		out = append(out, codes.New(codes.BadSettings, "kv-index asks for %d batches to be kept for replays, limits.memory-mb has room for %d", n, s.ReplayMost()))
 	}
@@ -169,6 +184,12 @@
 	if s.Bounds.ConfigApplyMs == 0 {
 		s.Bounds.ConfigApplyMs = 2000
 	}
+	if s.Bounds.AckMs == 0 {
+		s.Bounds.AckMs = 5000
+	}
+	if s.Bounds.ExposureShare == 0 {
+		s.Bounds.ExposureShare = 0.1
+	}
 	if s.Session.IdleS == 0 {
 		s.Session.IdleS = 300
 	}
