Rollouts: replicas of the candidate are filled; unproven orders end at their term; sim knows rollouts

Change: within the bound one replica of the candidate is filled with requests that hold slots long for the prompt to be read; answers under load are counted, and what that replica does is tested apart. Where none could be brought under load (128 slots, prompts read one after the other), the order is unproven: it keeps 1% and is completed 0.75 s before its term, and only what would not end at the old replicas by then goes to the new ones earlier, so that the bound holds even for a bad version.

--- a/internal/promotion/run.go
+++ b/internal/promotion/run.go
@@ -17,7 +17,7 @@
 	routeLeast = 50
 	// sampleMost is how many answers of the candidate are enough for a route, and
 	// samplePart the part of what its weight should bring that must have come.
-	sampleMost = 20
+	sampleMost = 15
 	samplePart = 0.3
 	// listedLeast is the part of a weight that the candidate's listed slots must cover.
 	listedLeast = 0.8
@@ -32,16 +32,23 @@
 	// entered is when this holder first saw the step, measured when it last took a
 	// measurement there; taken and failed count those.
 	entered, measured clock.Tick
-	taken, failed     int
-	detector          rollout.Detector
-	finding           rollout.Finding
-	counts            *rollout.Counts
+	// began is when the order was taken, as far as this holder knows.
+	began         clock.Tick
+	taken, failed int
+	// unproven says that too few answers were given under load.
+	unproven bool
+	detector rollout.Detector
+	finding  rollout.Finding
+	counts   *rollout.Counts
 }
 
 // look looks at the order, and moves it on if it is time.
 func (r *run) look(d *Duty, at Standing, counts *rollout.Counts, covered float64) {
 	state := at.State
 	now := clock.Now()
+	if began := now.Add(-at.elapsed()); r.began == 0 || began < r.began {
+		r.began = began
+	}
 	if r.step != state.Step {
 		r.step, r.entered, r.measured, r.taken, r.failed = state.Step, now, now, 0, 0
 	}
@@ -52,13 +59,16 @@
 	switch {
 	case r.finding.Bad:
 		r.finish(d, at, rollout.Reverted, r.finding.Why)
-	case at.elapsed() >= state.Within:
+	case r.elapsed() >= state.Within:
 		r.finish(d, at, rollout.Reverted, fmt.Sprintf("not done within %v", state.Within))
 	default:
 		r.act(d, at, covered, now)
 	}
 }
 
+// elapsed is how long ago the order was taken.
+func (r *run) elapsed() clock.Span { return clock.Since(r.began) }
+
 // act does what the step says.
 func (r *run) act(d *Duty, at Standing, covered float64, now clock.Tick) {
 	state := at.State
@@ -68,7 +78,7 @@
 	case rollout.SetWeight:
 		r.next(d, at, fmt.Sprintf("weight %d", step.Weight))
 	case rollout.Pause:
-		if at.elapsed() >= rollout.Part(state.Within, step.Until) && inStep >= rollout.Part(state.Within, step.For) {
+		if r.elapsed() >= rollout.Part(state.Within, step.Until) && inStep >= rollout.Part(state.Within, step.For) {
 			r.next(d, at, fmt.Sprintf("paused for %v", inStep.Round(clock.Millisecond)))
 		}
 	case rollout.Analyze:
@@ -114,7 +124,8 @@
 	return d.Listed(r.service, at.State.Target) >= listedLeast*float64(weight)/rollout.FullWeight
 }
 
-// unmeasured tells why a measurement cannot be taken; nothing if it can.
+// unmeasured tells why a measurement cannot be taken; nothing if it can. It notes whether the
+// candidate was seen under load.
 func (r *run) unmeasured(state *rollout.State, covered float64) string {
 	if covered < coveredLeast {
 		return fmt.Sprintf("reports of %.2f of the routers", covered)
@@ -123,28 +134,31 @@
 		return "no reports"
 	}
 	seen := int64(0)
-	for name, route := range r.counts.Routes {
-		candidate, stable := route.Total().Requests, route.Stable.Requests
-		seen += candidate
-		due := samplePart * float64(state.Weight()) / rollout.FullWeight * float64(stable)
-		if state.Weight() < rollout.FullWeight && stable >= routeLeast && float64(candidate) < min(sampleMost, due) {
-			return fmt.Sprintf("route %s: %d answers of the candidate", name, candidate)
+	for name, sample := range r.counts.Samples() {
+		seen += sample.Candidate
+		due := samplePart * float64(state.Weight()) / rollout.FullWeight * float64(sample.Stable)
+		if state.Weight() < rollout.FullWeight && sample.Stable >= routeLeast && float64(sample.Candidate) < min(sampleMost, due) {
+			return fmt.Sprintf("route %s: %d answers of the candidate", name, sample.Candidate)
 		}
 	}
 	if seen == 0 {
 		return "no answers of the candidate"
 	}
+	r.unproven = r.counts.Loaded < int64(state.Steps[state.Step].Loaded)
 	return ""
 }
 
 // next moves the order on to its next step, or completes it.
 func (r *run) next(d *Duty, at Standing, why string) {
 	if at.State.Step+1 >= len(at.State.Steps) {
+		if at.State.Unproven && r.elapsed() < at.State.CompleteAt() {
+			return
+		}
 		r.finish(d, at, rollout.Completed, why)
 		return
 	}
 	stepsTaken.Add(1)
-	c := &rollout.Command{Advance: &rollout.Advance{Number: r.number, From: at.State.Step, Elapsed: at.elapsed(), Reason: why}}
+	c := &rollout.Command{Advance: &rollout.Advance{Number: r.number, From: at.State.Step, Elapsed: r.elapsed(), Reason: why, Unproven: r.unproven}}
 	d.command(r.service, c, fmt.Sprintf("step %d done", at.State.Step), why)
 }
 
@@ -154,6 +168,6 @@
 	} else {
 		reverted.Add(1)
 	}
-	c := &rollout.Command{Finish: &rollout.Finish{Number: r.number, Status: status, Elapsed: at.elapsed(), Reason: why}}
+	c := &rollout.Command{Finish: &rollout.Finish{Number: r.number, Status: status, Elapsed: r.elapsed(), Reason: why}}
 	d.command(r.service, c, string(status), why)
 }
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -58,7 +58,7 @@
 	f := routing.NewFleet(s.Zone, clock.Ms(s.Session.IdleS*1000))
 	f.Overrun, f.Slack = s.Bounds.ColdOverrun, s.Bounds.ColdSlack
 	f.Self = s.Node
-	f.ExposureShare = s.Bounds.ExposureShare
+	f.ExposureShare, f.ExposureSlack = s.Bounds.ExposureShare, s.Bounds.ExposureSlack
 	f.Desk.Index.SpeculativeFirst = clock.Ms(s.Index.SpeculativeMs)
 	f.Desk.Bounds(evidence.Sizing{Steps: s.Index.Steps(), Total: s.ReplayMost()}, s.Index.Proofs)
 	v := &View{Fleet: f}
@@ -146,7 +146,7 @@
 	d.s = s
 	d.mu.Unlock()
 	d.Relay.Fleet.Desk.Bounds(evidence.Sizing{Steps: s.Index.Steps(), Total: s.ReplayMost()}, s.Index.Proofs)
-	d.Relay.Fleet.ExposureBounds(s.Bounds.ExposureShare)
+	d.Relay.Fleet.ExposureBounds(s.Bounds.ExposureShare, s.Bounds.ExposureSlack)
 	d.Relay.Fleet.Bounds(s.Bounds.ColdOverrun, s.Bounds.ColdSlack, clock.Ms(s.Session.IdleS*1000))
 	d.Relay.Budget.Bounds(s.Bounds.RetryBudgetRatio, s.Bounds.RetrySlack, clock.Ms(s.Bounds.RetryWindowS*1000))
 }
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -21,6 +21,9 @@
 	begun := n.sent != 0 && n.began >= n.sent
 	outcome := rollout.Outcome{Begun: begun && streaming}
 	timing := routing.Timing{Streaming: streaming}
+	if begun && e == answered {
+		n.relay.Fleet.Held(&n.ask, clock.Since(n.sent))
+	}
 	switch e {
 	case answered:
 		if outcome.Begun {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -150,11 +150,11 @@
 		n.events.Last, n.events.Seen = id, true
 	}
 	if v := n.Head.Field(httpmessage.Tokens); len(v) > 0 {
-		in, _, err := routing.ReadTokens(string(v))
+		in, out, err := routing.ReadTokens(string(v))
 		if err != nil {
 			return err
 		}
-		n.ask.Tokens = in
+		n.ask.Tokens, n.ask.Output = in, out
 		n.urgency = n.relay.sizes.Urgency(n.ask.Service, in)
 	}
 	if rt.Affinity {
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -130,7 +130,7 @@
 	if err != nil || state.Number == 0 {
 		return
 	}
-	v.Fleet.RolledOut(service, state)
+	v.Fleet.RolledOut(service, state, it.Age)
 	v.mu.Lock()
 	v.stamp(it.Key, state.Label())
 	v.mu.Unlock()
--- a/internal/rollout/detector.go
+++ b/internal/rollout/detector.go
@@ -44,7 +44,7 @@
 // aloneMargins hold while the stable version gets next to nothing, so that there is nothing to
 // compare with in the same seconds: a trouble of the whole fleet must not look like one of the
 // candidate.
-var aloneMargins = [faults]margin{failing: {0.10, 0.30}, slowing: {0.30, 0.60}}
+var aloneMargins = [faults]margin{failing: {0.06, 0.24}, slowing: {0.30, 0.60}}
 
 // comparedLeast is how many answers of the stable version of late are enough to compare with.
 const comparedLeast = 20
@@ -209,7 +209,7 @@
 			with++
 		}
 	}
-	if of > 0 && float64(with) < spread*float64(of) {
+	if of == 0 || float64(with) < spread*float64(of) {
 		return ""
 	}
 	return fmt.Sprintf("of late %.1f of %.1f answers of the candidate %s, in %d of %d groups; %.3f of the stable ones", all.bad, all.n, faultNames[f], with, of, base)
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -45,6 +45,10 @@
 	// that it stands at.
 	Steps []Step
 	Step  int
+	// Unproven says that no replica of the candidate could be brought under load. Its part
+	// stays small then until the order is to be completed, at the end of its time, so that even a
+	// bad one does not get more than the bound of the exposure.
+	Unproven bool
 	// Elapsed is how long after the order this value was written, as far as its writer
 	// knew, and Writer the keeper that wrote it.
 	Elapsed clock.Span
@@ -87,13 +91,34 @@
 func (s *State) Weight() int {
 	switch s.Status {
 	case InProgress:
-		return weightAt(s.Steps, s.Step)
+		weight := inForce(s.Steps, s.Step).Weight
+		if s.Unproven {
+			return min(weight, unprovenWeight)
+		}
+		return weight
 	case Completed:
 		return FullWeight
 	}
 	return 0
 }
 
+const (
+	// unprovenWeight is the part of the requests that an unproven candidate goes on to get, in percent.
+	unprovenWeight = 1
+	// An unproven order is completed lastPart of its time before its term, and lastLeast at least: the
+	// operator has to read that before it.
+	lastPart  = 0.04
+	lastLeast = 750 * clock.Millisecond
+)
+
+// CompleteAt is how long after the order an unproven one is completed.
+func (s *State) CompleteAt() clock.Span {
+	return s.Within - max(lastLeast, Part(s.Within, lastPart))
+}
+
+// Fills tells whether the candidate's part goes to as few of its replicas as can bear it.
+func (s *State) Fills() bool { return s.Active() && inForce(s.Steps, s.Step).Fill }
+
 // IsRejected tells whether a version is the target of an order that was reverted, and
 // of none since.
 func (s *State) IsRejected(v ids.Software) bool {
@@ -138,6 +163,8 @@
 	From    int
 	Elapsed clock.Span
 	Reason  string
+	// Unproven says that no replica of the candidate could be brought under load.
+	Unproven bool
 }
 
 // Finish is the verdict on an order.
@@ -211,6 +238,7 @@
 	}
 	next := *s
 	next.Step, next.Elapsed, next.Reason, next.Writer = a.From+1, max(s.Elapsed, a.Elapsed), a.Reason, writer
+	next.Unproven = s.Unproven || a.Unproven
 	return &next
 }
 
--- a/internal/rollout/state_test.go
+++ b/internal/rollout/state_test.go
@@ -48,7 +48,7 @@
 	is := is.New(t)
 	s := apply(t, &State{}, start("v2"))
 	is.Equal(s.Number, uint64(1))
-	is.Equal(s.Weight(), 7)
+	is.Equal(s.Weight(), 3)
 	same := func(c *Command) { t.Helper(); is.Equal(apply(t, s, c), s) }
 	same(start("v2")) // the same order again
 	same(advance(1, 1))
@@ -135,13 +135,14 @@
 	bad(func(s *Start) { s.Within = 0 })
 	bad(func(s *Start) { s.Within = withinMost + 1 })
 	bad(func(s *Start) { s.Steps = nil })
-	bad(func(s *Start) { s.Steps = s.Steps[:6] }) // ends below 100
-	bad(func(s *Start) { s.Steps[3].Weight = 2 }) // falls
+	bad(func(s *Start) { s.Steps = s.Steps[:8] }) // ends below 100
+	bad(func(s *Start) { s.Steps[5].Weight = 2 }) // falls
 	bad(func(s *Start) { s.Steps[0].Weight = 101 })
 	bad(func(s *Start) { s.Steps[0].Action = "jump" })
 	bad(func(s *Start) { s.Steps[1].Until = 1.5 })
-	bad(func(s *Start) { s.Steps[2].Count = 0 })
-	bad(func(s *Start) { s.Steps[2].FailureLimit = -1 })
+	bad(func(s *Start) { s.Steps[4].Count = 0 })
+	bad(func(s *Start) { s.Steps[4].FailureLimit = -1 })
+	bad(func(s *Start) { s.Steps[4].Loaded = -1 })
 	_, err := (&State{}).Apply(&Command{}, 0, 0)
 	is.Equal(codes.Of(err), codes.BadRollout)
 	_, err = DecodeCommand([]byte("x"))
--- a/internal/rollout/step.go
+++ b/internal/rollout/step.go
@@ -32,6 +32,7 @@
 	countMost    = 1000
 	withinMost   = 30 * 24 * 3600 * clock.Second
 	failuresMost = 1000
+	loadedMost   = 1000000
 )
 
 // Step is one step of a rollout.
@@ -39,10 +40,16 @@
 	Action Action `toml:"action"`
 	// Weight is the candidate's part of the requests, in percent.
 	Weight int `toml:"weight"`
+	// Fill says that what the bound of the exposure leaves over goes to one replica of the
+	// candidate until that is full: some versions are bad only under load.
+	Fill bool `toml:"fill"`
 	// Until ends a pause at a part of the order's time, counted from the order on.
 	Until float64 `toml:"until"`
 	// For is how long a pause lasts at least, as a part of the order's time.
 	For float64 `toml:"for"`
+	// Loaded is how many answers that replicas of the candidate gave under load an analysis
+	// needs before it takes a measurement.
+	Loaded int `toml:"loaded"`
 	// Count is how many measurements an analysis takes, Interval the part of the order's
 	// time between two, and FailureLimit how many of them may fail.
 	Count        int     `toml:"count"`
@@ -54,6 +61,9 @@
 func (s Step) String() string {
 	switch s.Action {
 	case SetWeight:
+		if s.Fill {
+			return fmt.Sprintf("setWeight %d, filling replicas", s.Weight)
+		}
 		return fmt.Sprintf("setWeight %d", s.Weight)
 	case Pause:
 		return fmt.Sprintf("pause until %g, for %g", s.Until, s.For)
@@ -66,9 +76,11 @@
 // left is for the old replicas to finish what they have.
 func DefaultSteps() []Step {
 	return []Step{
-		{Action: SetWeight, Weight: 7},
+		{Action: SetWeight, Weight: 3},
+		{Action: Pause, Until: 0.3},
+		{Action: SetWeight, Weight: 3, Fill: true},
 		{Action: Pause, Until: 0.45},
-		{Action: Analyze, Count: 3, Interval: 0.02, FailureLimit: 1},
+		{Action: Analyze, Count: 3, Interval: 0.02, FailureLimit: 1, Loaded: 40},
 		{Action: SetWeight, Weight: 30},
 		{Action: Pause, For: 0.05},
 		{Action: Analyze, Count: 2, Interval: 0.02, FailureLimit: 1},
@@ -112,20 +124,22 @@
 		return fmt.Errorf("a part of the time is not from 0 to 1")
 	case s.Action == Analyze && (s.Count < 1 || s.Count > countMost):
 		return fmt.Errorf("count %d", s.Count)
+	case s.Loaded < 0 || s.Loaded > loadedMost:
+		return fmt.Errorf("loaded %d", s.Loaded)
 	case s.FailureLimit < 0 || s.FailureLimit > failuresMost:
 		return fmt.Errorf("failure-limit %d", s.FailureLimit)
 	}
 	return nil
 }
 
-// weightAt is the weight in force at a step: that of the last setWeight up to it.
-func weightAt(steps []Step, at int) int {
+// inForce is the setWeight that is in force at a step: the last one up to it.
+func inForce(steps []Step, at int) Step {
 	for i := min(at, len(steps)-1); i >= 0; i-- {
 		if steps[i].Action == SetWeight {
-			return steps[i].Weight
+			return steps[i]
 		}
 	}
-	return 0
+	return Step{}
 }
 
 // Part is a part of the order's time.
--- a/internal/rollout/tally.go
+++ b/internal/rollout/tally.go
@@ -31,6 +31,12 @@
 // otherRoutes is the name under which routes beyond routesMost are counted.
 const otherRoutes = ""
 
+const filling = " (filling)"
+
+// Filling is the name under which answers on a route are counted that a replica gave while it
+// was being filled.
+func Filling(route string) string { return route + filling }
+
 // Outcome is what one answer said of the version that gave it.
 type Outcome struct {
 	// Failed says that the answer was a failure, was broken off or never came.
@@ -97,6 +103,9 @@
 type Counts struct {
 	Number uint64
 	Routes map[string]*RouteTally
+	// Loaded counts the answers that replicas of the candidate gave while half of their slots, or
+	// more, were taken.
+	Loaded int64
 }
 
 func (c *Counts) route(name string) *RouteTally {
@@ -133,6 +142,7 @@
 
 // Add adds the counts of another router to the same order.
 func (c *Counts) Add(o *Counts) {
+	c.Loaded += o.Loaded
 	for name, from := range o.Routes {
 		r := c.route(name)
 		r.Stable.add(from.Stable)
@@ -142,12 +152,28 @@
 	}
 }
 
+// Samples tells how many answers of both versions there are on each route.
+func (c *Counts) Samples() map[string]Sample {
+	routes := map[string]Sample{}
+	for name, r := range c.Routes {
+		route := strings.TrimSuffix(name, filling)
+		s := routes[route]
+		s.Stable, s.Candidate = s.Stable+r.Stable.Requests, s.Candidate+r.Total().Requests
+		routes[route] = s
+	}
+	return routes
+}
+
+// Sample is how many answers there are of both versions.
+type Sample struct{ Stable, Candidate int64 }
+
 // Minus is what was counted since earlier counts of the same order.
 func (c *Counts) Minus(earlier *Counts) *Counts {
 	out := c.Clone()
 	if earlier == nil || earlier.Number != c.Number {
 		return out
 	}
+	out.Loaded -= earlier.Loaded
 	for name, from := range earlier.Routes {
 		r := out.route(name)
 		r.Stable = r.Stable.minus(from.Stable)
@@ -199,7 +225,7 @@
 		return nil, codes.New(codes.BadCounts, "%v", err)
 	}
 	for service, c := range r.Services {
-		if c == nil || len(c.Routes) > routesMost+1 {
+		if c == nil || c.Loaded < 0 || len(c.Routes) > routesMost+1 {
 			return nil, codes.New(codes.BadCounts, "service %q", service)
 		}
 		for route, tally := range c.Routes {
@@ -225,5 +251,5 @@
 		out = append(out, fmt.Sprintf("%s: %d/%d/%d of %d, stable %d/%d of %d", name, t.Failed, t.Slow, t.Refused, t.Requests,
 			r.Stable.Failed, r.Stable.Slow, r.Stable.Requests))
 	}
-	return strings.Join(out, "; ")
+	return fmt.Sprintf("%s; %d under load", strings.Join(out, "; "), c.Loaded)
 }
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -14,6 +14,8 @@
 	Chain   kvindex.Chain
 	Sticky  bool
 	Tokens  int64
+	// Output is how many tokens are to be sent out at most, 0 if that is not known.
+	Output int64
 	// Weight is filled by Choose: what tells a heavy request from the rest.
 	Weight int64
 	Draw   uint64
@@ -120,10 +122,14 @@
 		return f.among(f.takers(a, now, nil), a, session, now)
 	}
 	v.arrived(a)
+	if r := f.filler(v, a, now); r != nil {
+		v.sentTo(r, a)
+		return r
+	}
 	order := f.orderOf(v, a, session, now)
-	r := f.onTrack(v, order.first, a, session, now)
+	r := f.onTrack(order.first, order.sample, a, session, now)
 	if r == nil && (order.second || order.first == stable && !f.anyStable(a)) {
-		r = f.onTrack(v, other(order.first), a, session, now)
+		r = f.onTrack(other(order.first), order.sample, a, session, now)
 	}
 	if r != nil {
 		v.sentTo(r, a)
@@ -149,16 +155,32 @@
 	return stable
 }
 
-// onTrack finds the replica of a request on a track; nil if none can take it.
-func (f *Fleet) onTrack(v *versions, t track, a *Ask, session kvindex.Chain, now clock.Tick) *Rep {
-	partly := v.state.Weight() < 100
-	able := f.takers(a, now, func(r *Rep) bool { return r.track == t && (t == stable || !partly || r.sampled) })
-	if t == candidate && partly && len(session) > 0 && len(able) > 0 {
+// onTrack finds the replica of a request on a track, or among the candidate's that serve the
+// sample; nil if none can take it.
+func (f *Fleet) onTrack(t track, sample bool, a *Ask, session kvindex.Chain, now clock.Tick) *Rep {
+	sample = sample && t == candidate
+	able := f.takers(a, now, func(r *Rep) bool { return r.track == t && (!sample || r.sampled) })
+	if sample && len(session) > 0 && len(able) > 0 {
 		return f.ranked(able, session.Last(), now)
 	}
 	return f.among(able, a, session, now)
 }
 
+// filler is the replica that is being filled, if the request is one to fill it with, the bound
+// leaves room and so does the replica; else nil.
+func (f *Fleet) filler(v *versions, a *Ask, now clock.Tick) *Rep {
+	if !v.fills(a) || a.Repeated || !f.inContact(now) || v.exposure.suspended() || !f.withinExposure(v) {
+		return nil
+	}
+	for _, r := range f.takers(a, now, func(r *Rep) bool { return r.filling }) {
+		waits := now.Sub(r.loadAt) <= loadFresh && r.load.Waiting > r.load.Running+fillWaiting
+		if r.running < f.fillShare(r, v.state.Number) && r.press(now) < r.Slots && !waits {
+			return r
+		}
+	}
+	return nil
+}
+
 // ranked is the first of the replicas by rendezvous that is not hot. The session's binding
 // to a stable replica stays as it is.
 func (f *Fleet) ranked(able []*Rep, key uint64, now clock.Tick) *Rep {
--- a/internal/routing/fleet.go
+++ b/internal/routing/fleet.go
@@ -28,9 +28,9 @@
 	Desk *evidence.Desk
 	// Self names this relay.
 	Self ids.Node
-	// ExposureShare bounds what the candidate of a rollout gets before it has proved
-	// itself: a part of the service's requests.
-	ExposureShare float64
+	// ExposureShare and ExposureSlack bound what the candidate of a rollout gets before it has
+	// proved itself: a part of the service's requests, and some more.
+	ExposureShare, ExposureSlack float64
 
 	mu       sync.Mutex
 	reps     map[ids.Replica]*Rep
--- a/internal/routing/rep.go
+++ b/internal/routing/rep.go
@@ -38,10 +38,10 @@
 	prefill bool
 	audit   audit
 	outlier outlier
-	// track goes by the version, and sampled says that the replica serves the part of the
-	// requests that the candidate of a rollout gets.
-	track   track
-	sampled bool
+	// track goes by the version, sampled says that the replica serves the part of the
+	// requests that the candidate of a rollout gets, and filling that it may be filled.
+	track            track
+	sampled, filling bool
 }
 
 const (
--- a/internal/routing/versions.go
+++ b/internal/routing/versions.go
@@ -34,6 +34,9 @@
 	contactFresh = 2 * clock.Second
 	// exposureMargin is the part of the exposure bound that routers use.
 	exposureMargin = 0.9
+	// sampledLeast is the least number of replicas that serve the sample: one that is sick is to be
+	// told from a bad version.
+	sampledLeast = 3
 	// sessionLag is by how many requests the chosen sessions of a route may fall behind its
 	// weight before others go to the candidate.
 	sessionLag = 1
@@ -52,6 +55,12 @@
 	replaced map[ids.Software]bool
 	exposure exposure
 	counts   rollout.Counts
+	// began is when the order was taken, as far as is known here.
+	began clock.Tick
+	// holding is how long a request usually takes in all, by route.
+	holding map[string]clock.Span
+	// usualRatio is the usual output for each token of a prompt.
+	usualRatio float64
 	// typical is the usual time of a whole answer of the stable version, by route.
 	typical map[string]float64
 }
@@ -83,13 +92,14 @@
 	return v
 }
 
-// RolledOut takes the state of a service's rollout in.
-func (f *Fleet) RolledOut(service ids.Service, s *rollout.State) {
+// RolledOut takes the state of a service's rollout in, which was put down age ago.
+func (f *Fleet) RolledOut(service ids.Service, s *rollout.State, age clock.Span) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	v := f.versionsOf(service)
 	if v.state == nil || v.state.Number != s.Number {
 		v.exposure, v.counts = exposure{}, rollout.Counts{Number: s.Number}
+		v.began = clock.Now().Add(-s.Elapsed - age)
 	}
 	if s.Status == rollout.Completed && (v.state == nil || v.state.Number != s.Number || v.state.Active()) {
 		for version := range v.seen {
@@ -111,11 +121,11 @@
 	f.confirmed = at
 }
 
-// ExposureBounds changes the figure of the exposure bound.
-func (f *Fleet) ExposureBounds(share float64) {
+// ExposureBounds changes the figures of the exposure bound.
+func (f *Fleet) ExposureBounds(share, slack float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.ExposureShare = share
+	f.ExposureShare, f.ExposureSlack = share, slack
 }
 
 // sortTracks works out the track of each replica, and which of a candidate's replicas
@@ -162,8 +172,8 @@
 	return stable
 }
 
-// sample chooses the replicas of the candidate that serve its part of the requests: all
-// routers choose the same ones.
+// sample chooses the replicas of the candidate that serve its part of the requests, and the one
+// that may be filled: all routers choose the same ones.
 func (f *Fleet) sample(v *versions, reps []*Rep) {
 	if v.state == nil || !v.state.Active() {
 		return
@@ -171,7 +181,7 @@
 	var candidates []*Rep
 	stables := 0
 	for _, r := range reps {
-		r.sampled = false
+		r.sampled, r.filling = false, false
 		switch {
 		case r.track == candidate && r.InService() && !f.evac[r.Zone]:
 			candidates = append(candidates, r)
@@ -183,7 +193,11 @@
 	sort.Slice(candidates, func(i, j int) bool { return candidates[i].rank(number) > candidates[j].rank(number) })
 	weight := v.state.Weight()
 	n := int(math.Round(float64(stables) * float64(weight) / 100)) // as busy as stable replicas
-	for _, r := range candidates[:min(len(candidates), max(1, n))] {
+	if len(candidates) > 1 && weight <= f.sampleMost() {
+		candidates[0].filling = true
+		candidates = candidates[1:]
+	}
+	for _, r := range candidates[:min(len(candidates), max(sampledLeast, n))] {
 		r.sampled = true
 	}
 }
@@ -207,21 +221,27 @@
 type order struct {
 	first  track
 	second bool
+	// sample says that of the candidate only the replicas that serve the sample may get it.
+	sample bool
 }
 
 // orderOf tells where a request may go while an order is under way.
 func (f *Fleet) orderOf(v *versions, a *Ask, session kvindex.Chain, now clock.Tick) order {
-	fresh := f.confirmed == nil || now.Sub(f.confirmed()) < contactFresh
 	weight := v.state.Weight()
 	switch {
-	case !fresh || v.exposure.suspended():
-		return order{stable, weight >= 100}
-	case weight >= 100:
-		return order{candidate, true}
+	case !f.inContact(now) || v.exposure.suspended():
+		return order{first: stable, second: weight >= 100}
+	case weight >= 100 || v.state.Unproven && f.switches(v, a, now):
+		return order{first: candidate, second: true}
 	case a.Repeated || !f.takes(v, a, session):
-		return order{stable, false}
+		return order{first: stable, sample: true}
 	}
-	return order{candidate, true}
+	return order{first: candidate, second: true, sample: true}
+}
+
+// inContact tells whether what this router knows was confirmed of late.
+func (f *Fleet) inContact(now clock.Tick) bool {
+	return f.confirmed == nil || now.Sub(f.confirmed()) < contactFresh
 }
 
 // withinExposure tells whether this router may send one request more to the candidate. Each
@@ -233,9 +253,59 @@
 		return true
 	}
 	allowed := f.ExposureShare * exposureMargin * float64(v.exposure.total)
+	if v.state.Fills() {
+		allowed *= fillPart
+	}
 	return float64(v.exposure.exposed+1) <= allowed+f.rounding("", v.state.Number)
 }
 
+const (
+	// switchMargin is how long before the old replicas stop the last answers are to have come.
+	switchMargin = 100 * clock.Millisecond
+	// projectedMargin is the part of the exposure bound that is used up to the term, and
+	// slackUsed the part of its slack.
+	projectedMargin = 0.95
+	slackUsed       = 0.3
+	// holdingKeep is the part of a route's usual time that stays when a new one is seen.
+	holdingKeep = 0.95
+)
+
+// switches tells whether a request goes to an unproven candidate since it would not end at an old
+// replica before those stop. What is sent until the term, and what will be after the
+// completion, stays within the bound.
+func (f *Fleet) switches(v *versions, a *Ask, now clock.Tick) bool {
+	elapsed := now.Sub(v.began)
+	left := v.state.CompleteAt() - elapsed
+	if left > v.holding[a.Route]+switchMargin || elapsed <= 0 {
+		return false
+	}
+	perTime := float64(v.exposure.total) / float64(elapsed)
+	term := float64(v.state.Within)
+	allowed := f.ExposureShare*projectedMargin*perTime*term + f.ExposureSlack*slackUsed/float64(max(1, f.relays))
+	allowed -= perTime * float64(v.state.Within-v.state.CompleteAt())
+	return float64(v.exposure.exposed+1) <= allowed+f.rounding("", v.state.Number)
+}
+
+// held takes in how long a request took in all.
+func (v *versions) held(route string, d clock.Span) {
+	if v.holding == nil || len(v.holding) >= routesMost {
+		v.holding = map[string]clock.Span{}
+	}
+	if old, ok := v.holding[route]; ok {
+		d = clock.Span(holdingKeep*float64(old) + (1-holdingKeep)*float64(d))
+	}
+	v.holding[route] = d
+}
+
+// Held takes in how long an answer took in all, from the sending to its end.
+func (f *Fleet) Held(a *Ask, d clock.Span) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if v := f.versions[a.Service]; v != nil {
+		v.held(a.Route, d)
+	}
+}
+
 // rounding is what this router adds before it rounds down, in [0, 1).
 func (f *Fleet) rounding(route string, order uint64) float64 {
 	lot := kvindex.Mix(hashed(string(f.Self)+"|"+route) ^ kvindex.Mix(order))
@@ -277,6 +347,40 @@
 	return r
 }
 
+const (
+	// fillOver is how many requests for each slot of a replica that is filled routers may have
+	// there, all together.
+	fillOver = 1.3
+	// fillWaiting is by how many more requests than are running may wait at a replica that is
+	// filled: it reads prompts one after the other then, and more would not run sooner.
+	fillWaiting = 4
+	// fillRatio is by how many times more output for each token of its prompt than usual a request must
+	// ask for to be one that fills a replica, which has to read prompts one after the other.
+	fillRatio = 1.5
+	// fillPart is the part of the bound by then that may be used while replicas are filled.
+	fillPart = 0.9
+	// ratioKeep is the part of the usual ratio that stays when a new one is seen.
+	ratioKeep = 0.99
+)
+
+// fills tells whether a request is one to fill a replica of the candidate with: it holds a
+// slot for long, for the prompt that has to be read before.
+func (v *versions) fills(a *Ask) bool {
+	if !v.state.Fills() {
+		return false
+	}
+	return a.Output <= 0 || a.ratio() >= fillRatio*v.usualRatio
+}
+
+// ratio is how many tokens of output the request asks for, for each token of its prompt.
+func (a *Ask) ratio() float64 { return float64(a.Output) / float64(max(1, a.Tokens)) }
+
+// fillShare is how many requests this router may have at a replica that is filled.
+func (f *Fleet) fillShare(r *Rep, order uint64) int {
+	share := fillOver * float64(r.Slots) / float64(max(1, f.relays))
+	return max(1, int(share+f.rounding(string(r.ID), order)))
+}
+
 // arrived counts a request for a service, once.
 func (v *versions) arrived(a *Ask) {
 	if a.arrived {
@@ -284,6 +388,9 @@
 	}
 	a.arrived = true
 	v.exposure.total++
+	if a.Output > 0 {
+		v.usualRatio = v.usualRatio*ratioKeep + a.ratio()*(1-ratioKeep)
+	}
 	v.exposure.route(a.Route).total++
 }
 
@@ -351,12 +458,27 @@
 	if v.state == nil || !v.state.Active() || timing.Waiting && !o.Slow {
 		return
 	}
-	v.counts.See(a.Route, r.track == candidate, r.ID, o)
+	route := a.Route
+	if r.filling {
+		route, o.Slow = rollout.Filling(route), false // tested apart; it waits behind what fills the replica
+	}
+	v.counts.See(route, r.track == candidate, r.ID, o)
+	if r.track == candidate && !o.Begun && r.underLoad(clock.Now()) {
+		v.counts.Loaded++
+	}
 	if r.track == candidate && !o.Refused && (!o.Begun || o.Failed) {
 		v.exposure.note(o.Failed || o.Slow)
 	}
 }
 
+// underLoad tells whether a replica told just now that half of its slots, or more, are taken.
+func (r *Rep) underLoad(now clock.Tick) bool {
+	return r.loadAt != 0 && now.Sub(r.loadAt) <= toldNow && r.load.Slots > 0 && 2*r.load.Running >= r.load.Slots
+}
+
+// toldNow is how old the load may be that was told with the answer at hand.
+const toldNow = 20 * clock.Millisecond
+
 // usual is how many milliseconds such an answer takes, as far as is known.
 func (v *versions) usual(f *Fleet, a *Ask, streaming bool) (ms float64, known bool) {
 	if streaming {
--- a/internal/routing/versions_test.go
+++ b/internal/routing/versions_test.go
@@ -48,7 +48,7 @@
 	f, _ := fleet(t, 0)
 	f.ExposureShare = 0.1
 	f.Listed(versioned(n, "v1"), 0)
-	f.RolledOut("s", underWay(weight))
+	f.RolledOut("s", underWay(weight), 0)
 	f.Listed(versioned(n, "v1", "v2"), 0)
 	return f
 }
@@ -147,10 +147,10 @@
 	for range 40 {
 		is.Equal(ask(t, f, &Ask{Repeated: true}), "v1")
 	}
-	f.RolledOut("s", ended(rollout.Reverted))
+	f.RolledOut("s", ended(rollout.Reverted), 0)
 	only(f, "v1")
 	f = routerOf(t, 4, 100)
-	f.RolledOut("s", ended(rollout.Completed))
+	f.RolledOut("s", ended(rollout.Completed), 0)
 	only(f, "v2")
 	// a version that comes later, as with a release, is served as well; the old one is not
 	f.Listed(versioned(4, "v1", "v3"), 0)
@@ -201,7 +201,7 @@
 	g.Listed(versioned(2, "v1", "v2"), 0) // at the start of a router, in the midst of an order
 	_, err = g.Choose(&Ask{Service: "s"})
 	is.Equal(codes.Of(err), codes.QueueFull)
-	g.RolledOut("s", underWay(0))
+	g.RolledOut("s", underWay(0), 0)
 	g.Confirmation(func() clock.Tick { return clock.Now() })
 	is.Equal(ask(t, g, &Ask{}), "v1")
 }
@@ -233,7 +233,7 @@
 	}
 	is.Equal(sent(), 0)
 	is.True(f.RolloutReport().Services["s"].Routes["r"].Total().Failed >= exposedFailed)
-	f.RolledOut("s", ended(rollout.Reverted))
+	f.RolledOut("s", ended(rollout.Reverted), 0)
 	is.Equal(f.RolloutReport(), nil)
 }
 
@@ -245,7 +245,7 @@
 			f.ExposureShare = 0.1
 			f.Listed(versioned(200, "v1"), 0)
 			if state != nil {
-				f.RolledOut("s", state)
+				f.RolledOut("s", state, 0)
 				f.Listed(versioned(200, "v1", "v2"), 0)
 			}
 			b.ReportAllocs()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -48,6 +48,7 @@
 	ColdSlack        float64 `toml:"cold-slack" validate:"gte=0"`
 	AckMs            float64 `toml:"ack-ms" validate:"gte=0"`
 	ExposureShare    float64 `toml:"exposure-share" validate:"gte=0,lte=1"`
+	ExposureSlack    float64 `toml:"exposure-slack" validate:"gte=0"`
 }
 
 // Tolerance is what may be lost at the same time while every rule holds.
@@ -188,7 +189,7 @@
 		s.Bounds.AckMs = 5000
 	}
 	if s.Bounds.ExposureShare == 0 {
-		s.Bounds.ExposureShare = 0.1
+		s.Bounds.ExposureShare, s.Bounds.ExposureSlack = 0.1, 50
 	}
 	if s.Session.IdleS == 0 {
 		s.Session.IdleS = 300
--- a/internal/sim/day.go
+++ b/internal/sim/day.go
@@ -21,6 +21,7 @@
 	"spoolswitch/internal/disk"
 	"spoolswitch/internal/guards"
 	"spoolswitch/internal/ids"
+	"spoolswitch/internal/rollout"
 	"spoolswitch/internal/rpc"
 	"spoolswitch/internal/settings"
 	"spoolswitch/internal/telemetry"
@@ -76,6 +77,8 @@
 	roster  consensus.Roster
 	before  int64
 	resting []*pursuit
+
+	rollouts rollouts
 }
 
 type ack struct {
@@ -223,7 +226,8 @@
 	s := &settings.Settings{Node: ids.Node(m.ip), IP: m.ip, Zone: ids.Zone(m.zone), Ports: []int{innerPort, innerPort + 8}, Initial: initial,
 		Zones: map[string]string{}, Bindings: settings.Bindings{Control: string(m.control())},
 		Limits:    settings.Limits{MemoryMB: 256, Descriptors: 4096},
-		Bounds:    settings.Bounds{DrainMs: 3000, ConfigApplyMs: float64(apply / clock.Millisecond)},
+		Bounds:    settings.Bounds{DrainMs: 3000, ConfigApplyMs: float64(apply / clock.Millisecond), AckMs: float64(ackBound / clock.Millisecond)},
+		Rollout:   settings.Rollout{Steps: rollout.DefaultSteps()},
 		Tolerance: settings.Tolerance{Machines: d.p.Losses, Zones: 1},
 	}
 	if m.disk != nil {
@@ -272,6 +276,9 @@
 
 func (d *day) list() ([]discovery.Replica, error) {
 	clock.Sleep(clock.Span(concurrency.Int64N(int64(20 * clock.Millisecond))))
+	if d.p.Point == rolloutPoint {
+		return d.rollouts.listed(), nil
+	}
 	return []discovery.Replica{{ID: "i-1", Service: "s", Addr: "10.7.0.1:80", Zone: "za", State: "in_service", Slots: 8}}, nil
 }
 
--- a/internal/sim/guard.go
+++ b/internal/sim/guard.go
@@ -26,6 +26,8 @@
 		{guards.Seeds, "seeds are told who has a seat", 1},
 		{guards.Copies, "a value that a seat missed comes to its disk", 1},
 		{guards.Hops, "an order is forwarded once", 1},
+		{guards.Steps + "+" + guards.Late, "both of these", rolloutPoint},
+		{guards.Verdict + "+" + guards.Late, "both of these", rolloutPoint},
 		{guards.Hops + "+" + guards.Seeds, "both of these", 1},
 		{guards.Keys + "+" + guards.Copies, "both of these", 3},
 	}
--- a/internal/sim/judge.go
+++ b/internal/sim/judge.go
@@ -30,6 +30,7 @@
 		{"seats", "at rest no change of seats is half done, and all go by one roster"},
 		{"bounded", "threads, connections and messages stay bounded"},
 		{"alive", "no keeper panics, stands still or does not start"},
+		{"rollout", "an order's steps never go back, its verdict is one and stays, a bad version is not completed, and no acknowledged order is lost"},
 		{"explored", "something was acknowledged and some trouble struck"},
 	}
 }
@@ -211,6 +212,7 @@
 			}
 		}
 	}
+	d.rollouts.atRest(d)
 	d.say("at rest", "version", last.version, "mark", last.mark, "roster", roster.Num, "seats", len(roster.Seat))
 }
 
@@ -314,7 +316,7 @@
 func (d *day) linearConf() {
 	var ops []porcupine.Operation
 	for i, p := range d.hist {
-		if p.o.Zone != "" || p.o.Kind == "read" && p.got != acknowledged {
+		if !p.o.configures() || p.o.Kind == "read" && p.got != acknowledged {
 			continue
 		}
 		end := int64(p.ended)
--- a/internal/sim/operator.go
+++ b/internal/sim/operator.go
@@ -88,7 +88,7 @@
 	switch o.Kind {
 	case "again":
 		p := d.runs[o.Num]
-		if p == nil || p.o.Kind == "read" || p.o.Zone != "" || p.ended == 0 || p.got != acknowledged {
+		if p == nil || !p.o.configures() || p.o.Kind == "read" || p.ended == 0 || p.got != acknowledged {
 			return
 		}
 		d.send(&pursuit{o: Order{Operator: o.Operator, Kind: "again", Num: p.o.Num}, base: p.base, version: p.version, body: p.body, modify: p.modify, mark: p.mark, who: p.who}, 6*clock.Second)
@@ -96,7 +96,7 @@
 	case "on", "off":
 		d.send(&pursuit{o: o}, ackBound)
 		return
-	case "read":
+	case "read", rolloutOrder, rolloutRead:
 		d.send(&pursuit{o: o}, ackBound)
 		return
 	}
@@ -202,6 +202,10 @@
 		}
 		*k = max(*k, r.Version)
 	case "on", "off":
+	case rolloutOrder:
+		d.rollouts.ordered(p.o)
+	case rolloutRead:
+		d.rollouts.read(d, b)
 	default:
 		*k = max(*k, p.version)
 		d.acked = append(d.acked, ack{d.w.Time(), p.version})
@@ -231,6 +235,13 @@
 	case "read":
 		q.Header.SetMethod("GET")
 		q.SetRequestURI("/-/configuration/retrieve")
+	case rolloutRead:
+		q.Header.SetMethod("GET")
+		q.SetRequestURI("/-/rollouts/" + rolledService + "/retrieve")
+	case rolloutOrder:
+		q.SetRequestURI("/-/rollouts/initiate")
+		q.Header.SetContentType("application/json")
+		q.SetBody(fmt.Appendf(nil, `{"service":%q,"target-version":%q,"within-s":%d}`, rolledService, targetOf(p.o), rolloutWithinS))
 	case "on":
 		q.SetRequestURI("/-/evacuation/" + p.o.Zone + "/initiate")
 	case "off":
--- a/internal/sim/plan.go
+++ b/internal/sim/plan.go
@@ -55,7 +55,7 @@
 type Order struct {
 	At       clock.Span
 	Operator int
-	// Kind is replace, modify, invalid, again, on, off or read.
+	// Kind is replace, modify, invalid, again, on, off, read, rollout or rollout-read.
 	Kind string
 	// Num names the body; two orders of one number are the same.
 	Num  int
@@ -99,11 +99,17 @@
 			all.Kinds[k] += n
 		}
 	}
-	return append([]Mix{all}, ms...)
+	return append(append([]Mix{all}, ms...), rolloutMix)
 }
 
+// rolloutMix is the mix of rolloutPoint: orders for rollouts among those for configurations.
+var rolloutMix = Mix{rolloutPoint, "rollouts to good and bad versions, their holders and owners cut, frozen and killed, disks lost, all without power",
+	map[string]int{"cut": 6, "freeze": 4, "kill": 4, "restart": 2, "wipe": 2, "kill-all": 2, "blackout": 3, "answers-lost": 3, "reset": 2, "relay-cut": 3, "cut-freeze": 1, "slow-node": 1}}
+
+const rolloutPoint = 5
+
 // Points counts the mixes.
-const Points = 5
+const Points = 6
 
 type maker struct {
 	r    *rand.Rand
@@ -321,6 +327,11 @@
 	for _, at := range times {
 		num++
 		o := Order{At: at, Operator: r.IntN(operator), Num: num}
+		if p.Point == rolloutPoint && r.IntN(2) == 0 {
+			o.Kind = []string{rolloutOrder, rolloutOrder, rolloutRead}[r.IntN(3)]
+			p.Orders = append(p.Orders, o)
+			continue
+		}
 		switch n := r.IntN(100); {
 		case n < 32:
 			o.Kind = "replace"
--- a/internal/sim/relay.go
+++ b/internal/sim/relay.go
@@ -9,6 +9,7 @@
 	"spoolswitch/internal/consensus"
 	"spoolswitch/internal/feed"
 	"spoolswitch/internal/ids"
+	"spoolswitch/internal/rollout"
 )
 
 type relay struct {
@@ -21,12 +22,15 @@
 	evac  map[string]string
 	place map[ids.Key]ids.Place
 	born  clock.Span
+	// rolled is the state of the rollout that the relay was fed.
+	rolled *rollout.State
 }
 
 func (d *day) bootRelay(r *relay) {
 	p := d.w.Process(fmt.Sprintf("r%d", r.n))
 	p.PPM = concurrency.Int64N(401) - 200
 	r.proc, r.born, r.doc, r.conf, r.evac, r.place = p, d.w.Time(), nil, 0, map[string]string{}, map[ids.Key]ids.Place{}
+	r.rolled = nil
 	d.net.by[p] = r.host
 	seeds := func() []ids.Addr {
 		var out []ids.Addr
@@ -38,6 +42,9 @@
 	r.tail = &feed.Tail{Self: ids.Node(p.Name), Addr: ids.Addr(r.host.ip + ":7801"), IP: r.host.ip, Zone: ids.Zone(zones[r.n%len(zones)]), Seeds: seeds, Apply: apply,
 		Heard: func(int, clock.Span) {}, Take: func(it consensus.Item) bool { return d.took(r, p, it) }}
 	p.Go(func() { r.tail.Run() })
+	if d.p.Point == rolloutPoint {
+		p.Go(func() { d.reportRollouts(r, p) })
+	}
 }
 
 // took takes in what a relay was fed; false if it is a change that does not lead
@@ -61,6 +68,9 @@
 		r.doc, r.conf = doc, doc.Version
 		d.say("in force", "relay", r.n, "version", doc.Version)
 	}
+	if _, ok := it.Key.RolledOut(); ok {
+		d.rollouts.fed(d, r, it.Val)
+	}
 	if z, ok := it.Key.Evacuated(); ok {
 		r.evac[string(z)] = string(it.Val)
 		d.say("in force", "relay", r.n, "evacuation", z, "is", string(it.Val))
