--- a/cmd/spoolctl/main.go
+++ b/cmd/spoolctl/main.go
@@ -59,6 +59,8 @@
 		x.Action(t.do(func() error { return t.evacuate(client(), n, *z) }))
 	}
 
+	rolloutCommands(app, t, limit)
+
 	var keeper string
 	var asJSON bool
 	asks := func(name, help string) *kingpin.CmdClause {
