--- a/internal/relay/gauges.go
+++ b/internal/relay/gauges.go
@@ -38,6 +38,10 @@
 	if plan := fleet.Plan(); plan != nil {
 		gauges = append(gauges, metrics.Gauge{Name: "pool_plan", Help: "Number of the pool plan in force.", Figure: float64(plan.Num)})
 	}
+	for service, state := range fleet.Rollouts() {
+		gauges = append(gauges, metrics.Gauge{Name: "rollout_weight", Help: "Part of a service's requests that its newest version gets, in percent.",
+			Label: "service", Value: string(service), Figure: float64(state.Weight())})
+	}
 	if table := d.Relay.View.Table(); table != nil {
 		gauges = append(gauges, metrics.Gauge{Name: "configuration_version", Help: "Version of the configuration in force.", Figure: float64(table.Version)})
 		for service := range table.Services {
