Unproven orders end on time; routers tell how long ago an order was taken

Cause: the last step waited for its next measurement (up to 0.34 s of the 0.75 s kept before the term), and keepers that all lost power took 5 s less for gone.

--- a/internal/promotion/duty_test.go
+++ b/internal/promotion/duty_test.go
@@ -175,6 +175,21 @@
 	is.Equal(bad.state.Status, rollout.Reverted)
 }
 
+// Keepers that were all down do not know for how long: routers tell.
+func TestTimeIsToldByRouters(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.pass(within/10, 0)
+	b.sim.Move(within * 5 / 10)
+	b.since = clock.Now() // started anew, the register says what it said
+	b.duty = b.holder(b.duty.Keeper)
+	b.pass(within/10, 0)
+	is.Equal(b.state.Step, 1) // nobody knows that it is time
+	b.counts.Elapsed = within * 7 / 10
+	b.pass(within/10, 0)
+	is.True(b.state.Step > 1)
+}
+
 // The weight rises only as far as the listed replicas of the candidate can bear it.
 func TestNoRoomForTheCandidate(t *testing.T) {
 	is := is.New(t)
--- a/internal/promotion/run.go
+++ b/internal/promotion/run.go
@@ -46,7 +46,11 @@
 func (r *run) look(d *Duty, at Standing, counts *rollout.Counts, covered float64) {
 	state := at.State
 	now := clock.Now()
-	if began := now.Add(-at.elapsed()); r.began == 0 || began < r.began {
+	elapsed := at.elapsed()
+	if counts != nil {
+		elapsed = max(elapsed, counts.Elapsed)
+	}
+	if began := now.Add(-elapsed); r.began == 0 || began < r.began {
 		r.began = began
 	}
 	if r.step != state.Step {
@@ -89,6 +93,10 @@
 // analyze takes a measurement if one is due. One that cannot be taken is an error and no
 // failure, and is tried again.
 func (r *run) analyze(d *Duty, at Standing, step rollout.Step, covered float64, now clock.Tick) {
+	if r.ends(at.State, step) {
+		r.next(d, at, r.counts.Text())
+		return
+	}
 	if now.Sub(r.measured) < rollout.Part(at.State.Within, step.Interval) {
 		return
 	}
@@ -112,6 +120,13 @@
 	}
 }
 
+// ends tells whether it is time to complete an unproven order: its last measurements were taken
+// before.
+func (r *run) ends(state *rollout.State, step rollout.Step) bool {
+	last := state.Step+1 >= len(state.Steps)
+	return state.Unproven && last && r.counts != nil && r.taken >= step.Count && r.elapsed() >= state.CompleteAt()
+}
+
 // room tells whether the candidate's replicas can bear the weight that comes next.
 func (r *run) room(d *Duty, at Standing) bool {
 	weight := rollout.FullWeight
--- a/internal/rollout/tally.go
+++ b/internal/rollout/tally.go
@@ -103,6 +103,9 @@
 type Counts struct {
 	Number uint64
 	Routes map[string]*RouteTally
+	// Elapsed is how long ago the order was taken, as far as those who counted know: keepers that
+	// were down do not.
+	Elapsed clock.Span
 	// Loaded counts the answers that replicas of the candidate gave while half of their slots, or
 	// more, were taken.
 	Loaded int64
@@ -143,6 +146,7 @@
 // Add adds the counts of another router to the same order.
 func (c *Counts) Add(o *Counts) {
 	c.Loaded += o.Loaded
+	c.Elapsed = max(c.Elapsed, o.Elapsed)
 	for name, from := range o.Routes {
 		r := c.route(name)
 		r.Stable.add(from.Stable)
--- a/internal/routing/versions.go
+++ b/internal/routing/versions.go
@@ -511,6 +511,7 @@
 		if out == nil {
 			out = &rollout.Report{Services: map[ids.Service]*rollout.Counts{}}
 		}
+		v.counts.Elapsed = clock.Since(v.began)
 		out.Services[service] = v.counts.Clone()
 	}
 	return out
