--- a/internal/concurrency/process.go
+++ b/internal/concurrency/process.go
@@ -12,6 +12,8 @@
 	PPM int64
 	// Lag bounds how late each of its threads goes on.
 	Lag clock.Span
+	// Quota bounds the time that its threads take.
+	Quota Quota
 
 	w       *World
 	born    clock.Span
@@ -22,6 +24,40 @@
 	threads []*thread
 }
 
+// Quota is a part of a processor: the process runs at full speed until the part of a period
+// is spent, and not at all for the rest of it.
+type Quota struct {
+	// Share is the part, 0 for no quota.
+	Share float64
+	// Step is how long a thread is reckoned to run each time that it goes on.
+	Step clock.Span
+
+	period clock.Span
+	spent  clock.Span
+}
+
+// quotaPeriod is the time in which a quota is spent.
+const quotaPeriod = 100 * clock.Millisecond
+
+// charge reckons one step of a thread.
+func (q *Quota) charge(now clock.Span) {
+	if q.Share <= 0 {
+		return
+	}
+	if period := now / quotaPeriod; period != q.period {
+		q.period, q.spent = period, 0
+	}
+	q.spent += q.Step
+}
+
+// throttled is how long the process has to wait until it may run again, 0 if it may now.
+func (q *Quota) throttled(now clock.Span) clock.Span {
+	if q.Share <= 0 || now/quotaPeriod != q.period || float64(q.spent) < q.Share*float64(quotaPeriod) {
+		return 0
+	}
+	return (q.period+1)*quotaPeriod - now
+}
+
 // Process starts a process without a thread.
 func (w *World) Process(name string) *Process {
 	p := &Process{Name: name, w: w, born: w.now, offset: clock.Tick(w.rnd.Int64N(int64(clock.Millisecond))) + 1}
--- a/internal/concurrency/world.go
+++ b/internal/concurrency/world.go
@@ -187,12 +187,7 @@
 	t.gen++
 	t.leave()
 	if t.p.Lag > 0 {
-		gen := t.gen
-		w.After(clock.Span(w.rnd.Int64N(int64(t.p.Lag))), func() {
-			if t.gen == gen && !t.p.dead {
-				w.queue(t)
-			}
-		})
+		w.queueAfter(t, clock.Span(w.rnd.Int64N(int64(t.p.Lag))))
 		return
 	}
 	w.queue(t)
@@ -203,9 +198,23 @@
 		t.p.held = append(t.p.held, t)
 		return
 	}
+	if wait := t.p.Quota.throttled(w.now); wait > 0 {
+		w.queueAfter(t, wait)
+		return
+	}
 	w.ready = append(w.ready, t)
 }
 
+// queueAfter makes a thread ready later, unless it was woken or ended meanwhile.
+func (w *World) queueAfter(t *thread, d clock.Span) {
+	gen := t.gen
+	w.After(d, func() {
+		if t.gen == gen && !t.p.dead {
+			w.queue(t)
+		}
+	})
+}
+
 // pick hands the turn to the next thread.
 func (w *World) pick() {
 	w.cur = nil
@@ -226,6 +235,7 @@
 			w.ready[i] = w.ready[len(w.ready)-1]
 			w.ready = w.ready[:len(w.ready)-1]
 			w.steps++
+			t.p.Quota.charge(w.now)
 			switch w.same++; {
 			case w.MostThreads > 0 && w.live > w.MostThreads:
 				w.fail("too many threads")
--- a/internal/concurrency/world_test.go
+++ b/internal/concurrency/world_test.go
@@ -106,3 +106,33 @@
 	})
 	is.Equal([]int{most, in}, []int{1, 0})
 }
+
+// A process with a quota runs at full speed until its part of a period is spent, and not at all
+// for the rest of it; others are not touched.
+func TestQuota(t *testing.T) {
+	is := is.New(t)
+	w := NewWorld(1)
+	steps := func(p *Process) *int {
+		n := 0
+		p.Go(func() {
+			for {
+				n++
+				clock.Sleep(clock.Millisecond)
+			}
+		})
+		return &n
+	}
+	var bound, free *int
+	var inFirst int
+	w.Run(func() {
+		p := w.Process("bound")
+		p.Quota = Quota{Share: 0.3, Step: 2 * clock.Millisecond}
+		bound, free = steps(p), steps(w.Process("free"))
+		clock.Sleep(50 * clock.Millisecond)
+		inFirst = *bound
+		clock.Sleep(10*quotaPeriod - 50*clock.Millisecond)
+	})
+	is.Equal(inFirst, 15) // spent within the first 15 ms, at full speed
+	is.True(*bound >= 145 && *bound <= 155)
+	is.True(*free > 900)
+}
--- a/internal/sim/day.go
+++ b/internal/sim/day.go
@@ -254,6 +254,7 @@
 	m.born = d.w.Time()
 	p := d.w.Process(fmt.Sprintf("k%d.%d", m.slot, m.lives))
 	p.PPM = concurrency.Int64N(401) - 200
+	p.Quota = concurrency.Quota{Share: d.p.Quota, Step: quotaStep}
 	m.proc, m.d = p, nil
 	d.net.by[p] = m.host
 	s := d.settings(m, initial)
--- a/internal/sim/plan.go
+++ b/internal/sim/plan.go
@@ -22,6 +22,9 @@
 	Seeds   []int
 	Patient bool
 	Routes  int
+	// Quota, if not 0, is the part of a processor that each keeper and relay has, spent at full speed
+	// in each tenth of a second.
+	Quota float64 `json:",omitempty"`
 	// Without names a guard that is switched off.
 	Without guards.Guard `json:",omitempty"`
 	Faults  []Fault
@@ -106,7 +109,13 @@
 var rolloutMix = Mix{rolloutPoint, "rollouts to good and bad versions, their holders and owners cut, frozen and killed, disks lost, all without power",
 	map[string]int{"cut": 6, "freeze": 4, "kill": 4, "restart": 2, "wipe": 2, "kill-all": 2, "blackout": 3, "answers-lost": 3, "reset": 2, "relay-cut": 3, "cut-freeze": 1, "slow-node": 1}}
 
-const rolloutPoint = 5
+const (
+	rolloutPoint = 5
+	// Quotas are parts of a processor, and quotaStep is how long a thread is reckoned to run each
+	// time: several times what it takes, so that quotas are spent.
+	quotaLeast, quotaMost = 0.2, 0.5
+	quotaStep             = clock.Millisecond / 2
+)
 
 // Points counts the mixes.
 const Points = 6
@@ -277,6 +286,9 @@
 		p.Diskless = 1 + r.IntN(3)
 	}
 	m := &maker{r: r, p: p}
+	if point == rolloutPoint && r.IntN(3) == 0 {
+		p.Quota = quotaLeast + (quotaMost-quotaLeast)*r.Float64()
+	}
 	p.Seeds = m.seeds()
 	if !slices.ContainsFunc(p.Seeds, func(i int) bool { return i < p.Core }) {
 		p.Seeds[0] = 0
@@ -367,6 +379,9 @@
 	if err := json.Unmarshal(b, p); err != nil {
 		return nil, codes.New(codes.BadSimPlan, "%v", err)
 	}
+	if p.Quota < 0 || p.Quota > 1 {
+		return nil, codes.New(codes.BadSimPlan, "a quota of %g", p.Quota)
+	}
 	if p.Core < 1 || p.Core > 99 || p.Diskless < 0 || p.Diskless > 99 || p.Relays < 1 || p.Relays > 99 || len(p.Seeds) == 0 || p.Point < 0 || p.Point >= Points {
 		return nil, codes.New(codes.BadSimPlan, "sizes")
 	}
--- a/internal/sim/relay.go
+++ b/internal/sim/relay.go
@@ -29,6 +29,7 @@
 func (d *day) bootRelay(r *relay) {
 	p := d.w.Process(fmt.Sprintf("r%d", r.n))
 	p.PPM = concurrency.Int64N(401) - 200
+	p.Quota = concurrency.Quota{Share: d.p.Quota, Step: quotaStep}
 	r.proc, r.born, r.doc, r.conf, r.evac, r.place = p, d.w.Time(), nil, 0, map[string]string{}, map[ids.Key]ids.Place{}
 	r.rolled = nil
 	d.net.by[p] = r.host
@@ -62,6 +63,9 @@
 		if !ok {
 			return false
 		}
+		if doc == nil {
+			return true
+		}
 		if doc.Version < r.conf {
 			d.broke("feed", fmt.Sprintf("relay %d went back from version %d to %d", r.n, r.conf, doc.Version))
 		}
@@ -80,6 +84,9 @@
 
 // configured is the configuration that an item brings to one who has doc.
 func configured(doc *configuration.Doc, it consensus.Item) (*configuration.Doc, bool) {
+	if it.Base.Zero() && len(it.Val) == 0 { // a lease was won before there was any
+		return doc, true
+	}
 	if it.Base.Zero() {
 		doc = configuration.DocOf(it.Val)
 		return doc, doc != nil
