--- a/internal/routing/versions.go
+++ b/internal/routing/versions.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"maps"
 	"math"
 	"sort"
 
@@ -147,7 +146,12 @@
 			}
 			telemetry.State("version listed", "service", service, "version", version)
 		}
-		maps.DeleteFunc(v.seen, func(version ids.Software, _ clock.Tick) bool { return !listed[version] && len(listed) > 0 })
+		for version := range v.seen {
+			if !listed[version] { // should it come back, it is a new one
+				delete(v.seen, version)
+				delete(v.replaced, version)
+			}
+		}
 		for _, r := range reps {
 			r.track = f.trackOf(v, r.software())
 		}
--- a/internal/routing/versions_test.go
+++ b/internal/routing/versions_test.go
@@ -158,6 +158,9 @@
 	f.Listed(versioned(4, "v1"), 0)
 	_, err := f.Choose(&Ask{Service: "s"})
 	is.Equal(codes.Of(err), codes.NoReplica)
+	f.Listed(versioned(4, "v3"), 0)
+	f.Listed(versioned(4, "v1"), 0) // it was gone and comes back
+	only(f, "v1")
 	// without any stable replica the candidate is all there is
 	f = routerOf(t, 4, 10)
 	f.Listed(versioned(4, "v2"), 0)
