--- a/internal/fleet/rollout_test.go
+++ b/internal/fleet/rollout_test.go
@@ -25,14 +25,6 @@
   { action = "pause", for = 0.01 },
   { action = "analysis", count = 1, interval = 0.005, failure-limit = 1 },
 ]
-[timing-bounds]
-exposure-share = 0.5
-retry-budget-ratio = 0.2
-retry-window-s = 10
-retry-slack = 60
-cold-overrun = 1.5
-cold-slack = 5
-grace-s = 2
 `
 
 const initiate = "/-/rollouts/initiate"
@@ -63,8 +55,7 @@
 }
 
 func newRolloutFleet(t *testing.T, keepers, relays int) *rolloutFleet {
-	r := &rolloutFleet{fleet: &fleet{}, all: map[string][]*standin.Replica{}}
-	r.fleet = newFleetOf(t, keepers, relays, strings.Replace(rolloutSteps, "[timing-bounds]", "[unused]", 1))
+	r := &rolloutFleet{fleet: newFleetOf(t, keepers, relays, rolloutSteps), all: map[string][]*standin.Replica{}}
 	r.bring("v1", standin.Well)
 	return r
 }
