--- a/internal/promotion/duty.go
+++ b/internal/promotion/duty.go
@@ -259,13 +259,14 @@
 	return r
 }
 
-// command has a command carried out, and remembers the move.
-func (d *Duty) command(service ids.Service, c *rollout.Command, what, why string) {
+// command has a command carried out, counts it as done, and remembers the move.
+func (d *Duty) command(service ids.Service, c *rollout.Command, done *telemetry.Count, what, why string) {
 	c.Writer = d.Keeper.Self
 	if !d.Command(service, c, commandTimeout) {
 		commands.Add(1)
 		return
 	}
+	done.Add(1)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.moves = append(d.moves, fmt.Sprintf("%s: %s: %s", service, what, why))
@@ -274,6 +275,13 @@
 	}
 }
 
+// counted keeps what was counted for an order, for those who ask.
+func (d *Duty) counted(r *run, counts *rollout.Counts) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r.counts = counts
+}
+
 // Moves are the last steps that this keeper took, and why.
 func (d *Duty) Moves() []string {
 	d.mu.Lock()
--- a/internal/promotion/run.go
+++ b/internal/promotion/run.go
@@ -57,7 +57,7 @@
 		r.step, r.entered, r.measured, r.taken, r.failed = state.Step, now, now, 0, 0
 	}
 	if counts != nil {
-		r.counts = counts
+		d.counted(r, counts)
 		r.finding = r.detector.Update(counts, now)
 	}
 	switch {
@@ -172,17 +172,15 @@
 		r.finish(d, at, rollout.Completed, why)
 		return
 	}
-	stepsTaken.Add(1)
 	c := &rollout.Command{Advance: &rollout.Advance{Number: r.number, From: at.State.Step, Elapsed: r.elapsed(), Reason: why, Unproven: r.unproven}}
-	d.command(r.service, c, fmt.Sprintf("step %d done", at.State.Step), why)
+	d.command(r.service, c, stepsTaken, fmt.Sprintf("step %d done", at.State.Step), why)
 }
 
 func (r *run) finish(d *Duty, at Standing, status rollout.Status, why string) {
+	done := reverted
 	if status == rollout.Completed {
-		completed.Add(1)
-	} else {
-		reverted.Add(1)
+		done = completed
 	}
 	c := &rollout.Command{Finish: &rollout.Finish{Number: r.number, Status: status, Elapsed: r.elapsed(), Reason: why}}
-	d.command(r.service, c, string(status), why)
+	d.command(r.service, c, done, string(status), why)
 }
