--- /dev/null
+++ b/review/stage/bad.go
@@ -0,0 +1,103 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+)
+
+func number(name string, other int) int {
+	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return n
+	}
+	return other
+}
+
+func init() { cases["bad"] = bad }
+
+// bad: an order brings in a version half of whose answers are failures. No request
+// may be sent to it later than rollback-ms after its 50th bad answer.
+func bad(s *stage) (int, error) {
+	relays, routes, perS := number("RELAYS", 3), number("ROUTES", 4), number("PERS", 60)
+	var err error
+	s.extra = "exposure-share = 0.1\nexposure-slack = 50\nrollback-ms = 5000\n"
+	if s.plat, err = newPlatform(); err != nil {
+		return unplayable, err
+	}
+	var olds, both []entry
+	var news []*statusReplica
+	for i := 1; i <= 6; i++ {
+		version := "v1"
+		if i > 3 {
+			version = "v2"
+		}
+		r, err := newStatusReplica(i, version)
+		if err != nil {
+			return unplayable, err
+		}
+		both = append(both, r.entry)
+		if i > 3 {
+			if s.trouble {
+				r.share.Store(int64(number("SHARE", badShare)))
+			}
+			news = append(news, r)
+		} else {
+			olds = append(olds, r.entry)
+		}
+	}
+	s.plat.set(olds...)
+	if err := s.open(relays, statusConfiguration(routes)); err != nil {
+		return unplayable, err
+	}
+	stop, got := make(chan struct{}), &answers{}
+	defer close(stop)
+	go s.statusTraffic(stop, perS, relays, routes, got)
+	time.Sleep(3 * time.Second)
+	s.log("clients until the order: %v", got)
+	s.plat.set(both...)
+	if st, _ := s.order(1, "POST", "/-/rollouts/initiate", rolloutOrder, ""); st != 200 {
+		return unplayable, fmt.Errorf("the order was not taken")
+	}
+	ordered := time.Now()
+	var fifty time.Time
+	ran := func() (n, failed int64) {
+		for _, r := range news {
+			n, failed = n+r.runs.Load(), failed+r.failed.Load()
+		}
+		return n, failed
+	}
+	var late, last int64
+	state := ""
+	for time.Since(ordered) < 32*time.Second {
+		time.Sleep(250 * time.Millisecond)
+		n, failed := ran()
+		if failed >= 50 && fifty.IsZero() {
+			fifty = time.Now()
+			s.log("judge: the 50th bad answer has been given")
+		}
+		if !fifty.IsZero() && time.Since(fifty) > 5500*time.Millisecond {
+			late += n - last
+		}
+		last = n
+		if now := s.rollout(1); now != "" && now != state {
+			state = now
+			s.log("judge: %s %.1f s after the order; v2 ran %d so far; clients got %v", state, time.Since(ordered).Seconds(), n, got)
+			if state == "completed" {
+				s.plat.set(both[3:]...) // the old replicas stop
+			}
+		}
+	}
+	n, failed := ran()
+	s.log("judge: at the end %s; v2 ran %d and failed %d; clients got %v since", state, n, failed, got)
+	if late > 0 {
+		s.log("judge: EXPOSURE is broken: %d requests were sent to the bad version later than rollback-ms after its 50th bad answer", late)
+		return broken, nil
+	}
+	if !s.trouble && state != "completed" {
+		return unplayable, fmt.Errorf("the good version is %s", state)
+	}
+	return held, nil
+}
