--- a/review/stage/again.go
+++ b/review/stage/again.go
@@ -22,11 +22,11 @@
 	}
 	var olds, news []*statusReplica
 	for i := 1; i <= 6; i++ {
-		version := "v1"
+		version, log := "v1", (func(string, ...any))(nil)
 		if i > 3 {
-			version = "v2"
+			version, log = "v2", s.log
 		}
-		r, err := newStatusReplica(i, version)
+		r, err := newStatusReplica(i, version, log)
 		if err != nil {
 			return unplayable, err
 		}
--- a/review/stage/limits.go
+++ b/review/stage/limits.go
@@ -24,7 +24,7 @@
 	}
 	var list []entry
 	for i := 1; i <= 3; i++ {
-		r, err := newStatusReplica(i, "v1")
+		r, err := newStatusReplica(i, "v1", s.log)
 		if err != nil {
 			return unplayable, err
 		}
--- a/review/stage/status.go
+++ b/review/stage/status.go
@@ -38,14 +38,16 @@
 	// share is how many in a hundred of its answers are failures, and failed counts those.
 	share        atomic.Int64
 	runs, failed atomic.Int64
+	log          func(string, ...any)
 }
 
-func newStatusReplica(i int, version string) (*statusReplica, error) {
+// newStatusReplica starts a replica; log, if not nil, is told what it runs.
+func newStatusReplica(i int, version string, log func(string, ...any)) (*statusReplica, error) {
 	l, err := net.Listen("tcp4", fmt.Sprintf("127.41.4.%d:0", i))
 	if err != nil {
 		return nil, err
 	}
-	r := &statusReplica{entry: entry{ID: fmt.Sprintf("i-%s-%d", version, i), Service: "status-api", Address: l.Addr().String(),
+	r := &statusReplica{log: log, entry: entry{ID: fmt.Sprintf("i-%s-%d", version, i), Service: "status-api", Address: l.Addr().String(),
 		Zone: zones[i%3], Version: version, Slots: 6, State: "in_service"}}
 	go func() {
 		for {
@@ -82,6 +84,9 @@
 			status = 500
 			r.failed.Add(1)
 		}
+		if r.log != nil {
+			r.log("%s: %s has run and is answered with %d", r.ID, id, status)
+		}
 		fmt.Fprintf(c, "HTTP/1.1 %d X\r\nAttempt-Id: %s\r\nReplica-Seal: %s.%s\r\nReplica-Load: 1,0,6\r\nContent-Length: 6\r\n\r\npassed", status, id, r.ID, id)
 	}
 }
@@ -123,13 +128,18 @@
 				return
 			}
 			q.Host = "ci.example"
-			q.Header.Set("Attempt-Id", fmt.Sprintf("%016x", n+1))
+			id := fmt.Sprintf("%016x", n+1)
+			q.Header.Set("Attempt-Id", id)
 			q.Header.Set("Deadline-Ms", "1500")
 			r, err := c.Do(q)
 			if err != nil {
+				s.log("client: %s sent to relay %d: no answer", id, 1+n%relays)
 				got.add("none")
 				return
 			}
+			if r.StatusCode != 200 { // the others are counted only
+				s.log("client: %s sent to relay %d: answered with %d", id, 1+n%relays, r.StatusCode)
+			}
 			_, _ = io.Copy(io.Discard, r.Body)
 			r.Body.Close()
 			got.add(fmt.Sprint(r.StatusCode))
