LOST: an order for a reverted version is not dropped after a change of the owner

Cause: whether an order is the last one sent again went by how long the deciding keeper had had the value at its place. A keeper that wins the register writes the value at a place of its own, and so had it for 0 s. A keeper that starts has, too.

Change: the hub's age is that of the value, whatever its place. The time counts from the order, and once it is over, the holder of the duty notes that in the register. A keeper that did not witness the verdict answers 503 (320) while it can't tell, so it acknowledges nothing that it drops.

Conclusion: the same age also served promotion.Standing and the items of the feed and is mended there by the same change.

--- a/internal/consensus/keeper.go
+++ b/internal/consensus/keeper.go
@@ -185,6 +185,18 @@
 	return k.sure != 0 && clock.Since(k.sure) < d
 }
 
+// newsDelay is how long a keeper that has begun to hold rounds may take to learn what was written
+// before.
+const newsDelay = 2 * clock.Second
+
+// Witnessed tells whether this keeper has been confirmed by majorities, one after the other, from a
+// while before a time until now: what it learned then was new.
+func (k *Keeper) Witnessed(at clock.Tick) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.sure != 0 && clock.Since(k.sure) < hereFor && k.steady.Add(newsDelay) <= at
+}
+
 func (k *Keeper) owner(key ids.Key) ids.Node {
 	n := k.acc.Cell(key).Promised.Node
 	if at := k.Sink.Known()[key]; at.Epoch.Node != "" && !at.Epoch.Less(k.acc.Cell(key).Promised) {
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -71,7 +71,7 @@
 	}
 	d.openDisk(s, m.Disk, acc)
 	pools := newPools(s, d.Keeper, d.Hub)
-	rollouts := newRollouts(d.Keeper, d.Hub)
+	rollouts := newRollouts(d.Keeper, d.Hub, repeatWindow(s))
 	d.serveDaemons(internal, s.Zone, pools, rollouts)
 	d.srv = &Server{Keeper: d.Keeper, Zones: s.Zones, steps: s.Rollout.Steps, room: room{most: s.Limits.MemoryMB << 20 / 8}}
 	m.Serve(d.srv, d.lc)
@@ -90,7 +90,7 @@
 	k := consensus.New(ids.Node(s.Inner(s.IP, 0)), acc, wires, hub)
 	k.Zone = s.Zone
 	wires.Far = k.Far
-	k.Decider = deciderWith(hub.Age, repeatWindow(s))
+	k.Decider = deciderWith(k, hub, repeatWindow(s))
 	k.Seats = consensus.Seats(s.Tolerance.Machines, len(s.Zones))
 	k.Disk = m.Disk != nil
 	k.Label = label
--- a/internal/control/decide.go
+++ b/internal/control/decide.go
@@ -6,24 +6,29 @@
 	"spoolswitch/internal/codes"
 	"spoolswitch/internal/configuration"
 	"spoolswitch/internal/consensus"
+	"spoolswitch/internal/feed"
 	"spoolswitch/internal/ids"
 	"spoolswitch/internal/rollout"
 )
 
-// deciderWith makes the decisions of a keeper. standing tells how long it has known the
-// value of a key, and within repeats an order for a rollout that is like the last one is that
-// order, sent again.
-func deciderWith(standing func(ids.Key) clock.Span, repeats clock.Span) func(ids.Key, *consensus.Order) consensus.Decide {
+// deciderWith makes the decisions of a keeper. An order for a rollout may be sent again within repeats.
+func deciderWith(k *consensus.Keeper, hub *feed.Hub, repeats clock.Span) func(ids.Key, *consensus.Order) consensus.Decide {
 	return func(key ids.Key, o *consensus.Order) consensus.Decide {
 		if _, ok := key.RolledOut(); !ok || o == nil || o.Query {
 			return Decide(key, o)
 		}
-		return func(cur []byte) ([]byte, consensus.Msg) { return decideRollout(cur, o, standing(key), repeats) }
+		return func(cur []byte) ([]byte, consensus.Msg) { return decideRollout(cur, o, ageOf(k, hub, key, repeats)) }
 	}
 }
 
+// ageOf is what a keeper knows of the age of a rollout's state.
+func ageOf(k *consensus.Keeper, hub *feed.Hub, key ids.Key, repeats clock.Span) rollout.Age {
+	standing := hub.Age(key)
+	return rollout.Age{Standing: standing, Exact: k.Witnessed(clock.Now().Add(-standing)), Repeats: repeats}
+}
+
 // decideRollout makes the decision on a command for a service's rollout.
-func decideRollout(cur []byte, o *consensus.Order, standing, repeats clock.Span) ([]byte, consensus.Msg) {
+func decideRollout(cur []byte, o *consensus.Order, age rollout.Age) ([]byte, consensus.Msg) {
 	state, err := rollout.Decode(cur)
 	if err != nil {
 		return nil, consensus.Fail(err)
@@ -32,7 +37,7 @@
 	if err != nil {
 		return nil, consensus.Fail(err)
 	}
-	next, err := state.Apply(command, standing, repeats)
+	next, err := state.Apply(command, age)
 	if err != nil {
 		return nil, consensus.Fail(err)
 	}
--- a/internal/control/rollouts.go
+++ b/internal/control/rollouts.go
@@ -23,8 +23,8 @@
 	"spoolswitch/internal/telemetry"
 )
 
-// repeatsInAcks is for how many times the time of an acknowledgement an order that is like the
-// last one counts as that order, sent again.
+// repeatsInAcks is for how many times the time of an acknowledgement an order may be sent
+// again: once that time by the operator, and as long for calls that are held up.
 const repeatsInAcks = 2
 
 // rolloutOrder is the body of an operator's order for a rollout.
@@ -148,10 +148,10 @@
 	state *rollout.State
 }
 
-func newRollouts(k *consensus.Keeper, hub *feed.Hub) *rollouts {
+func newRollouts(k *consensus.Keeper, hub *feed.Hub, repeats clock.Span) *rollouts {
 	r := &rollouts{hub: hub, states: map[ids.Key]decodedRollout{}}
 	r.duty = &promotion.Duty{Duty: consensus.Duty{Keeper: k, Key: ids.RolloutDuty, Value: hub.Value},
-		Standing: r.standing, Listed: r.listed, Command: func(service ids.Service, c *rollout.Command, timeout clock.Span) bool {
+		Repeats: repeats, Standing: r.standing, Listed: r.listed, Command: func(service ids.Service, c *rollout.Command, timeout clock.Span) bool {
 			return k.Change(ids.Rollout(service), &consensus.Order{Body: c.Encode()}, clock.Now().Add(timeout)).OK
 		}}
 	return r
@@ -253,5 +253,5 @@
 		"weight", state.Weight(), "elapsed", state.Elapsed, "by", state.Writer, "why", state.Reason)
 }
 
-// repeatWindow is how long an order that is like the last one counts as that order, sent again.
+// repeatWindow is how long after an order one like it may be that order, sent again.
 func repeatWindow(s *settings.Settings) clock.Span { return repeatsInAcks * clock.Ms(s.Bounds.AckMs) }
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -117,7 +117,7 @@
 	}
 	h.num++
 	it.Num = h.num
-	v := &kept{it: it, since: clock.Now(), fed: it.Val}
+	v := &kept{it: it, since: h.standsSince(it), fed: it.Val}
 	if h.Trim != nil {
 		v.fed = h.Trim(it.Key, it.Val)
 	}
@@ -129,6 +129,15 @@
 	return true
 }
 
+// standsSince is since when the hub knows an item's value. An owner that wins a key writes its value
+// again at a place of its own, which makes that no younger.
+func (h *Hub) standsSince(it consensus.Item) clock.Tick {
+	if have, ok := h.items[it.Key]; ok && it.Key.Kept() && bytes.Equal(have.it.Val, it.Val) {
+		return have.since
+	}
+	return clock.Now()
+}
+
 // Check has followers told at once when their keeper has become sure or is so
 // no longer.
 func (h *Hub) Check() {
@@ -166,7 +175,7 @@
 	return v.it.Val, v.it.At
 }
 
-// Age tells how long the hub has had the value of a key; 0 if it has none.
+// Age tells how long the hub has had the value of a key, at whatever places; 0 if it has none.
 func (h *Hub) Age(k ids.Key) clock.Span {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/promotion/duty.go
+++ b/internal/promotion/duty.go
@@ -49,6 +49,8 @@
 	consensus.Duty
 	// Standing reads the rollouts that this keeper knows of.
 	Standing func() map[ids.Service]Standing
+	// Repeats is how long after an order it may be sent again.
+	Repeats clock.Span
 	// Listed tells which part of the service's serving slots the replicas of a version have.
 	Listed func(service ids.Service, target ids.Software) float64
 	// Command has a command carried out by the owner of a service's register.
@@ -87,13 +89,14 @@
 }
 
 var (
-	badReports = telemetry.Counter("rollout.reports-unreadable")
-	oldReports = telemetry.Counter("rollout.reports-old")
-	stepsTaken = telemetry.Counter("rollout.steps")
-	completed  = telemetry.Counter("rollout.completed")
-	reverted   = telemetry.Counter("rollout.reverted")
-	untaken    = telemetry.Counter("rollout.measurements-not-taken")
-	commands   = telemetry.Counter("rollout.commands-failed")
+	badReports   = telemetry.Counter("rollout.reports-unreadable")
+	oldReports   = telemetry.Counter("rollout.reports-old")
+	stepsTaken   = telemetry.Counter("rollout.steps")
+	completed    = telemetry.Counter("rollout.completed")
+	reverted     = telemetry.Counter("rollout.reverted")
+	untaken      = telemetry.Counter("rollout.measurements-not-taken")
+	commands     = telemetry.Counter("rollout.commands-failed")
+	repeatsEnded = telemetry.Counter("rollout.repeats-ended")
 )
 
 // Counted takes the report of a router, or the fold of a keeper, in. One that comes twice
@@ -171,21 +174,15 @@
 	return total, routers
 }
 
-// Step folds, and takes steps if the duty is this keeper's. Without an order under way
-// it does nothing.
+// Step folds, and takes steps if the duty is this keeper's. Without an order under way, or one that
+// may be sent again, it does nothing.
 func (d *Duty) Step() {
 	k := d.Keeper
-	active := d.Standing()
-	for service, at := range active {
-		if !at.State.Active() {
-			delete(active, service)
-		}
-	}
+	active, reverted := d.open()
 	if len(active) == 0 {
 		d.forget()
-		return
 	}
-	if !k.Sure(holderLost) {
+	if len(active)+len(reverted) == 0 || !k.Sure(holderLost) {
 		return
 	}
 	mine, at := d.Mine()
@@ -197,6 +194,7 @@
 		d.fold()
 		return
 	}
+	d.endRepeats(reverted)
 	total, routers := d.sum()
 	covered := float64(routers) / float64(max(1, k.Relays()))
 	for service, standing := range active {
@@ -208,6 +206,32 @@
 	}
 }
 
+// open are the orders under way, and those that were reverted and may be sent again.
+func (d *Duty) open() (active, reverted map[ids.Service]Standing) {
+	active, reverted = map[ids.Service]Standing{}, map[ids.Service]Standing{}
+	for service, at := range d.Standing() {
+		switch {
+		case at.State.Active():
+			active[service] = at
+		case at.State.AwaitsRepeats():
+			reverted[service] = at
+		}
+	}
+	return active, reverted
+}
+
+// endRepeats notes on a majority of disks which reverted orders are not sent again: a keeper that
+// starts does not know how old they are.
+func (d *Duty) endRepeats(reverted map[ids.Service]Standing) {
+	for service, at := range reverted {
+		age := rollout.Age{Standing: at.Age, Repeats: d.Repeats}
+		if age.Over(at.State) {
+			c := &rollout.Command{EndRepeats: &rollout.EndRepeats{Number: at.State.Number}}
+			d.command(service, c, repeatsEnded, "repeats over", at.State.Reason)
+		}
+	}
+}
+
 func (d *Duty) alive(n ids.Node) bool {
 	return n != "" && n != d.Keeper.Self && d.Keeper.Heard(n, holderLost)
 }
--- a/internal/promotion/duty_test.go
+++ b/internal/promotion/duty_test.go
@@ -73,7 +73,7 @@
 }
 
 func (b *bench) command(c *rollout.Command) bool {
-	next, err := b.state.Apply(c, clock.Minute, 0)
+	next, err := b.state.Apply(c, rollout.Age{Standing: clock.Minute})
 	if err != nil {
 		b.t.Fatal(err)
 	}
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -59,6 +59,9 @@
 	Rejected []ids.Software
 	// Promoted is the target of the last order that was completed.
 	Promoted ids.Software
+	// RepeatsOver says that this order was reverted so long ago that it is not sent again: one
+	// like it is a new order.
+	RepeatsOver bool
 }
 
 // Decode reads a state; no bytes are the state before the first order.
@@ -87,6 +90,9 @@
 // Active tells whether an order is under way.
 func (s *State) Active() bool { return s.Status == InProgress }
 
+// AwaitsRepeats tells whether the order was reverted and may still be sent again.
+func (s *State) AwaitsRepeats() bool { return s.Status == Reverted && !s.RepeatsOver }
+
 // Weight is the part of the service's requests that the candidate gets, in percent.
 func (s *State) Weight() int {
 	switch s.Status {
@@ -175,14 +181,37 @@
 	Reason  string
 }
 
-// Command is a change of a rollout's register; one of the fields is set.
+// EndRepeats says that an order was reverted so long ago that it is not sent again.
+type EndRepeats struct {
+	Number uint64
+}
+
+// Command is a change of a rollout's register; one of the pointers is set.
 type Command struct {
-	Start   *Start
-	Advance *Advance
-	Finish  *Finish
-	Writer  ids.Node
+	Start      *Start
+	Advance    *Advance
+	Finish     *Finish
+	EndRepeats *EndRepeats
+	Writer     ids.Node
 }
 
+// Age is what a keeper knows of the age of a state.
+type Age struct {
+	// Standing is how long the state has stood at least.
+	Standing clock.Span
+	// Exact says that the keeper was there when the state was written, so that it has stood for
+	// no longer.
+	Exact bool
+	// Repeats is how long after an order it may be sent again.
+	Repeats clock.Span
+}
+
+// sinceOrder is how long ago the order of a state was taken at least.
+func (a Age) sinceOrder(s *State) clock.Span { return s.Elapsed + a.Standing }
+
+// Over tells whether the order of a state is surely not sent again any more.
+func (a Age) Over(s *State) bool { return a.sinceOrder(s) >= a.Repeats }
+
 // Encode is the command as bytes.
 func (c *Command) Encode() []byte { return encode(c) }
 
@@ -197,21 +226,22 @@
 
 // Apply makes the next state out of s, or tells why there is none. A nil state without
 // an error says that the command changes nothing: it was taken before, or is
-// overtaken. standing is how long s has stood at least; within repeats an order that is like the
-// last one is that order, sent again.
-func (s *State) Apply(c *Command, standing, repeats clock.Span) (*State, error) {
+// overtaken.
+func (s *State) Apply(c *Command, age Age) (*State, error) {
 	switch {
 	case c.Start != nil:
-		return s.start(c.Start, c.Writer, standing < repeats)
+		return s.start(c.Start, c.Writer, age)
 	case c.Advance != nil:
 		return s.advance(c.Advance, c.Writer), nil
 	case c.Finish != nil:
 		return s.finish(c.Finish, c.Writer), nil
+	case c.EndRepeats != nil:
+		return s.endRepeats(c.EndRepeats, c.Writer), nil
 	}
 	return nil, codes.New(codes.BadRollout, "an empty command")
 }
 
-func (s *State) start(o *Start, writer ids.Node, mayBeRepeat bool) (*State, error) {
+func (s *State) start(o *Start, writer ids.Node, age Age) (*State, error) {
 	if err := o.check(); err != nil {
 		return nil, err
 	}
@@ -222,8 +252,8 @@
 		return nil, codes.New(codes.RolloutUnderWay, "to %s", s.Target)
 	case s.Status == Completed && o.Target == s.Target:
 		return nil, nil
-	case s.Status == Reverted && o.Target == s.Target && mayBeRepeat:
-		return nil, nil
+	case s.AwaitsRepeats() && o.Target == s.Target && !age.Over(s):
+		return nil, age.repeated()
 	}
 	next := &State{Number: s.Number + 1, Target: o.Target, Within: o.Within, Status: InProgress, Steps: o.Steps,
 		Writer: writer, Reason: "ordered", Rejected: slices.Clone(s.Rejected), Promoted: s.Promoted}
@@ -231,6 +261,25 @@
 	return next, nil
 }
 
+// repeated tells why an order like the last one, which may be sent again, cannot be acknowledged
+// as that one; nil if it can.
+func (a Age) repeated() error {
+	if a.Exact {
+		return nil
+	}
+	return codes.New(codes.MayBeRepeat, "reverted %v ago at least", a.Standing.Round(clock.Millisecond))
+}
+
+// endRepeats notes that the order that stands is not sent again.
+func (s *State) endRepeats(e *EndRepeats, writer ids.Node) *State {
+	if s.Number != e.Number || !s.AwaitsRepeats() {
+		return nil
+	}
+	next := *s
+	next.RepeatsOver, next.Writer = true, writer
+	return &next
+}
+
 func (s *State) advance(a *Advance, writer ids.Node) *State {
 	stale := s.Number != a.Number || !s.Active() || s.Step != a.From
 	if stale && !guards.Off(guards.Steps) || a.From+1 >= len(s.Steps) {
--- a/internal/rollout/state_test.go
+++ b/internal/rollout/state_test.go
@@ -32,7 +32,7 @@
 	is := is.New(t)
 	sent, err := DecodeCommand(c.Encode())
 	is.NoErr(err)
-	next, err := s.Apply(sent, 0, clock.Second)
+	next, err := s.Apply(sent, Age{Exact: true, Repeats: clock.Second})
 	is.NoErr(err)
 	if next == nil {
 		return s
@@ -60,7 +60,7 @@
 	}
 	is.Equal(s.Weight(), 100)
 	same(advance(1, s.Step)) // there is no step after the last
-	_, err := s.Apply(start("v3"), 0, 0)
+	_, err := s.Apply(start("v3"), Age{})
 	is.Equal(codes.Of(err), codes.RolloutUnderWay)
 	same(finish(2, Completed))
 	same(finish(1, InProgress))
@@ -80,7 +80,7 @@
 	is.Equal(s.Weight(), 0)
 	is.True(s.IsRejected("v2"))
 	is.Equal(apply(t, s, start("v2")), s)
-	next, err := s.Apply(start("v2"), 2*clock.Second, clock.Second)
+	next, err := s.Apply(start("v2"), Age{Standing: 2 * clock.Second, Repeats: clock.Second})
 	is.NoErr(err)
 	is.Equal(next.Number, uint64(2))
 	is.Equal(next.Step, 0)
@@ -106,7 +106,7 @@
 			number := uint64(dice.IntN(6))
 			c := []*Command{start(targets[dice.IntN(3)]), advance(number, dice.IntN(9)), advance(s.Number, s.Step),
 				finish(number, Completed), finish(number, Reverted)}[dice.IntN(5)]
-			next, err := s.Apply(c, clock.Span(dice.IntN(2))*clock.Minute, clock.Second)
+			next, err := s.Apply(c, Age{Standing: clock.Span(dice.IntN(2)) * clock.Minute, Repeats: clock.Second})
 			if err != nil || next == nil {
 				continue
 			}
@@ -127,7 +127,7 @@
 		t.Helper()
 		c := start("v2")
 		change(c.Start)
-		_, err := (&State{}).Apply(c, 0, 0)
+		_, err := (&State{}).Apply(c, Age{})
 		is.Equal(codes.Of(err), codes.BadRollout)
 	}
 	bad(func(s *Start) { s.Target = "" })
@@ -143,7 +143,7 @@
 	bad(func(s *Start) { s.Steps[4].Count = 0 })
 	bad(func(s *Start) { s.Steps[4].FailureLimit = -1 })
 	bad(func(s *Start) { s.Steps[4].Loaded = -1 })
-	_, err := (&State{}).Apply(&Command{}, 0, 0)
+	_, err := (&State{}).Apply(&Command{}, Age{})
 	is.Equal(codes.Of(err), codes.BadRollout)
 	_, err = DecodeCommand([]byte("x"))
 	is.Equal(codes.Of(err), codes.BadRollout)
