TWICE, REFUSED: a request that was partly sent may have run, and is answered early

The answer was not looked for while the body was written, and TCP_USER_TIMEOUT of 500 ms ends a connection whose peer keeps its window shut.

Change: a try is unsent only if its head did not leave. What does not leave within 2 ms is sent beside the reading of the answer; the connection serves again once the peer has taken the rest. During a request of over 16 KiB the kernel's timeout is the request's deadline, and a dead machine is told from a shut window by TCP_INFO.

Tests: relay.TestAnsweredEarly, TestReadOnLater, TestPartlySentMayHaveRun and TestShutWindowIsNoSilence, on the code before: 503 for 200, 500, 504 and 502 in all four. TestEveryOrder: one more fault (a part leaves and the replica answers), a part that left counts as arrived, and REFUSED is judged for it; 152682 orders. A test that called Put calls Send; TestLeftWhileSending gets a replica that was chosen, as a part of the request now counts as sent. knownred stands in the layers of interleave.TestHouse.

--- a/internal/interleave/house_test.go
+++ b/internal/interleave/house_test.go
@@ -21,7 +21,7 @@
 	{"feed", "discovery", "operator", "pool", "promotion"},
 	{"routing", "trace"},
 	{"relay", "control"},
-	{"standin", "fleet", "daemon", "sim"},
+	{"standin", "fleet", "daemon", "sim", "knownred"},
 }
 
 func layer(pkg string) int {
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -33,7 +33,7 @@
 	// The replica says that it did not run the request, or is another one.
 	turnedAway
 	misdirected
-	// The request was not sent, or part of it never left.
+	// The request was not sent, or part of its head never left.
 	unsent
 	tooLate
 	// The answer is no answer, is cut short, answers other tries, or bears a
--- a/internal/relay/ending_test.go
+++ b/internal/relay/ending_test.go
@@ -14,7 +14,6 @@
 	"spoolswitch/internal/concurrency"
 	"spoolswitch/internal/httpmessage"
 	"spoolswitch/internal/ids"
-	"spoolswitch/internal/routing"
 	"spoolswitch/internal/standin"
 	"spoolswitch/internal/upstream"
 )
@@ -213,10 +212,14 @@
 	q, err := httpmessage.ReadRequest(bufio.NewReader(strings.NewReader("POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1\r\n\r\n")))
 	is.NoErr(err)
 	n := &Request{Head: q, Body: make([]byte, 64<<20), relay: g.r, route: g.r.View.Table().Match(host, "/unsafe/"), deadline: clock.Now().Add(clock.Minute)}
+	n.ask.Service = "s"
+	rep, err := g.r.Fleet.Choose(&n.ask)
+	is.NoErr(err)
+	rep.Pool = pool
 	var e ending
 	done := concurrency.NewMark()
 	concurrency.Go(func() {
-		e = n.exchange(&routing.Rep{Pool: pool}, c, clock.Minute)
+		e = n.exchange(rep, c, clock.Minute)
 		done.Set()
 	})
 	far, err := l.Accept()
--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -48,6 +48,7 @@
 	req              *Request
 	k                *near
 	arrived          int
+	partly           bool
 	ran              []run
 }
 
@@ -86,11 +87,13 @@
 	due    [][]byte
 	begun  bool
 	shut   bool
+	// partly says that a part of a request has not left, and never will.
+	partly bool
 }
 
-func (c *far) Close() error                         { c.shut = true; return nil }
-func (c *far) SetDeadline(t clock.Moment) error     { return nil }
-func (c *far) SetReadDeadline(t clock.Moment) error { return nil }
+func (c *far) Close() error                          { c.shut = true; return nil }
+func (c *far) SetReadDeadline(t clock.Moment) error  { return nil }
+func (c *far) SetWriteDeadline(t clock.Moment) error { return nil }
 
 // fault takes one of the ways that may go wrong here, 0 for none.
 func (p *play) fault(ways int) int {
@@ -134,13 +137,17 @@
 	if c.shut {
 		return 0, net.ErrClosed
 	}
-	switch p.fault(3) {
+	switch p.fault(4) {
 	case 1:
 		return 0, unix.ECONNRESET
-	case 2:
+	case 2: // a part leaves: the replica may run it without the rest, at any time
+		c.partly, p.now.partly = true, true
+		p.now.arrived++
 		return len(b) - 1, unix.EPIPE
 	case 3: // the address went to another
 		c.life = "another"
+	case 4: // a part leaves, and the replica answers without the rest
+		c.partly = true
 	}
 	br := bufio.NewReaderSize(bytes.NewReader(b), 4096)
 	q, err := httpmessage.ReadRequest(br)
@@ -159,6 +166,9 @@
 	c.begun = false
 	c.play(q)
 	c.served = append(c.served, p.now.id)
+	if c.partly {
+		return len(b) - 1, unix.EPIPE
+	}
 	return len(b), nil
 }
 
@@ -255,6 +265,9 @@
 	default:
 		c.begun = true
 	}
+	if len(c.due) == 0 && c.partly {
+		return 0, unix.ECONNRESET
+	}
 	if len(c.due) == 0 {
 		p.sim.Move(clock.Until(p.now.req.deadline))
 		return 0, os.ErrDeadlineExceeded
@@ -354,6 +367,9 @@
 			bad("MIXED", "no run of this request gave that")
 		}
 	}
+	if x.unsafe && x.partly && promises(a.Status) {
+		bad("REFUSED", "a part of it has left")
+	}
 	if !sealed && a.Status >= 500 && a.Status != 503 && x.arrived == 0 {
 		bad("FALSE END", "no replica was offered it")
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -240,7 +240,7 @@
 
 func (n *Request) deserted() bool { return n.endedOr(codes.OK) == codes.ClientLeft }
 
-// stoppedUnsent is the ending of a try that was given up before all of it was sent.
+// stoppedUnsent is the ending of a try that was given up before its head was sent.
 func (n *Request) stoppedUnsent() ending {
 	if n.deserted() {
 		return deserted
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -188,8 +188,8 @@
 		set = append(set, httpmessage.Set{K: httpmessage.LastEvent, V: strconv.FormatInt(n.events.Last, 10)})
 	}
 	b := n.Head.Append(make([]byte, 0, len(n.Body)+1024), len(n.Body), set...)
-	whole, err := c.Put(append(b, n.Body...), n.deadline)
-	if !whole {
+	head := len(b)
+	if !c.Send(append(b, n.Body...), head, n.deadline) {
 		if n.givenUp() {
 			return n.stoppedUnsent()
 		}
@@ -200,9 +200,6 @@
 	sent := clock.Now()
 	n.sent = sent
 	n.relay.Fleet.Sent(rep, &n.ask)
-	if err != nil {
-		return cutShort
-	}
 	a, err := c.Response(n.attemptID)
 	if err != nil {
 		return n.broke(err)
@@ -233,7 +230,7 @@
 }
 
 func (n *Request) drain(rep *routing.Rep, c *upstream.Conn, a *httpmessage.Response, e ending) {
-	if a.None {
+	if a.None || c.Sending() {
 		return
 	}
 	if _, err := c.Body(a).ReadAll(turnedMost); err == nil {
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -5,10 +5,12 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"sync"
 
+	"spoolswitch/internal/clock"
 	"spoolswitch/internal/concurrency"
 	"spoolswitch/internal/httpmessage"
 	"spoolswitch/internal/ids"
@@ -33,8 +35,24 @@
 	got  []Got
 	l    net.Listener
 	cs   []net.Conn
+	// early, if set, has requests answered before they are read.
+	early *Early
+	read  int
 }
 
+// Early is how a replica answers requests before it has read them, and reads on later.
+type Early struct {
+	// First is how many bytes of a body are read before the answer.
+	First int
+	// ReadOn is when the rest is read.
+	ReadOn *concurrency.Mark
+	// Within is how long ReadOn is waited for.
+	Within clock.Span
+}
+
+// bodyMost bounds the bodies that a replica reads, in bytes.
+const bodyMost = 1 << 24
+
 // NewReplica starts a replica that answers with play.
 func NewReplica(id ids.Replica, play Play) *Replica {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -74,6 +92,20 @@
 	r.play = p
 }
 
+// AnswerEarly has requests answered before they are read.
+func (r *Replica) AnswerEarly(e *Early) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.early = e
+}
+
+// Read is how many bytes of bodies were read.
+func (r *Replica) Read() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.read
+}
+
 // Conns is how many connections came.
 func (r *Replica) Conns() int {
 	r.mu.Lock()
@@ -96,7 +128,11 @@
 		if err != nil {
 			return
 		}
-		b, err := httpmessage.NewBody(br, q.Framing).ReadAll(1 << 24)
+		body := httpmessage.NewBody(br, q.Framing)
+		r.mu.Lock()
+		early := r.early
+		r.mu.Unlock()
+		b, err := r.readBody(body, early)
 		if err != nil {
 			return
 		}
@@ -117,9 +153,29 @@
 		if !p(c, g) {
 			return
 		}
+		if early != nil {
+			early.ReadOn.Wait(early.Within)
+			if _, err := r.readBody(body, nil); err != nil {
+				return
+			}
+		}
 	}
 }
 
+// readBody reads a body, or no more than its beginning.
+func (r *Replica) readBody(body *httpmessage.Body, early *Early) (b []byte, err error) {
+	if early == nil {
+		b, err = body.ReadAll(bodyMost)
+	} else {
+		b = make([]byte, early.First)
+		_, err = io.ReadFull(body, b)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.read += len(b)
+	return b, err
+}
+
 // Say writes an answer of a status, more fields and a body.
 func Say(w net.Conn, id string, status int, fields, body string) bool {
 	_, err := fmt.Fprintf(w, "HTTP/1.1 %d X\r\nAttempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, id, fields, len(body), body)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -42,6 +42,12 @@
 	until clock.Tick
 	spent bool
 	tries [remembered]uint64
+	// sending is the part of the last request that did not leave at once, nil if all of it did;
+	// deadline and sentAt are that request's.
+	sending          *sending
+	deadline, sentAt clock.Tick
+	// patient says that the kernel waits for a replica that does not read.
+	patient bool
 }
 
 // remembered is how many of the last tries on a connection are remembered.
@@ -82,15 +88,6 @@
 	return err == nil && ok
 }
 
-// Put sends bytes; whole tells whether all of them left. A request of which a
-// part never left cannot have run.
-func (k *Conn) Put(b []byte, deadline clock.Tick) (whole bool, err error) {
-	_ = k.c.SetDeadline(deadline.Deadline())
-	n, err := k.c.Write(b)
-	bytesOut.Add(int64(n))
-	return n == len(b), err
-}
-
 // SetDeadline sets the moment past which reading ends.
 func (k *Conn) SetDeadline(t clock.Tick) { _ = k.c.SetReadDeadline(t.Deadline()) }
 
@@ -99,6 +96,10 @@
 // try has no id that could tell its answer from others.
 func (k *Conn) Response(id []byte) (*httpmessage.Response, error) {
 	k.spent = k.spent || len(id) == 0
+	if err := k.awaitAnswer(); err != nil {
+		k.spent = true
+		return nil, err
+	}
 	for i := 0; ; i++ {
 		a, err := httpmessage.ReadResponse(k.br)
 		if err != nil {
@@ -109,6 +110,9 @@
 			if a.Close {
 				k.spent = true
 			}
+			if k.Sending() {
+				answered.Add(1)
+			}
 			return a, nil
 		}
 		k.spent = true
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
 	"spoolswitch/internal/httpmessage"
 	"spoolswitch/internal/ids"
 )
@@ -68,12 +69,27 @@
 }
 
 // Give takes a connection back after a whole answer, or closes it if it may
-// not be used again.
+// not be used again. Where the replica has not read the whole request yet, the rest is sent first:
+// nothing else may come in its place.
 func (p *Pool) Give(k *Conn, a *httpmessage.Response) {
 	if k.spent || a.Close {
 		p.Drop(k)
 		return
 	}
+	if s := k.sending; s != nil {
+		if s.afterwards(func(bool) { p.Give(k, a) }) {
+			return
+		}
+		if _, whole := s.ended(); !whole {
+			p.Drop(k)
+			return
+		}
+	}
+	if k.patient && !k.delivered() {
+		concurrency.Go(func() { p.giveDelivered(k, a) })
+		return
+	}
+	k.expectOpenWindow()
 	if k.br.Buffered() > 0 {
 		surplus.Add(1)
 		p.Drop(k)
@@ -107,6 +123,18 @@
 	}
 }
 
+// giveDelivered gives a connection back once the replica's machine has taken all that was sent on it.
+func (p *Pool) giveDelivered(k *Conn, a *httpmessage.Response) {
+	for clock.Now() < k.deadline {
+		if k.delivered() {
+			p.Give(k, a)
+			return
+		}
+		clock.Sleep(deliveryLook)
+	}
+	p.Drop(k)
+}
+
 // Flush closes the idle connections: those to a replica that went silent would
 // swallow what is sent on them.
 func (p *Pool) Flush() {
