CONFIG: a keeper that leaves hands its seat over first

Cause: leaving told nobody, and the seat of a machine that has gone is given away only after 3 s of silence.

Change: on SIGTERM a keeper says to the seats that it leaves and votes until its seat is with a keeper that asks for one, for 3/4 of grace-s at most; it goes at once where no seat was asked. A message kind is added at the end of the list, no field. Keepers that take a key from each other wait for a random while; the keeper that began a change of seats goes on with it; one that leaves asks for no seat.

--- a/internal/consensus/join.go
+++ b/internal/consensus/join.go
@@ -37,6 +37,9 @@
 )
 
 func (k *Keeper) wantSeat(r Roster) {
+	if k.ending.Load() {
+		return
+	}
 	k.mu.Lock()
 	soon := k.wanted != 0 && clock.Since(k.wanted) < askPause
 	if !soon {
@@ -63,10 +66,13 @@
 	}
 }
 
+// asked is when a keeper asked for a seat last, and since when it has.
 type asked struct {
 	at   clock.Tick
 	from clock.Tick
 	zone ids.Zone
+	// told says that it asked another seat, which told of it.
+	told bool
 }
 
 func (k *Keeper) zoneOf(n ids.Node) ids.Zone {
@@ -89,14 +95,28 @@
 	if a, ok := k.asked[j]; ok && now.Sub(a.at) <= askedFor {
 		from = a.from
 	}
-	k.asked[j] = asked{now, from, z}
+	k.asked[j] = asked{at: now, from: from, zone: z}
+	return k.fresh()
+}
+
+// Asking are the keepers that asked for a seat of late.
+func (k *Keeper) Asking() []ids.Node {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.fresh()
+}
+
+// fresh is Asking, for those who hold the lock.
+func (k *Keeper) fresh() []ids.Node {
 	var out []ids.Node
 	for n, a := range sorted(k.asked) {
 		if clock.Since(a.at) > askedFor {
 			delete(k.asked, n)
 			continue
 		}
-		out = append(out, n)
+		if _, leaves := k.leaving[n]; !leaves {
+			out = append(out, n)
+		}
 	}
 	return out
 }
@@ -120,18 +140,32 @@
 	return slices.ContainsFunc(in, func(j ids.Node) bool { return clock.Since(k.asked[j].from) < hereFor })
 }
 
+// mayAssign tells whether this keeper may change the seats.
+func (k *Keeper) mayAssign(r Roster) bool {
+	return k.acc.Voting() && r.Has(k.Self) && k.Sure(hereFor)
+}
+
 func (k *Keeper) join(j ids.Node, z ids.Zone) Msg {
 	r := k.acc.Roster()
-	if !k.acc.Voting() || !r.Has(k.Self) || !k.Sure(hereFor) {
+	if !k.mayAssign(r) {
 		return Msg{}
 	}
-	if r.Has(j) || len(r.Next) > 0 {
-		return Msg{OK: true}
+	if !r.Has(j) && len(r.Next) == 0 {
+		k.assign(r, k.askers(j, z))
+	}
+	return Msg{OK: true}
+}
+
+// assign gives seats to those who ask for them, if it is time: in place of seats that leave, else of
+// such that have gone, else beside all others.
+func (k *Keeper) assign(r Roster, in []ids.Node) {
+	leavers := k.leavers(r)
+	gone, unclear := leavers, false
+	if len(leavers) == 0 {
+		gone, unclear = k.silent(r)
 	}
-	in := k.askers(j, z)
-	gone, unclear := k.silent(r)
 	if unclear {
-		return Msg{OK: true}
+		return
 	}
 	_, seats := k.seeds()
 	if len(gone) == 0 {
@@ -139,14 +173,11 @@
 	} else {
 		all := len(gone)
 		if gone, in = k.instead(r, gone, in); len(in) < all && k.soon(in) {
-			return Msg{OK: true}
+			return
 		}
 	}
-	if len(in) == 0 {
-		return Msg{OK: true}
-	}
-	if !k.seating.TryLock() {
-		return Msg{OK: true}
+	if len(in) == 0 || len(leavers) > 0 && !k.mayHandOver(r, leavers, in) || !k.seating.TryLock() {
+		return
 	}
 	concurrency.Go(func() {
 		defer k.seating.Unlock()
@@ -158,10 +189,21 @@
 		})
 		if a.OK {
 			telemetry.State("seats given", "to", in, "instead of", gone)
-			k.seat()
+			k.endChange(r.Num + 1)
 		}
 	})
-	return Msg{OK: true}
+}
+
+// endChange ends the change of seats that this keeper has begun, with a roster of this number.
+func (k *Keeper) endChange(num uint64) {
+	begun := clock.Now()
+	for clock.Since(begun) < reseatAfter {
+		if r := k.acc.Roster(); r.Num != num || len(r.Next) == 0 {
+			return
+		}
+		k.seat()
+		giveWay()
+	}
 }
 
 // silent names the seats that were not heard of for long, the longest first.
@@ -341,8 +383,8 @@
 
 // turnToSeat counts the seats that come before this one when a change of seats
 // is to be taken up: seats that do so at once take each other's leases. The
-// order is drawn anew for each roster, and silent seats are passed over.
-func (k *Keeper) turnToSeat(r Roster) int {
+// order is drawn anew for each roster, and silent seats and the others named are passed over.
+func (k *Keeper) turnToSeat(r Roster, others ...ids.Node) int {
 	rank := func(n ids.Node) uint64 {
 		h := fnv.New64a()
 		fmt.Fprint(h, r.Num, "|", n)
@@ -350,7 +392,7 @@
 	}
 	before := 0
 	for _, n := range r.All() {
-		if n != k.Self && rank(n) < rank(k.Self) && k.recent(n, hereFor) {
+		if n != k.Self && !slices.Contains(others, n) && rank(n) < rank(k.Self) && k.recent(n, hereFor) {
 			before++
 		}
 	}
--- a/internal/consensus/keeper.go
+++ b/internal/consensus/keeper.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"spoolswitch/internal/clock"
 	"spoolswitch/internal/codes"
@@ -72,8 +73,15 @@
 	relays  map[ids.Node]clock.Tick
 	listAt  clock.Tick
 	asked   map[ids.Node]asked
-	last    ids.Node
-	wanted  clock.Tick
+	// leaving are the seats that said that they leave, and when.
+	leaving map[ids.Node]clock.Tick
+	// pending is the hand-over that is due as this keeper knows, and since when; ending says that it
+	// leaves itself.
+	pending      handOver
+	pendingSince clock.Tick
+	ending       atomic.Bool
+	last         ids.Node
+	wanted       clock.Tick
 	// contacts and callers are those that rosters are exchanged with; seat0
 	// counts the seats through, and seededAt is when the seeds last changed.
 	contacts map[ids.Node]contact
@@ -92,7 +100,7 @@
 
 // New makes a keeper over an acceptor.
 func New(self ids.Node, acc *Acceptor, net Net, sink Sink) *Keeper {
-	return &Keeper{Self: self, Disk: true, asked: map[ids.Node]asked{}, acc: acc, Net: net, Sink: sink, life: concurrency.Uint64() | 1,
+	return &Keeper{Self: self, Disk: true, asked: map[ids.Node]asked{}, leaving: map[ids.Node]clock.Tick{}, acc: acc, Net: net, Sink: sink, life: concurrency.Uint64() | 1,
 		leases: map[ids.Key]*lease{}, tried: map[ids.Key]ids.Epoch{}, heard: map[ids.Node]clock.Tick{}, rounding: map[ids.Node]clock.Tick{},
 		odd: map[ids.Key]doubt{}, mending: map[ids.Key]bool{}, barred: map[ids.Key]doubt{}, sights: map[ids.Node]sight{},
 		others: map[ids.Node]ids.Zone{}, relays: map[ids.Node]clock.Tick{},
@@ -351,6 +359,8 @@
 		return Msg{OK: true}
 	case Join:
 		return k.join(m.From, m.Zone)
+	case Leave:
+		return k.takeNotice(m)
 	case Forward, Change:
 		return k.ordered(m)
 	}
--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -57,7 +57,7 @@
 	defer t.turn.Give()
 	for clock.Until(deadline) > 0 {
 		if !t.held && !k.win(key, t, deadline) {
-			clock.Sleep(clock.Span(20+concurrency.IntN(60)) * clock.Millisecond)
+			giveWay()
 			continue
 		}
 		next, a, anew := d(t.at, t.val)
@@ -72,6 +72,7 @@
 		at := ids.Place{Epoch: t.at.Epoch, Seq: t.at.Seq + 1}
 		if !k.commit(key, at, next, deadline) {
 			t.held = false
+			giveWay()
 			continue
 		}
 		t.at, t.val = at, next
@@ -81,6 +82,12 @@
 	return Msg{Code: codes.NoMajority}
 }
 
+// giveWay waits for a random while, so that of several keepers that take a key from each other one comes
+// to its end.
+func giveWay() {
+	clock.Sleep(clock.Span(20+concurrency.IntN(60)) * clock.Millisecond)
+}
+
 func (k *Keeper) commit(key ids.Key, at ids.Place, val []byte, deadline clock.Tick) bool {
 	r := k.acc.Roster()
 	k.stepVal(key, at, val, "sent to the disks")
--- a/internal/consensus/msg.go
+++ b/internal/consensus/msg.go
@@ -36,12 +36,13 @@
 	Confirm
 	RolloutCounts
 	RolloutFold
+	Leave
 )
 
 var kindNames = [...]string{Vote: "vote", Accept: "accept", Hold: "hold", Learn: "learn", Digest: "digest", Fetch: "fetch",
 	Survey: "survey", Change: "change", Query: "query", Follow: "follow", Join: "join", Trace: "trace", Drift: "drift",
 	Forward: "forward", Counts: "counts", Fold: "fold", Gossip: "gossip", Confirm: "confirm",
-	RolloutCounts: "rollout-counts", RolloutFold: "rollout-fold"}
+	RolloutCounts: "rollout-counts", RolloutFold: "rollout-fold", Leave: "leave"}
 
 // Subject names what the message is about: its kind and, where keys differ in
 // cost, the family of its key.
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -32,10 +32,16 @@
 	net     *consensus.Wires
 	over    atomic.Bool
 	founder atomic.Bool
+	// handOver is how long handing the seat over may take when the daemon ends.
+	handOver clock.Span
 }
 
-// openTimeout is how long the start waits for the disk.
-const openTimeout = 2 * clock.Second
+const (
+	// openTimeout is how long the start waits for the disk.
+	openTimeout = 2 * clock.Second
+	// handOverParts of the graceParts of the grace period are how long handing a seat over may take.
+	handOverParts, graceParts = 3, 4
+)
 
 // Machine is what a keeper has of the machine that it runs on.
 type Machine struct {
@@ -102,7 +108,7 @@
 	hub.Diff, k.Diff, k.Patch = diff, diff, patch
 	hub.Trim = trim
 	hub.Apply = clock.Ms(s.Bounds.ConfigApplyMs)
-	return &Daemon{Keeper: k, Hub: hub, net: wires}
+	return &Daemon{Keeper: k, Hub: hub, net: wires, handOver: s.Grace() * handOverParts / graceParts}
 }
 
 // trim leaves out what relays need not know of a value.
@@ -272,11 +278,12 @@
 	d.Keeper.Seeded(ns, consensus.Seats(s.Tolerance.Machines, len(s.Zones)))
 }
 
-// Stop ends the daemon.
+// Stop ends the daemon: no orders are taken any more, and its seat is handed over first.
 func (d *Daemon) Stop() {
-	d.over.Store(true)
 	d.srv.Stop()
 	_ = d.lc.Close()
+	d.Keeper.HandOver(d.handOver)
+	d.over.Store(true)
 	d.in.Close()
 	d.net.Close()
 	d.Keeper.Acceptor().Close()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -43,6 +43,8 @@
 	more string
 	// seeds are the keepers that settings name.
 	seeds []int
+	// tune, if set, changes the settings of a keeper.
+	tune func(i int, s *settings.Settings)
 }
 
 var guards []net.Listener
@@ -64,8 +66,12 @@
 func newFleet(t *testing.T, keepers, relays int) *fleet { return newFleetOf(t, keepers, relays, "") }
 
 func newFleetOf(t *testing.T, keepers, relays int, more string) *fleet {
+	return newTunedFleet(t, keepers, relays, more, nil)
+}
+
+func newTunedFleet(t *testing.T, keepers, relays int, more string, tune func(i int, s *settings.Settings)) *fleet {
 	f := &fleet{t: t, more: more, seeds: []int{1, 2, 3}, base: ports(t), plat: standin.NewPlatform(1), dirs: map[int]string{},
-		keepers: map[int]*control.Daemon{}, relays: map[int]*relay.Daemon{}}
+		keepers: map[int]*control.Daemon{}, relays: map[int]*relay.Daemon{}, tune: tune}
 	f.rep = standin.NewReplica("i-1", standin.Well)
 	other := standin.NewReplica("i-2", standin.Well)
 	f.plat.Set(discovery.Replica{ID: "i-1", Service: "s", Addr: f.rep.Addr, Zone: "z1", Slots: 8, State: "in_service"},
--- a/internal/fleet/seeds_test.go
+++ b/internal/fleet/seeds_test.go
@@ -107,6 +107,9 @@
 func (f *fleet) keeperSettings(i int, initial bool) *settings.Settings {
 	s := f.settings(fmt.Sprintf("127.0.0.%d", i), fmt.Sprintf("keeper-%d", i), initial)
 	s.DataDir = f.dirs[i]
+	if f.tune != nil {
+		f.tune(i, s)
+	}
 	return s
 }
 
--- a/internal/sim/day.go
+++ b/internal/sim/day.go
@@ -226,7 +226,7 @@
 	s := &settings.Settings{Node: ids.Node(m.ip), IP: m.ip, Zone: ids.Zone(m.zone), Ports: []int{innerPort, innerPort + 8}, Initial: initial,
 		Zones: map[string]string{}, Bindings: settings.Bindings{Control: string(m.control())},
 		Limits:    settings.Limits{MemoryMB: 256, Descriptors: 4096},
-		Bounds:    settings.Bounds{DrainMs: 3000, ConfigApplyMs: float64(apply / clock.Millisecond), AckMs: float64(ackBound / clock.Millisecond)},
+		Bounds:    settings.Bounds{DrainMs: 3000, ConfigApplyMs: float64(apply / clock.Millisecond), AckMs: float64(ackBound / clock.Millisecond), GraceS: float64(grace / clock.Second)},
 		Rollout:   settings.Rollout{Steps: rollout.DefaultSteps()},
 		Tolerance: settings.Tolerance{Machines: d.p.Losses, Zones: 1},
 	}
--- a/internal/sim/mix.go
+++ b/internal/sim/mix.go
@@ -1,6 +1,10 @@
 package sim
 
-import "spoolswitch/internal/clock"
+import (
+	"slices"
+
+	"spoolswitch/internal/clock"
+)
 
 // Mix is a described set of faults.
 type Mix struct {
@@ -27,7 +31,7 @@
 			all.Kinds[k] += n
 		}
 	}
-	return append(append([]Mix{all}, ms...), rolloutMix)
+	return append(append([]Mix{all}, ms...), rolloutMix, successionMix)
 }
 
 // rolloutMix is the mix of rolloutPoint: orders for rollouts among those for configurations.
@@ -42,5 +46,21 @@
 	quotaStep             = clock.Millisecond / 2
 )
 
+// succession is the replacement of machines of the core in order, one after the other: all
+// successors are up first.
+const succession = "succession"
+
+// successionMix is the mix of machines that are replaced in order, with losses on the way.
+var successionMix = Mix{successionPoint, "machines of the core replaced in order, one right after the other, beside all that may be lost meanwhile",
+	map[string]int{succession: 12, "cut": 2, "freeze": 3, "kill": 4, "restart": 2, "wipe": 2, "power": 2, "slow-disk": 1, "reset": 1, "blackout": 1, "kill-all": 1}}
+
+// successionPoint is the mix of successions.
+const successionPoint = 6
+
+// known tells whether there is a fault of a kind.
+func known(kind string) bool {
+	return slices.ContainsFunc(Mixes(), func(m Mix) bool { return m.Kinds[kind] > 0 })
+}
+
 // Points counts the mixes.
-const Points = 6
+const Points = 7
--- a/internal/sim/plan.go
+++ b/internal/sim/plan.go
@@ -68,6 +68,7 @@
 const (
 	contact  = 3 * clock.Second
 	catchUp  = 4 * clock.Second
+	grace    = 8 * clock.Second
 	apply    = 2 * clock.Second
 	ackBound = 4 * clock.Second
 	recovery = 12 * clock.Second
@@ -87,6 +88,8 @@
 type span struct {
 	from, to clock.Span
 	slot     int
+	// whole says that the slot is not lost meanwhile: its successor is there before its machine goes.
+	whole bool
 }
 
 func (m *maker) span(lo, hi clock.Span) clock.Span {
@@ -110,8 +113,8 @@
 	return names[0]
 }
 
-// lost counts the slots that count as lost at some moment of a span.
-func (m *maker) fits(from, to clock.Span, slots []int) bool {
+// fits tells whether so many more slots may be lost throughout a span, and no other fault strikes these.
+func (m *maker) fits(from, to clock.Span, slots []int, lost int) bool {
 	for _, s := range m.all {
 		if from < s.to && s.from < to {
 			return false
@@ -124,13 +127,15 @@
 		}
 	}
 	for _, t := range times {
-		n := len(slots)
+		n := lost
 		for _, s := range m.busy {
 			if s.from <= t && t < s.to {
 				if slices.Contains(slots, s.slot) {
 					return false
 				}
-				n++
+				if !s.whole {
+					n++
+				}
 			}
 		}
 		if n > m.p.Losses {
@@ -208,11 +213,13 @@
 		f.Nodes, f.For = m.some(m.p.Losses), m.span(clock.Second, 4*clock.Second)
 	case "grow":
 		f.N = 1
+	case succession:
+		f.Nodes, f.For = m.some(m.p.Core), m.span(0, 3*clock.Second)
 	}
 	till := at + f.For + catchUp
 	switch kind {
 	case "kill-all", "blackout":
-		if !m.fits(at-catchUp/2, till+2*clock.Second, nil) {
+		if !m.fits(at-catchUp/2, till+2*clock.Second, nil, 0) {
 			return f, false
 		}
 		for _, s := range m.busy {
@@ -220,14 +227,22 @@
 				return f, false
 			}
 		}
-		m.all = append(m.all, span{at, till + 2*clock.Second, 0})
+		m.all = append(m.all, span{from: at, to: till + 2*clock.Second})
 	case "seeds", "grow", "relay-cut", "answers-lost":
+	case succession:
+		till += catchUp + f.For*clock.Span(len(f.Nodes)) + grace
+		if !m.fits(at, till, f.Nodes, 0) {
+			return f, false
+		}
+		for _, n := range f.Nodes {
+			m.busy = append(m.busy, span{from: at, to: till, slot: n, whole: true})
+		}
 	default:
-		if !m.fits(at, till, f.Nodes) {
+		if !m.fits(at, till, f.Nodes, len(f.Nodes)) {
 			return f, false
 		}
 		for _, n := range f.Nodes {
-			m.busy = append(m.busy, span{at, till, n})
+			m.busy = append(m.busy, span{from: at, to: till, slot: n})
 		}
 	}
 	return f, true
@@ -352,7 +367,7 @@
 		}
 	}
 	for _, f := range p.Faults {
-		if Mixes()[0].Kinds[f.Kind] == 0 {
+		if !known(f.Kind) {
 			return nil, codes.New(codes.BadSimPlan, "there is no fault %q", f.Kind)
 		}
 		for _, n := range slices.Concat(f.Nodes, f.Seeds, f.Wiped) {
--- a/internal/sim/strike.go
+++ b/internal/sim/strike.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"spoolswitch/internal/clock"
+	"spoolswitch/internal/concurrency"
 )
 
 func (d *day) pick(f Fault) []*machine {
@@ -110,7 +111,7 @@
 		clock.Sleep(f.For)
 		d.freeze(ms, false)
 	case "slow-node":
-		d.slow = append(d.slow, span{d.w.Time(), d.w.Time() + f.For, 0})
+		d.slow = append(d.slow, span{from: d.w.Time(), to: d.w.Time() + f.For})
 		for _, m := range ms {
 			m.proc.Lag = 150 * clock.Millisecond
 		}
@@ -167,6 +168,8 @@
 		for _, m := range ms {
 			d.succeed(m.slot)
 		}
+	case succession:
+		d.succession(ms, f.For)
 	case "kill-all":
 		d.twice()
 		for _, m := range ms {
@@ -223,7 +226,7 @@
 		d.cut([]*host{r.host}, b, f.Way, -1)
 		return
 	case "slow-disk", "stall-disk", "full-disk":
-		d.slow = append(d.slow, span{d.w.Time(), d.w.Time() + f.For, 0})
+		d.slow = append(d.slow, span{from: d.w.Time(), to: d.w.Time() + f.For})
 		set := func(m *machine, on bool) {
 			switch f.Kind {
 			case "slow-disk":
@@ -245,7 +248,7 @@
 			set(m, false)
 		}
 	case "refuse":
-		d.slow = append(d.slow, span{d.w.Time(), d.w.Time() + f.For, 0})
+		d.slow = append(d.slow, span{from: d.w.Time(), to: d.w.Time() + f.For})
 		for _, m := range ms {
 			m.disk.Refuse[f.Call] = f.N
 		}
@@ -279,12 +282,12 @@
 			}
 		}
 	case "answers-lost":
-		d.slow = append(d.slow, span{d.w.Time(), d.w.Time() + f.For, 0})
+		d.slow = append(d.slow, span{from: d.w.Time(), to: d.w.Time() + f.For})
 		d.opsAt.lost = f.Rate
 		clock.Sleep(f.For)
 		d.opsAt.lost = 0
 	case "slow-link":
-		d.slow = append(d.slow, span{d.w.Time(), d.w.Time() + f.For, 0})
+		d.slow = append(d.slow, span{from: d.w.Time(), to: d.w.Time() + f.For})
 		for _, m := range ms {
 			m.host.slow = 200 * clock.Millisecond
 		}
@@ -326,6 +329,51 @@
 	}
 }
 
+// succession starts a successor for each machine, and once those have had their time, has the old
+// ones leave one after the other.
+func (d *day) succession(ms []*machine, pause clock.Span) {
+	var successors []*machine
+	for _, m := range ms {
+		successor := d.newMachine(m.slot)
+		successors = append(successors, successor)
+		d.boot(successor, false)
+	}
+	clock.Sleep(catchUp)
+	left := concurrency.NewMark()
+	for i, m := range ms {
+		d.event()
+		d.slots[m.slot] = successors[i]
+		for _, other := range d.slots {
+			d.reseed(other)
+		}
+		d.leave(m, left)
+		clock.Sleep(pause)
+	}
+	for range ms {
+		left.Wait(grace)
+	}
+}
+
+// leave stops a machine for good: it has the grace period to end.
+func (d *day) leave(m *machine, left *concurrency.Mark) {
+	d.holds(m)
+	m.stopping = true
+	ended := concurrency.NewMark()
+	if k := m.d; k != nil {
+		m.proc.Go(func() {
+			k.Stop()
+			ended.Set()
+		})
+	}
+	concurrency.Go(func() {
+		ended.Wait(grace)
+		d.kill(m)
+		m.gone, m.has = true, holding{}
+		d.event()
+		left.Set()
+	})
+}
+
 // succeed puts a new machine in place of one that is gone.
 func (d *day) succeed(slot int) {
 	d.slots[slot] = d.newMachine(slot)
