A seat that said that it leaves is not waited for

Cause: a keeper that leaves waits 1.5 s where another seat is silent, as a newcomer may have asked that one. One that left just before told who had asked it.

--- a/internal/consensus/leave.go
+++ b/internal/consensus/leave.go
@@ -70,13 +70,21 @@
 		switch {
 		case a.Count > 0:
 			found = some
-		case !a.OK:
+		case !a.OK && !k.leaves(n):
 			found = max(found, unknown)
 		}
 	}
 	return found
 }
 
+// leaves tells whether a keeper said of late that it leaves: it told then who asked it.
+func (k *Keeper) leaves(n ids.Node) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	at, ok := k.leaving[n]
+	return ok && clock.Since(at) <= askedFor
+}
+
 // takeNotice takes in that a seat leaves, and hands the seat over if there is one to take it. A leaver
 // tells of the keepers that asked it, as each asks one seat only.
 func (k *Keeper) takeNotice(m Msg) Msg {
