EXPOSURE: counts of rollouts survive killed keepers, and a given-up version is reverted

Cause: routers told their counts once, to keepers' memory; evidence did not add up over routes; routers that gave the version up by themselves told nobody, and the order was completed with few answers and no look at them.

Change: each holder's ballot begins an era, in which routers tell everything since the order anew; what was told is remembered by era, so nothing counts twice. A sum over all routes, each answer weighed against its own route's stable rate, with ln 4 more to reach. No order is completed under a suspicion or when half of the routers gave it up. internal/relay/report.go is promotion.Reporter now, and spoolsim's relays use it.

Reports and folds of duty_test name the era.

--- a/internal/feed/tail.go
+++ b/internal/feed/tail.go
@@ -248,6 +248,19 @@
 	return true
 }
 
+// Ask asks the keeper that is followed, and tells whether the question was sent and whether it was
+// answered.
+func (t *Tail) Ask(m consensus.Msg) (answer consensus.Msg, sent, answered bool) {
+	t.mu.Lock()
+	p := t.peer
+	t.mu.Unlock()
+	if p == nil {
+		return answer, false, false
+	}
+	answer, err := p.Call(m, firstWait)
+	return answer, true, err == nil
+}
+
 func (t *Tail) told(m consensus.Msg) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/promotion/duty.go
+++ b/internal/promotion/duty.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"spoolswitch/internal/clock"
+	"spoolswitch/internal/codes"
 	"spoolswitch/internal/consensus"
 	"spoolswitch/internal/ids"
 	"spoolswitch/internal/rollout"
@@ -56,7 +57,9 @@
 	// Command has a command carried out by the owner of a service's register.
 	Command func(service ids.Service, c *rollout.Command, timeout clock.Span) bool
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// era is the ballot of the holder that counts are gathered for.
+	era     ids.Epoch
 	routers map[ids.Node]heard
 	// own is what the routers reported to this keeper since the orders began, and folds what
 	// other keepers did, each life of a keeper by itself: neither ever falls.
@@ -109,8 +112,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.routers == nil {
-		d.routers, d.folds, d.own = map[ids.Node]heard{}, map[keeperLife]fold{}, map[ids.Service]*rollout.Counts{}
+	if d.enterEra(); m.Epoch != d.era {
+		oldReports.Add(1)
+		return consensus.Msg{Code: codes.OldEpoch, Epoch: d.era}
 	}
 	if m.Kind == consensus.RolloutFold {
 		d.takeFold(keeperLife{m.From, m.Life}, fold{m.Num, clock.Now(), m.Count, r})
@@ -125,6 +129,20 @@
 	return consensus.Msg{OK: true}
 }
 
+// enterEra forgets what was gathered for an earlier holder of the duty: routers tell it anew. It is for those
+// who hold the lock.
+func (d *Duty) enterEra() {
+	if d.routers == nil {
+		d.routers, d.folds, d.own = map[ids.Node]heard{}, map[keeperLife]fold{}, map[ids.Service]*rollout.Counts{}
+	}
+	if _, at := d.Value(d.Key); at.Epoch != d.era {
+		d.era = at.Epoch
+		clear(d.routers)
+		clear(d.folds)
+		clear(d.own)
+	}
+}
+
 // takeFold keeps the newest fold of a life of a keeper.
 func (d *Duty) takeFold(from keeperLife, f fold) {
 	if have, ok := d.folds[from]; ok && f.num <= have.num {
@@ -152,6 +170,7 @@
 func (d *Duty) sum() (total map[ids.Service]*rollout.Counts, routers int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.enterEra()
 	total, routers = d.ownSum()
 	for _, f := range d.folds {
 		add(total, f.report.Services)
@@ -257,15 +276,16 @@
 		d.mu.Unlock()
 		return
 	}
+	d.enterEra()
 	total, routers := d.ownSum()
 	d.num++
 	d.folded = clock.Now()
-	num := d.num
+	num, era := d.num, d.era
 	d.mu.Unlock()
 	if len(total) == 0 {
 		return
 	}
-	m := consensus.Msg{Kind: consensus.RolloutFold, From: d.Keeper.Self, Num: num, Life: d.Keeper.Life(), Count: routers, Val: (&rollout.Report{Services: total}).Encode()}
+	m := consensus.Msg{Kind: consensus.RolloutFold, From: d.Keeper.Self, Num: num, Life: d.Keeper.Life(), Epoch: era, Count: routers, Val: (&rollout.Report{Services: total}).Encode()}
 	d.Keeper.Net.Ask(holder, m, foldPause)
 }
 
--- a/internal/promotion/duty_test.go
+++ b/internal/promotion/duty_test.go
@@ -62,6 +62,11 @@
 	return b
 }
 
+// restarted is the keeper after its process was killed: it has its disk and the feed, and another life.
+func (b *bench) restarted() *consensus.Keeper {
+	return consensus.New("a", b.duty.Keeper.Acceptor(), b.world, b.world)
+}
+
 // holder is a duty that works on the bench's register.
 func (b *bench) holder(k *consensus.Keeper) *Duty {
 	return &Duty{Duty: consensus.Duty{Keeper: k, Key: ids.RolloutDuty, Value: b.world.Value},
@@ -104,10 +109,13 @@
 	}
 }
 
+// era is the ballot by which the duty was won last.
+func (b *bench) era() ids.Epoch { return b.world.items[ids.RolloutDuty].At.Epoch }
+
 func (b *bench) report(router ids.Node, c *rollout.Counts) consensus.Msg {
 	b.num++
 	c.Number = b.state.Number
-	m := consensus.Msg{Kind: consensus.RolloutCounts, From: router, Life: 1, Num: b.num, Count: 1,
+	m := consensus.Msg{Kind: consensus.RolloutCounts, From: router, Life: 1, Num: b.num, Count: 1, Epoch: b.era(),
 		Val: (&rollout.Report{Services: map[ids.Service]*rollout.Counts{"s": c}}).Encode()}
 	b.duty.Counted(m)
 	return m
@@ -246,7 +254,7 @@
 		for range n {
 			counts.See("r", false, "s1", rollout.Outcome{})
 		}
-		b.duty.Counted(consensus.Msg{Kind: consensus.RolloutFold, From: "k2", Life: life, Num: num, Count: 3,
+		b.duty.Counted(consensus.Msg{Kind: consensus.RolloutFold, From: "k2", Life: life, Num: num, Count: 3, Epoch: b.era(),
 			Val: (&rollout.Report{Services: map[ids.Service]*rollout.Counts{"s": counts}}).Encode()})
 	}
 	sum := func() int64 {
--- a/internal/promotion/run.go
+++ b/internal/promotion/run.go
@@ -21,6 +21,9 @@
 	samplePart = 0.3
 	// listedLeast is the part of a weight that the candidate's listed slots must cover.
 	listedLeast = 0.8
+	// givenUpMost is the part of the routers that may have given the candidate up by themselves if the
+	// order is to be completed.
+	givenUpMost = 0.5
 )
 
 // run is how the holder of the duty takes one order through its steps. The step itself
@@ -169,6 +172,10 @@
 		if at.State.Unproven && r.elapsed() < at.State.CompleteAt() {
 			return
 		}
+		if against := r.against(d); against != "" {
+			r.finish(d, at, rollout.Reverted, against)
+			return
+		}
 		r.finish(d, at, rollout.Completed, why)
 		return
 	}
@@ -176,6 +183,20 @@
 	d.command(r.service, c, stepsTaken, fmt.Sprintf("step %d done", at.State.Step), why)
 }
 
+// against tells what speaks against completing the order, though nothing has shown that the candidate is
+// bad: a suspicion, or that routers found it bad by themselves. Those send it nothing more, so that
+// there may be few answers to judge by.
+func (r *run) against(d *Duty) string {
+	if r.finding.Suspect {
+		return "at the end: " + r.finding.Why
+	}
+	routers := max(1, d.Keeper.Relays())
+	if r.counts != nil && float64(r.counts.Suspended) >= givenUpMost*float64(routers) {
+		return fmt.Sprintf("at the end: given up by %d of %d routers", r.counts.Suspended, routers)
+	}
+	return ""
+}
+
 func (r *run) finish(d *Duty, at Standing, status rollout.Status, why string) {
 	done := reverted
 	if status == rollout.Completed {
--- a/internal/relay/daemon.go
+++ b/internal/relay/daemon.go
@@ -19,6 +19,7 @@
 	"spoolswitch/internal/feed"
 	"spoolswitch/internal/ids"
 	"spoolswitch/internal/pool"
+	"spoolswitch/internal/promotion"
 	"spoolswitch/internal/response"
 	"spoolswitch/internal/routing"
 	"spoolswitch/internal/rpc"
@@ -99,7 +100,12 @@
 	if s.Pool.Enabled {
 		d.count(s)
 	}
-	(&rolloutReporter{fleet: f, tell: d.Tail.Tell, self: s.Node, life: rand.Uint64() | 1}).start()
+	reporter := &promotion.Reporter{Counted: f.RolloutReport, Ask: d.askKeeper, Self: s.Node, Life: rand.Uint64() | 1}
+	concurrency.Go(func() {
+		for {
+			clock.Sleep(reporter.Report())
+		}
+	})
 	concurrency.Go(func() { d.Relay.Serve(lf) })
 	concurrency.Go(func() { _ = d.readiness(lr) })
 	rd := &discovery.Reader{Addr: ids.Addr(s.Platform.Address), Rate: discovery.Share(s.Platform.PerS, 1.0/32)}
@@ -113,6 +119,12 @@
 	return d, nil
 }
 
+// askKeeper asks the keeper that is followed.
+func (d *Daemon) askKeeper(m consensus.Msg) (consensus.Msg, promotion.Delivery) {
+	answer, sent, answered := d.Tail.Ask(m)
+	return answer, promotion.DeliveryOf(sent, answered)
+}
+
 func (d *Daemon) count(s *settings.Settings) {
 	m := pool.NewMeter(clock.Ms(s.Pool.WindowS * 1000))
 	d.Relay.Meter = m
--- a/internal/rollout/detector.go
+++ b/internal/rollout/detector.go
@@ -21,6 +21,9 @@
 	threshold = 10.0
 	// suspicion is the sum from which on a measurement fails.
 	suspicion = 7.0
+	// poolCaution is by how much more the sum over all routes must speak: ln 4, for a quarter of a
+	// route's false alarms.
+	poolCaution = 1.4
 	// rateMost bounds the stable rate that is gone by: beyond it the fleet is in such trouble
 	// that nothing can be told of the candidate by this kind of fault.
 	rateMost = 0.6
@@ -96,9 +99,55 @@
 	groups [faults][Groups]rate
 }
 
+// pool tests all routes together: it adds up what each speaks by itself, so that evidence that is spread
+// over many routes counts as well. Each answer is weighed against the stable rate of its own route.
+type pool struct {
+	sum [faults]float64
+	// groups are the answers of the groups of replicas, and allowed the faults that a good
+	// candidate may have among them.
+	groups  [faults][Groups]rate
+	allowed [faults][Groups]float64
+}
+
+// fade lets what was seen fade.
+func (p *pool) fade(fade float64) {
+	for f := range faults {
+		for i := range Groups {
+			p.groups[f][i].see(0, 0, fade)
+			p.allowed[f][i] *= fade
+		}
+	}
+}
+
+// finding tells what the test of all routes says of a kind of fault.
+func (p *pool) finding(f fault) Finding {
+	p.sum[f] = max(0, p.sum[f])
+	if p.sum[f] < suspicion+poolCaution {
+		return Finding{}
+	}
+	var all rate
+	with, of := 0, 0
+	for i, g := range p.groups[f] {
+		all.n, all.bad = all.n+g.n, all.bad+g.bad
+		if g.n < groupLeast {
+			continue
+		}
+		of++
+		if g.bad > p.allowed[f][i] {
+			with++
+		}
+	}
+	if of == 0 || float64(with) < spread*float64(of) {
+		return Finding{}
+	}
+	why := fmt.Sprintf("all routes: of late %.1f of %.1f answers of the candidate %s, in %d of %d groups", all.bad, all.n, faultNames[f], with, of)
+	return Finding{Bad: p.sum[f] >= threshold+poolCaution, Suspect: true, Why: why}
+}
+
 // Detector tests the counts of one order, as they grow.
 type Detector struct {
 	routes map[string]*routeTest
+	all    pool
 	at     clock.Tick
 }
 
@@ -123,22 +172,28 @@
 	}
 	d.at = now
 	var worst Finding
+	d.all.fade(fading(passed, rateFades))
 	for _, name := range slices.Sorted(maps.Keys(c.Routes)) {
 		test := d.routes[name]
 		if test == nil {
 			test = &routeTest{}
 			d.routes[name] = test
 		}
-		if found := test.update(c.Routes[name], passed); found.Suspect && !worst.Bad {
+		if found := test.update(c.Routes[name], passed, &d.all); found.Suspect && !worst.Bad {
 			found.Why = fmt.Sprintf("route %s: %s", name, found.Why)
 			worst = found
 		}
 	}
+	for f := range faults {
+		if found := d.all.finding(f); found.Bad && !worst.Bad || found.Suspect && !worst.Suspect {
+			worst = found
+		}
+	}
 	return worst
 }
 
 // update adds what came since the last time, and tells what the test says of the route.
-func (t *routeTest) update(c *RouteTally, passed clock.Span) (worst Finding) {
+func (t *routeTest) update(c *RouteTally, passed clock.Span, all *pool) (worst Finding) {
 	fade, quickFade := fading(passed, rateFades), fading(passed, quickFades)
 	stable := c.Stable.minus(t.last.Stable)
 	if !stable.negative() {
@@ -160,7 +215,7 @@
 	for f := range faults {
 		t.stable[f].see(stable.Requests, f.of(stable), stableFade)
 		t.quick[f].see(stable.Requests, f.of(stable), quickFade)
-		if found := t.sumUp(f, &fresh, fade); found.Suspect && !worst.Bad {
+		if found := t.sumUp(f, &fresh, fade, all); found.Suspect && !worst.Bad {
 			worst = found
 		}
 	}
@@ -168,7 +223,7 @@
 }
 
 // sumUp adds fresh answers to the sum of a kind of fault, and tells what it says.
-func (t *routeTest) sumUp(f fault, fresh *[Groups]Tally, fade float64) Finding {
+func (t *routeTest) sumUp(f fault, fresh *[Groups]Tally, fade float64, pooled *pool) Finding {
 	base := max(t.stable[f].value(), t.quick[f].value())
 	if base > rateMost {
 		return Finding{}
@@ -183,10 +238,13 @@
 	for i := range fresh {
 		all.add(fresh[i])
 		t.groups[f][i].see(fresh[i].Requests, f.of(fresh[i]), fade)
+		pooled.groups[f][i].see(fresh[i].Requests, f.of(fresh[i]), 1)
+		pooled.allowed[f][i] += good * float64(fresh[i].Requests)
 	}
 	k := float64(f.of(all))
-	t.sum[f] += k*onBad + (float64(all.Requests)-k)*onGood
-	t.sum[f] = max(0, t.sum[f])
+	spoken := k*onBad + (float64(all.Requests)-k)*onGood
+	pooled.sum[f] += spoken
+	t.sum[f] = max(0, t.sum[f]+spoken)
 	if t.sum[f] < suspicion {
 		return Finding{}
 	}
--- a/internal/rollout/detector_test.go
+++ b/internal/rollout/detector_test.go
@@ -156,3 +156,26 @@
 		is.True(missed*50 <= trials)
 	}
 }
+
+// EXPOSURE: evidence that was spread over routes, too little on each, showed nothing.
+func TestEvidenceOverRoutes(t *testing.T) {
+	is := is.New(t)
+	find := func(routes, answers int, failing bool) (f Finding) {
+		var counts Counts
+		var detector Detector
+		for i := range answers {
+			for r := range routes {
+				route := fmt.Sprint("r", r)
+				for j := range 20 {
+					counts.See(route, false, ids.Replica(fmt.Sprint("s", j)), Outcome{})
+				}
+				counts.See(route, true, "c", Outcome{Failed: failing && i%2 == 0})
+			}
+			f = detector.Update(&counts, clock.Tick(clock.Second)+clock.Tick(i)*clock.Tick(100*clock.Millisecond))
+		}
+		return f
+	}
+	is.True(!find(1, 6, true).Suspect) // three failures
+	is.True(find(6, 6, true).Bad)      // eighteen
+	is.True(!find(6, 6, false).Suspect)
+}
--- a/internal/rollout/tally.go
+++ b/internal/rollout/tally.go
@@ -109,6 +109,8 @@
 	// Loaded counts the answers that replicas of the candidate gave while half of their slots, or
 	// more, were taken.
 	Loaded int64
+	// Suspended counts the routers that sent the candidate nothing more, as of what they sent last most failed.
+	Suspended int64
 }
 
 func (c *Counts) route(name string) *RouteTally {
@@ -146,6 +148,7 @@
 // Add adds the counts of another router to the same order.
 func (c *Counts) Add(o *Counts) {
 	c.Loaded += o.Loaded
+	c.Suspended += o.Suspended
 	c.Elapsed = max(c.Elapsed, o.Elapsed)
 	for name, from := range o.Routes {
 		r := c.route(name)
@@ -178,6 +181,7 @@
 		return out
 	}
 	out.Loaded -= earlier.Loaded
+	out.Suspended -= earlier.Suspended
 	for name, from := range earlier.Routes {
 		r := out.route(name)
 		r.Stable = r.Stable.minus(from.Stable)
@@ -229,7 +233,7 @@
 		return nil, codes.New(codes.BadCounts, "%v", err)
 	}
 	for service, c := range r.Services {
-		if c == nil || c.Loaded < 0 || len(c.Routes) > routesMost+1 {
+		if c == nil || c.Loaded < 0 || c.Suspended < 0 || len(c.Routes) > routesMost+1 {
 			return nil, codes.New(codes.BadCounts, "service %q", service)
 		}
 		for route, tally := range c.Routes {
@@ -255,5 +259,5 @@
 		out = append(out, fmt.Sprintf("%s: %d/%d/%d of %d, stable %d/%d of %d", name, t.Failed, t.Slow, t.Refused, t.Requests,
 			r.Stable.Failed, r.Stable.Slow, r.Stable.Requests))
 	}
-	return fmt.Sprintf("%s; %d under load", strings.Join(out, "; "), c.Loaded)
+	return fmt.Sprintf("%s; %d under load; given up by %d", strings.Join(out, "; "), c.Loaded, c.Suspended)
 }
--- a/internal/routing/answers.go
+++ b/internal/routing/answers.go
@@ -55,6 +55,9 @@
 	}
 	if r.track == candidate && !o.Refused && (!o.Begun || o.Failed) {
 		v.exposure.note(o.Failed || o.Slow)
+		if v.exposure.suspended() {
+			v.counts.Suspended = 1
+		}
 	}
 }
 
--- a/internal/sim/rollout.go
+++ b/internal/sim/rollout.go
@@ -9,6 +9,7 @@
 	"spoolswitch/internal/consensus"
 	"spoolswitch/internal/discovery"
 	"spoolswitch/internal/ids"
+	"spoolswitch/internal/promotion"
 	"spoolswitch/internal/rollout"
 )
 
@@ -178,9 +179,11 @@
 
 // reportRollouts has a relay report what it would see of the order under way.
 func (d *day) reportRollouts(r *relay, p *concurrency.Process) {
-	life, num := concurrency.Uint64()|1, uint64(0)
-	for r.proc == p && !p.Dead() {
-		clock.Sleep(rollout.ReportPause)
+	var seen *rollout.Report
+	reporter := &promotion.Reporter{Self: r.tail.Self, Life: concurrency.Uint64() | 1, Ask: r.askKeeper,
+		Counted: func() *rollout.Report { return seen }}
+	for pause := rollout.ReportPause; r.proc == p && !p.Dead(); pause = reporter.Report() {
+		clock.Sleep(pause)
 		s := r.rolled
 		if s == nil {
 			continue
@@ -189,6 +192,7 @@
 			r.tail.Tell(consensus.Msg{Kind: consensus.Change, Key: ids.Rollout(rolledService), Left: clock.Second, Order: &consensus.Order{Body: lateCommand(s).Encode()}})
 		}
 		if !s.Active() {
+			seen = nil
 			continue
 		}
 		counts := &rollout.Counts{Number: s.Number}
@@ -199,8 +203,15 @@
 				counts.See("mark", true, ids.Replica(fmt.Sprint("candidate-", i)), rollout.Outcome{Failed: failed})
 			}
 		}
-		num++
-		r.tail.Tell(consensus.Msg{Kind: consensus.RolloutCounts, From: r.tail.Self, Life: life, Num: num, Count: 1,
-			Val: (&rollout.Report{Services: map[ids.Service]*rollout.Counts{rolledService: counts}}).Encode()})
+		if seen != nil && seen.Services[rolledService].Number == s.Number {
+			counts.Add(seen.Services[rolledService])
+		}
+		seen = &rollout.Report{Services: map[ids.Service]*rollout.Counts{rolledService: counts}}
 	}
 }
+
+// askKeeper asks the keeper that a relay follows.
+func (r *relay) askKeeper(m consensus.Msg) (consensus.Msg, promotion.Delivery) {
+	answer, sent, answered := r.tail.Ask(m)
+	return answer, promotion.DeliveryOf(sent, answered)
+}
