rpc: the bytes of a message are counted before they leave

Change: a message is counted once it is encoded and before its last bytes leave, and what a connection carries before it is written; where a connection breaks on the way, what did not leave is counted too.

Same class, read: own.* and control.* are counted before the answer is written.

--- a/internal/rpc/peer.go
+++ b/internal/rpc/peer.go
@@ -78,19 +78,21 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &n) || isClosed(err)
 }
 
-// put sends a frame; its bytes are counted under a subject.
+// put sends a frame; its bytes are counted under a subject, before the last of them leave: whoever has
+// the whole frame finds it counted.
 func (p *pipe[M]) put(f *Frame[M], subject string, leavesZone bool) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	before := p.m.written
-	defer func() { countSent(subject, leavesZone, p.m.written-before) }()
 	_ = p.c.SetWriteDeadline(clock.Now().Add(silent).Deadline())
 	sent.Add(1)
 	if !p.told {
 		p.told = true
 		f.Form = p.form
 	}
-	if err := p.enc.Encode(f); err != nil {
+	err := p.enc.Encode(f)
+	countSent(subject, leavesZone, p.m.written-before+int64(p.w.Buffered()))
+	if err != nil {
 		return err
 	}
 	return p.w.Flush()
--- a/internal/rpc/traffic.go
+++ b/internal/rpc/traffic.go
@@ -42,7 +42,8 @@
 	sent     = telemetry.Counter("wire.sent")
 )
 
-// metered counts what a connection between daemons carries. Writers take turns.
+// metered counts what a connection between daemons carries. Writers take turns. What is written is
+// counted before it leaves, and also where the connection breaks on the way.
 type metered struct {
 	net.Conn
 	written int64
@@ -55,8 +56,7 @@
 }
 
 func (m *metered) Write(b []byte) (int, error) {
-	n, err := m.Conn.Write(b)
-	m.written += int64(n)
-	bytesOut.Add(int64(n))
-	return n, err
+	m.written += int64(len(b))
+	bytesOut.Add(int64(len(b)))
+	return m.Conn.Write(b)
 }
