--- a/internal/knownred/entry.go
+++ b/internal/knownred/entry.go
@@ -16,17 +16,19 @@
 	Test Kind = iota + 1
 	Script
 	Soak
+	Day
 )
 
 var forms = map[Kind]*regexp.Regexp{
 	Test:   regexp.MustCompile(`^[a-z]\w*\.Test\w+$`),
 	Script: regexp.MustCompile(`^review/\d+/run\.sh$`),
 	Soak:   regexp.MustCompile(`^soak seed \d+$`),
+	Day:    regexp.MustCompile(`^spoolsim point \d+ seed \d+$`),
 }
 
 const (
 	separator = " | "
-	form      = "NAME | COMMAND AND SEED | WHAT WAS SEEN | ISSUE, where NAME is package.TestName, review/N/run.sh or soak seed N"
+	form      = "NAME | COMMAND AND SEED | WHAT WAS SEEN | ISSUE, where NAME is package.TestName, review/N/run.sh, soak seed N or spoolsim point N seed N"
 )
 
 // Entry is one line of the list.
--- a/internal/knownred/entry_test.go
+++ b/internal/knownred/entry_test.go
@@ -13,6 +13,7 @@
 	testLine   = "rpc.TestBytes | go test ./internal/rpc/, no seed | fails 2 of 12 | issue 40\n"
 	scriptLine = "review/3/run.sh | sh review/3/run.sh, no seed | EXPOSURE broken 5 of 5 | issue 30\n"
 	soakLine   = "soak seed 7 | target/spoolsoak run --seed 7 | LOST broken | issue 40\n"
+	dayLine    = "spoolsim point 6 seed 1080 | target/spoolsim replay --point 6 1080 | no answer | issue 40\n"
 )
 
 // list writes a list and returns what is printed of it.
@@ -27,13 +28,13 @@
 
 func TestGoodList(t *testing.T) {
 	is := is.New(t)
-	all := scriptLine + testLine + soakLine
+	all := scriptLine + testLine + soakLine + dayLine
 	tests, err := list(t, "tests", all)
 	is.NoErr(err)
 	is.Equal(tests, "rpc\tTestBytes\t"+testLine)
 	others, err := list(t, "others", all)
 	is.NoErr(err)
-	is.Equal(others, scriptLine+soakLine)
+	is.Equal(others, scriptLine+soakLine+dayLine)
 }
 
 func TestEmptyList(t *testing.T) {
--- a/internal/sim/mix.go
+++ b/internal/sim/mix.go
@@ -31,7 +31,7 @@
 			all.Kinds[k] += n
 		}
 	}
-	return append(append([]Mix{all}, ms...), rolloutMix, successionMix)
+	return append(append([]Mix{all}, ms...), rolloutMix, successionMix, serialMix)
 }
 
 // rolloutMix is the mix of rolloutPoint: orders for rollouts among those for configurations.
@@ -57,10 +57,21 @@
 // successionPoint is the mix of successions.
 const successionPoint = 6
 
+// serially is the removal without a word of machines of the core, one after the other: each goes as soon
+// as the successor of the last one has had its time to catch up.
+const serially = "serially"
+
+// serialMix is the mix of machines that are removed one after the other.
+var serialMix = Mix{serialPoint, "machines of the core removed without a word, each once the successor of the last has caught up, beside all else that may be lost",
+	map[string]int{serially: 8, "cut": 1, "freeze": 1, "kill": 1, "slow-disk": 1, "reset": 1, "kill-all": 1, "blackout": 1}}
+
+// serialPoint is the mix of serial removals.
+const serialPoint = 7
+
 // known tells whether there is a fault of a kind.
 func known(kind string) bool {
 	return slices.ContainsFunc(Mixes(), func(m Mix) bool { return m.Kinds[kind] > 0 })
 }
 
 // Points counts the mixes.
-const Points = 7
+const Points = 8
--- a/internal/sim/plan.go
+++ b/internal/sim/plan.go
@@ -54,6 +54,18 @@
 	Wiped []int `json:",omitempty"`
 }
 
+// length is how long the trouble lasts at most.
+func (f Fault) length() clock.Span {
+	each := clock.Span(len(f.Nodes))
+	switch f.Kind {
+	case serially:
+		return each * (successorMost + catchUp + f.For)
+	case succession:
+		return catchUp + each*f.For + grace
+	}
+	return f.For
+}
+
 // Order is something that an operator sends.
 type Order struct {
 	At       clock.Span
@@ -66,16 +78,18 @@
 }
 
 const (
-	contact  = 3 * clock.Second
-	catchUp  = 4 * clock.Second
-	grace    = 8 * clock.Second
-	apply    = 2 * clock.Second
-	ackBound = 4 * clock.Second
-	recovery = 12 * clock.Second
-	seedLag  = 3 * clock.Second
-	calmEnd  = 14 * clock.Second
-	firstAt  = 10 * clock.Second
-	operator = 2
+	contact = 3 * clock.Second
+	catchUp = 4 * clock.Second
+	grace   = 8 * clock.Second
+	// successorMost is how long after a machine that was removed its successor starts at most.
+	successorMost = clock.Second
+	apply         = 2 * clock.Second
+	ackBound      = 4 * clock.Second
+	recovery      = 12 * clock.Second
+	seedLag       = 3 * clock.Second
+	calmEnd       = 14 * clock.Second
+	firstAt       = 10 * clock.Second
+	operator      = 2
 )
 
 type maker struct {
@@ -213,6 +227,8 @@
 		f.Nodes, f.For = m.some(m.p.Losses), m.span(clock.Second, 4*clock.Second)
 	case "grow":
 		f.N = 1
+	case serially:
+		f.Nodes, f.For = m.some(m.p.Core), m.span(10*clock.Millisecond, 100*clock.Millisecond)
 	case succession:
 		f.Nodes, f.For = m.some(m.p.Core), m.span(0, 3*clock.Second)
 	}
@@ -230,13 +246,21 @@
 		m.all = append(m.all, span{from: at, to: till + 2*clock.Second})
 	case "seeds", "grow", "relay-cut", "answers-lost":
 	case succession:
-		till += catchUp + f.For*clock.Span(len(f.Nodes)) + grace
+		till = at + f.length() + catchUp
 		if !m.fits(at, till, f.Nodes, 0) {
 			return f, false
 		}
 		for _, n := range f.Nodes {
 			m.busy = append(m.busy, span{from: at, to: till, slot: n, whole: true})
 		}
+	case serially:
+		till = at + f.length() + catchUp
+		if !m.fits(at, till, f.Nodes, 1) {
+			return f, false
+		}
+		for i, n := range f.Nodes { // one is lost at each moment
+			m.busy = append(m.busy, span{from: at, to: till, slot: n, whole: i > 0})
+		}
 	default:
 		if !m.fits(at, till, f.Nodes, len(f.Nodes)) {
 			return f, false
@@ -272,14 +296,14 @@
 		at := m.span(firstAt, till)
 		if f, ok := m.fault(at, m.pick(mix.Kinds)); ok {
 			p.Faults = append(p.Faults, f)
-			p.End = max(p.End, f.At+f.For)
+			p.End = max(p.End, f.At+f.length())
 		}
 	}
 	if r.IntN(3) == 0 {
 		at := p.End + catchUp + m.span(clock.Second, 4*clock.Second)
 		if f, ok := m.fault(at, []string{"kill-all", "blackout"}[r.IntN(2)]); ok {
 			p.Faults = append(p.Faults, f)
-			p.End = f.At + f.For
+			p.End = f.At + f.length()
 		}
 	}
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
--- a/internal/sim/strike.go
+++ b/internal/sim/strike.go
@@ -168,6 +168,8 @@
 		for _, m := range ms {
 			d.succeed(m.slot)
 		}
+	case serially:
+		d.serially(ms, f.For)
 	case succession:
 		d.succession(ms, f.For)
 	case "kill-all":
@@ -354,6 +356,20 @@
 	}
 }
 
+// serially removes machines without a word: each a pause after the successor of the last one has had its
+// time to catch up.
+func (d *day) serially(ms []*machine, pause clock.Span) {
+	for _, m := range ms {
+		d.event()
+		d.power(m)
+		m.gone, m.has = true, holding{}
+		clock.Sleep(clock.Span(concurrency.Int64N(int64(successorMost))))
+		d.event()
+		d.succeed(m.slot)
+		clock.Sleep(catchUp + pause)
+	}
+}
+
 // leave stops a machine for good: it has the grace period to end.
 func (d *day) leave(m *machine, left *concurrency.Mark) {
 	d.holds(m)
