A short request is written as before, without a timer of its own

What a part that left proves is the same for both.

Evidence: the tests of held-up requests under the race detector, relay and upstream: pass.

--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// sendAtOnce is how long a request may take to leave before its answer is looked for beside
+	// sendAtOnce is how long a long request may take to leave before its answer is looked for beside
 	// the sending.
 	sendAtOnce = 2 * clock.Millisecond
 	// longRequest is the size in bytes from which on a replica that does not read may hold a
@@ -67,18 +67,20 @@
 	return s.over, s.whole
 }
 
-// Send sends a request with a head of so many bytes. It returns once the request has left, or is
-// held up by a replica that does not read: then the rest is sent while the answer is read, as a
+// Send sends a request with a head of so many bytes. It returns once the request has left, or a
+// long one is held up by a replica that does not read: then the rest is sent while the answer is read, as a
 // replica may answer a request before it has read it. begun tells whether the whole head left; a request
 // of which it did not cannot have run, and any other may have.
 func (k *Conn) Send(request []byte, head int, deadline clock.Tick) (begun bool) {
 	k.sending, k.deadline, k.sentAt = nil, deadline, clock.Now()
 	k.SetDeadline(deadline)
+	until := deadline
 	if len(request) > longRequest {
 		k.expectShutWindow()
+		until = min(deadline, clock.Now().Add(sendAtOnce))
 	}
-	sent, err := k.write(request, min(deadline, clock.Now().Add(sendAtOnce)))
-	if sent < head && errors.Is(err, os.ErrDeadlineExceeded) {
+	sent, err := k.write(request, until)
+	if sent < head && until < deadline && errors.Is(err, os.ErrDeadlineExceeded) {
 		var more int
 		more, err = k.write(request[sent:head], deadline)
 		sent += more
@@ -89,13 +91,14 @@
 	case sent == len(request):
 		return true
 	}
-	k.sending = &sending{}
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		k.sending.finish(false)
+	rest := &sending{}
+	k.sending = rest
+	if until == deadline || err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		rest.finish(false)
 		return true
 	}
 	heldUp.Add(1)
-	concurrency.Go(func() { k.sendRest(k.sending, request[sent:], deadline) })
+	concurrency.Go(func() { k.sendRest(rest, request[sent:], deadline) })
 	return true
 }
 
